route/pool: owned slots with borrowing, measured in virtual time

Cause: 9 entry processes share 50 targets of 8 slots; none may ever send more than the slots allow, and the tail should be that of one queue before all slots. Weighed: two random choices on reported load (kept as baseline in the benchmark); owned slots, lent to peers that are full. Change: a decision core without clock or network; beside it stand-ins for the platform, settings, links and membership, not yet joined to a path. Cause found: a borrowed slot lies idle for the way back to its owner and of the next permit out again. Not yet measured: real processes.

--- /dev/null
+++ b/internal/base/conf/doc.go
@@ -0,0 +1,2 @@
+// Package conf reads and checks the settings of a process.
+package conf
--- /dev/null
+++ b/internal/base/telem/doc.go
@@ -0,0 +1,2 @@
+// Package telem sets up what a process tells of itself: logs, metrics and traces.
+package telem
--- /dev/null
+++ b/internal/base/telem/telem.go
@@ -0,0 +1,78 @@
+package telem
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	tally "github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/semconv/v1.40.0"
+	api "go.opentelemetry.io/otel/trace"
+)
+
+// NewLog returns a logger that writes one key=value line an event to w.
+func NewLog(w io.Writer, level string) logr.Logger {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		l = slog.LevelInfo
+	}
+	return logr.FromSlogHandler(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l}))
+}
+
+// reportEvery is how often metrics pass from their scope to the endpoint.
+const reportEvery = time.Second
+
+// NewMetrics returns a root scope, the handler that shows it in the usual text
+// format, and a closer.
+func NewMetrics() (tally.Scope, http.Handler, io.Closer) {
+	r := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "bramleysail",
+		CachedReporter: r,
+		Separator:      promreporter.DefaultSeparator,
+	}, reportEvery)
+	return scope, r.HTTPHandler(), closer
+}
+
+// Tracer returns the process's tracer; its spans go nowhere until StartTraces is called.
+func Tracer() api.Tracer {
+	return otel.Tracer("bramleysail")
+}
+
+var carry = propagation.TraceContext{}
+
+// Inject writes ctx's span into the headers of the next hop.
+func Inject(ctx context.Context, h http.Header) {
+	carry.Inject(ctx, propagation.HeaderCarrier(h))
+}
+
+// Extract returns ctx with the span that the previous hop wrote into h.
+func Extract(ctx context.Context, h http.Header) context.Context {
+	return carry.Extract(ctx, propagation.HeaderCarrier(h))
+}
+
+// StartTraces sends spans to the OTLP/HTTP collector at url and returns the
+// function that flushes and ends it; an empty url changes nothing.
+func StartTraces(ctx context.Context, url, name string) (func(context.Context) error, error) {
+	if url == "" {
+		return func(context.Context) error { return nil }, nil
+	}
+	exp, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(url))
+	if err != nil {
+		return nil, errors.Wrap(err, "telem")
+	}
+	p := trace.NewTracerProvider(trace.WithBatcher(exp),
+		trace.WithResource(resource.NewSchemaless(semconv.ServiceName("bramleysail"), semconv.ServiceInstanceID(name))))
+	otel.SetTracerProvider(p)
+	return p.Shutdown, nil
+}
--- /dev/null
+++ b/internal/batch/wire/wire.go
@@ -0,0 +1,101 @@
+package wire
+
+import "time"
+
+// Size is an amount of a worker's resources.
+type Size struct {
+	CPU   int `json:"cpu" toml:"cpu"`     // millicores
+	Mem   int `json:"mem" toml:"mem"`     // MiB
+	Accel int `json:"accel" toml:"accel"` // accelerators
+}
+
+// Covers reports whether t fits into s in every dimension.
+func (s Size) Covers(t Size) bool {
+	return t.CPU <= s.CPU && t.Mem <= s.Mem && t.Accel <= s.Accel
+}
+
+// Minus returns s less t.
+func (s Size) Minus(t Size) Size {
+	return Size{s.CPU - t.CPU, s.Mem - t.Mem, s.Accel - t.Accel}
+}
+
+// Plus returns the sum of s and t.
+func (s Size) Plus(t Size) Size {
+	return Size{s.CPU + t.CPU, s.Mem + t.Mem, s.Accel + t.Accel}
+}
+
+// TaskState is a task's state on its worker.
+type TaskState string
+
+// The states of a task on a worker.
+const (
+	TaskRunning  TaskState = "running"
+	TaskFinished TaskState = "finished"
+	TaskStopped  TaskState = "stopped" // evicted; Done tells how much is kept
+	TaskFailed   TaskState = "failed"
+)
+
+// Refusal is the reason why a worker didn't carry out a command.
+type Refusal string
+
+// The reasons of a refusal; each means that nothing was changed.
+const (
+	RefusalEpoch Refusal = "epoch" // the command is of another holder's epoch
+	RefusalLease Refusal = "lease" // the worker's lease has lapsed
+	RefusalRoom  Refusal = "room"  // not enough resources
+)
+
+// Verb is a command about a task that is already on the worker.
+type Verb string
+
+// The verbs of Act.
+const (
+	VerbCheckpoint Verb = "checkpoint" // save the progress, then stop
+	VerbStop       Verb = "stop"       // stop and lose the progress since the start
+	VerbThrottle   Verb = "throttle"
+	VerbForget     Verb = "forget" // drop a task that no longer runs
+)
+
+// Task is what a worker needs to run a task.
+type Task struct {
+	ID       string        `json:"id"`
+	Size     Size          `json:"size"`
+	Run      time.Duration `json:"run"`  // work in total
+	From     time.Duration `json:"from"` // work done before, by checkpoint
+	Standing bool          `json:"standing,omitempty"`
+}
+
+// Fence carries a holder's epoch and how long its lease on the worker runs from now.
+type Fence struct {
+	Epoch uint64        `json:"epoch"`
+	Lease time.Duration `json:"lease"`
+}
+
+// Start asks a worker to run a task; repeating it for a task already there changes nothing.
+type Start struct {
+	Epoch uint64 `json:"epoch"`
+	Task  Task   `json:"task"`
+}
+
+// Act asks a worker to do something with a task that it has.
+type Act struct {
+	Epoch uint64  `json:"epoch"`
+	ID    string  `json:"id"`
+	Verb  Verb    `json:"verb"`
+	Rate  float64 `json:"rate,omitempty"` // share of full speed, 0 to 1, for a throttle
+}
+
+// TaskReport is one task as its worker sees it.
+type TaskReport struct {
+	ID    string        `json:"id"`
+	State TaskState     `json:"state"`
+	Done  time.Duration `json:"done"`
+	Size  Size          `json:"size"`
+}
+
+// Report is a worker's inventory; by fence and act it is current, by report it lags.
+type Report struct {
+	Epoch uint64       `json:"epoch"`
+	Size  Size         `json:"size"`
+	Tasks []TaskReport `json:"tasks"`
+}
--- /dev/null
+++ b/internal/fake/hosts/doc.go
@@ -0,0 +1,2 @@
+// Package hosts is a stand-in for the platform's lagging host list.
+package hosts
--- /dev/null
+++ b/internal/peer/link/doc.go
@@ -0,0 +1,2 @@
+// Package link carries calls between entry processes over net/rpc.
+package link
--- /dev/null
+++ b/internal/plat/hosts/hosts.go
@@ -0,0 +1,65 @@
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Kind says what runs on a host.
+type Kind string
+
+// The kinds of hosts that the list names.
+const (
+	KindTarget Kind = "target"
+	KindWorker Kind = "worker"
+)
+
+// State is a host's state in the list.
+type State string
+
+// The states of a host.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Host is one row of the list: a target of a service, or a worker in a rack.
+type Host struct {
+	Addr    string `json:"addr"` // host:port
+	Kind    Kind   `json:"kind"`
+	Zone    string `json:"zone"` // failure domain
+	Rack    string `json:"rack,omitempty"`
+	Service string `json:"service,omitempty"`
+	State   State  `json:"state"`
+}
+
+// ErrRead says that the list could not be read; the last one read stays in use.
+var ErrRead = errors.New("hosts: list not read")
+
+// maxList is the largest list in bytes that is read.
+const maxList = 64 << 20
+
+// Read fetches the list from url.
+func Read(ctx context.Context, c *http.Client, url string) ([]Host, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Wrap(ErrRead, err.Error())
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(ErrRead, err.Error())
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Wrap(ErrRead, resp.Status)
+	}
+	var rows []Host
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&rows); err != nil {
+		return nil, errors.Wrap(ErrRead, err.Error())
+	}
+	return rows, nil
+}
--- /dev/null
+++ b/internal/plat/store/store.go
@@ -0,0 +1,112 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	// ErrNotFound says that the key does not exist.
+	ErrNotFound = errors.New("store: key not found")
+	// ErrConflict says that the compare-and-swap saw another revision and changed nothing.
+	ErrConflict = errors.New("store: revision conflict")
+	// ErrLapsed says that the lease is unknown to the service: it has expired or was closed.
+	ErrLapsed = errors.New("store: lease lapsed")
+	// ErrUnknown says that no answer came back, so a write may or may not have taken effect.
+	ErrUnknown = errors.New("store: outcome unknown")
+)
+
+// MaxValue is the largest value, in bytes, that the service holds.
+const MaxValue = 1 << 20
+
+// Entry is one key as read, with the revision at which it was last written.
+type Entry struct {
+	Key   string
+	Value []byte
+	Rev   uint64
+	Lease string
+}
+
+// Page is the answer to a List: the entries and the service's revision at that time.
+type Page struct {
+	Entries []Entry
+	Rev     uint64
+}
+
+// Store is what this project needs of the platform's key-value service;
+// every method counts as one call there and is safe for concurrent use.
+type Store interface {
+	// Get reads one key; ErrNotFound when it is absent.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List reads every key below prefix, waiting up to wait for a revision above after.
+	List(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error)
+	// Swap writes value if the key's revision is still rev, where 0 means absent.
+	Swap(ctx context.Context, key string, value []byte, rev uint64) error
+	// Delete removes the key if its revision is still rev.
+	Delete(ctx context.Context, key string, rev uint64) error
+	// Open creates a lease that expires when it isn't renewed for ttl.
+	Open(ctx context.Context, ttl time.Duration) (string, error)
+	// Renew extends the lease by its ttl; ErrLapsed when it is gone.
+	Renew(ctx context.Context, lease string) error
+	// Close ends the lease at once and deletes the keys it holds.
+	Close(ctx context.Context, lease string) error
+	// Hold writes a key that is deleted together with the lease; ErrConflict when another lease holds it.
+	Hold(ctx context.Context, lease, key string, value []byte) error
+}
+
+// Settle makes a Swap whose answer was lost certain: it repeats the same
+// compare-and-swap and, on a conflict, reads back whether the stored value is its own.
+// The value must be unique to this write (carry a write id).
+//
+// The failure it guards against: the answer is lost after the write took effect,
+// and the writer, taking the conflict of its repeat for a rival's win, reports a
+// failure for a change that is in force. Repeating is safe because the revision
+// in the condition lets at most one of the copies through.
+func Settle(ctx context.Context, s Store, key string, value []byte, rev uint64) error {
+	for {
+		err := s.Swap(ctx, key, value, rev)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, ErrConflict):
+			return settled(ctx, s, key, value)
+		case !errors.Is(err, ErrUnknown):
+			return err
+		}
+		if !pause(ctx, retryPause) {
+			return errors.Wrap(ErrUnknown, ctx.Err().Error())
+		}
+	}
+}
+
+const retryPause = 50 * time.Millisecond
+
+func settled(ctx context.Context, s Store, key string, value []byte) error {
+	for {
+		e, err := s.Get(ctx, key)
+		switch {
+		case err == nil && string(e.Value) == string(value):
+			return nil
+		case err == nil, errors.Is(err, ErrNotFound):
+			return ErrConflict
+		case !errors.Is(err, ErrUnknown):
+			return err
+		}
+		if !pause(ctx, retryPause) {
+			return errors.Wrap(ErrUnknown, ctx.Err().Error())
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/route/pool/virtual_test.go
@@ -0,0 +1,454 @@
+package pool
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// world drives several cores in virtual time: events in a heap, a fixed delay for
+// each message, targets that count what they are sent.
+type world struct {
+	now    time.Time
+	queue  events
+	seq    int
+	rand   *rand.Rand
+	hop    time.Duration
+	mean   time.Duration
+	slots  int
+	cores  map[string]*Core
+	dead   map[string]bool
+	busy   map[string]int
+	slow   map[string]float64
+	over   int // requests that reached a target whose slots were all busy
+	ended  map[uint64]int
+	sent   map[uint64]int
+	late   int // refusals given after the call's deadline
+	refuse int
+	hist   *hdrhistogram.Histogram
+	waits  *hdrhistogram.Histogram
+	from   time.Time
+	// owner and ghosts say what a takeover finds.
+	owner map[string]string
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+// zone returns the failure domain of a core or target; they alternate among three.
+func zone(name string) int {
+	n := 0
+	_, _ = fmt.Sscanf(name[1:], "%d", &n)
+	return n % 3
+}
+
+// way returns how long a message takes from one core or target to another.
+func (w *world) way(a, b string) time.Duration {
+	if zone(a) == zone(b) {
+		return w.hop / nearer
+	}
+	return w.hop
+}
+
+// nearer is how many times shorter the way within a failure domain is.
+const nearer = 10
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now.Add(d), w.seq, do})
+}
+
+func (w *world) run(until time.Time) {
+	for len(w.queue) > 0 && !w.queue[0].at.After(until) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+const (
+	maxTrack = int64(time.Minute)
+	tickStep = 5 * time.Millisecond
+	beatStep = 50 * time.Millisecond
+)
+
+func newWorld(seed uint64, cores, targets, slots int, mean, hop time.Duration) *world {
+	w := &world{
+		now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 2)), hop: hop, mean: mean, slots: slots,
+		cores: map[string]*Core{}, dead: map[string]bool{}, busy: map[string]int{}, slow: map[string]float64{},
+		ended: map[uint64]int{}, sent: map[uint64]int{}, owner: map[string]string{},
+		hist: hdrhistogram.New(1, maxTrack, 3), waits: hdrhistogram.New(1, maxTrack, 3),
+	}
+	w.from = w.now
+	for i := range cores {
+		id := fmt.Sprintf("e%d", i)
+		w.cores[id] = New(Options{Self: id, Seed: seed + uint64(i), Wait: 2 * time.Second})
+	}
+	for i := range targets {
+		// Cores and targets alternate among three zones, so the owner is near.
+		id, addr := fmt.Sprintf("e%d", i%cores), fmt.Sprintf("t%02d", i)
+		w.owner[addr] = id
+		w.do(id, w.cores[id].Own(w.now, addr, slots, nil, 0))
+	}
+	for id, c := range w.cores {
+		for other := range w.cores {
+			if other != id {
+				c.Meet(other, zone(id) == zone(other))
+			}
+		}
+	}
+	for i := range cores {
+		w.tick(fmt.Sprintf("e%d", i))
+		w.beat(fmt.Sprintf("e%d", i))
+	}
+	return w
+}
+
+func (w *world) tick(id string) {
+	w.after(tickStep, func() {
+		if !w.dead[id] {
+			w.do(id, w.cores[id].Tick(w.now))
+			w.tick(id)
+		}
+	})
+}
+
+func (w *world) beat(id string) {
+	w.after(beatStep, func() {
+		if w.dead[id] {
+			return
+		}
+		free, want, wait := w.cores[id].Load(w.now)
+		for i := range len(w.cores) {
+			other := fmt.Sprintf("e%d", i)
+			if other != id {
+				w.to(id, other, func(c *Core) []Action { return c.Heard(w.now, id, free, want, wait) })
+			}
+		}
+		w.beat(id)
+	})
+}
+
+// to delivers a message to a core after one hop.
+func (w *world) to(from, id string, f func(*Core) []Action) {
+	w.after(w.way(from, id), func() {
+		if !w.dead[id] {
+			w.do(id, f(w.cores[id]))
+		}
+	})
+}
+
+func (w *world) free(id string) int {
+	n, _, _ := w.cores[id].Load(w.now)
+	return n
+}
+
+func (w *world) do(id string, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			w.send(id, a)
+		case Refuse:
+			w.refuse++
+			w.ended[a.Call.ID]++
+			if w.now.After(a.Call.Until) {
+				w.late++
+			}
+		case Ask:
+			w.ask(id, a)
+		case Give:
+			w.to(id, a.Peer, func(c *Core) []Action { return c.Granted(w.now, id, 0, a.Permits, w.free(id)) })
+		case Free:
+			w.to(id, a.Peer, func(c *Core) []Action { return c.Freed(w.now, a.Key, a.Target, a.Result) })
+		}
+	}
+}
+
+func (w *world) ask(id string, a Ask) {
+	w.after(w.way(id, a.Peer), func() {
+		if w.dead[a.Peer] {
+			w.to(a.Peer, id, func(c *Core) []Action { return c.AskFailed(w.now, a.Peer, a.N) })
+			return
+		}
+		got, more := w.cores[a.Peer].Asked(w.now, id, a.N, a.Wait)
+		free := w.free(a.Peer)
+		w.do(a.Peer, more)
+		w.to(a.Peer, id, func(c *Core) []Action { return c.Granted(w.now, a.Peer, a.N, got, free) })
+	})
+}
+
+func (w *world) service(addr string) time.Duration {
+	f := w.slow[addr]
+	if f == 0 {
+		f = 1
+	}
+	return time.Duration(w.rand.ExpFloat64() * f * float64(w.mean))
+}
+
+func (w *world) send(id string, a Send) {
+	w.sent[a.Call.ID]++
+	if w.now.After(w.from) {
+		_ = w.waits.RecordValue(max(1, int64(w.now.Sub(a.Call.Came))))
+	}
+	begun := w.now
+	addr := a.Permit.Target
+	w.after(w.way(id, addr), func() {
+		if w.busy[addr] >= w.slots {
+			w.over++
+		}
+		w.busy[addr]++
+		w.after(w.service(addr), func() {
+			w.busy[addr]--
+			w.after(w.way(addr, id), func() { w.done(id, a, begun) })
+		})
+	})
+}
+
+func (w *world) done(id string, a Send, begun time.Time) {
+	if w.dead[id] {
+		return
+	}
+	w.ended[a.Call.ID]++
+	if a.Call.Came.After(w.from) {
+		_ = w.hist.RecordValue(int64(w.now.Sub(a.Call.Came)))
+	}
+	w.do(id, w.cores[id].Done(w.now, a.Permit, Result{OutcomeOK, w.now.Sub(begun), -1}))
+}
+
+// load makes calls arrive at random cores at the rate until the time.
+func (w *world) load(rate float64, until time.Time, patience time.Duration) {
+	var next func(id uint64)
+	next = func(id uint64) {
+		w.after(time.Duration(w.rand.ExpFloat64()/rate*float64(time.Second)), func() {
+			if w.now.After(until) {
+				return
+			}
+			core := fmt.Sprintf("e%d", w.rand.IntN(len(w.cores)))
+			for w.dead[core] {
+				core = fmt.Sprintf("e%d", w.rand.IntN(len(w.cores)))
+			}
+			call := Call{ID: id, Team: "t", Came: w.now, Until: w.now.Add(patience)}
+			w.do(core, w.cores[core].Arrive(w.now, call))
+			next(id + 1)
+		})
+	}
+	next(1)
+}
+
+// kill ends a core; half of the lease later the others share its targets.
+func (w *world) kill(id string) {
+	w.dead[id] = true
+	for i := range len(w.cores) {
+		if other := fmt.Sprintf("e%d", i); other != id {
+			w.cores[other].Gone(id)
+		}
+	}
+	w.after(3*time.Second, func() {
+		i := 0
+		for n := range w.slotsOf(id) {
+			addr := fmt.Sprintf("t%02d", n)
+			for w.dead[fmt.Sprintf("e%d", i%len(w.cores))] {
+				i++
+			}
+			to := fmt.Sprintf("e%d", i%len(w.cores))
+			i++
+			w.owner[addr] = to
+			w.do(to, w.cores[to].Own(w.now, addr, w.slots, nil, w.busy[addr]))
+		}
+	})
+}
+
+// slotsOf yields the numbers of the targets that a core owns, in order.
+func (w *world) slotsOf(id string) func(func(int) bool) {
+	return func(yield func(int) bool) {
+		for n := range len(w.owner) {
+			if w.owner[fmt.Sprintf("t%02d", n)] == id && !yield(n) {
+				return
+			}
+		}
+	}
+}
+
+// ideal runs one queue before all slots, which knows at once when a slot is free.
+func ideal(seed uint64, targets, slots int, rate float64, mean, hop, span time.Duration, slow map[string]float64) *hdrhistogram.Histogram {
+	w := newWorld(seed, 0, 0, slots, mean, hop)
+	w.slow = slow
+	type slot struct{ target string }
+	var free []slot
+	var waiting []time.Time
+	for i := range targets * slots {
+		free = append(free, slot{fmt.Sprintf("t%02d", i%targets)})
+	}
+	var start func(came time.Time)
+	start = func(came time.Time) {
+		at := w.rand.IntN(len(free))
+		s := free[at]
+		free[at] = free[len(free)-1]
+		free = free[:len(free)-1]
+		w.after(w.service(s.target), func() {
+			_ = w.hist.RecordValue(int64(w.now.Sub(came) + 2*w.way("e0", s.target)))
+			free = append(free, s)
+			if len(waiting) > 0 {
+				next := waiting[0]
+				waiting = waiting[1:]
+				start(next)
+			}
+		})
+	}
+	w.arrivals(rate, span, func() {
+		if len(free) == 0 {
+			waiting = append(waiting, w.now)
+			return
+		}
+		start(w.now)
+	})
+	return w.hist
+}
+
+// twoChoices sends each call to the less loaded of two random targets by reports
+// that are up to a heartbeat old; what the slots can't take queues at the target.
+func twoChoices(seed uint64, cores, targets, slots int, rate float64, mean, hop, span time.Duration, slow map[string]float64) *hdrhistogram.Histogram {
+	w := newWorld(seed, 0, 0, slots, mean, hop)
+	w.slow = slow
+	load := make([]int, targets)
+	lines := make([][]time.Time, targets)
+	known := make([]int, targets)
+	mine := make([][]int, cores)
+	for i := range mine {
+		mine[i] = make([]int, targets)
+	}
+	var report func()
+	report = func() {
+		copy(known, load)
+		for i := range mine {
+			clear(mine[i])
+		}
+		w.after(beatStep, report)
+	}
+	report()
+	var start func(t int, came time.Time)
+	start = func(t int, came time.Time) {
+		w.after(w.service(fmt.Sprintf("t%02d", t)), func() {
+			_ = w.hist.RecordValue(int64(w.now.Sub(came) + w.way("e0", fmt.Sprintf("t%02d", t))))
+			load[t]--
+			if len(lines[t]) > 0 {
+				next := lines[t][0]
+				lines[t] = lines[t][1:]
+				start(t, next)
+			}
+		})
+	}
+	w.arrivals(rate, span, func() {
+		core, came := w.rand.IntN(cores), w.now
+		a, b := w.rand.IntN(targets), w.rand.IntN(targets)
+		if known[b]+mine[core][b] < known[a]+mine[core][a] {
+			a = b
+		}
+		mine[core][a]++
+		w.after(w.way("e0", fmt.Sprintf("t%02d", a)), func() {
+			load[a]++
+			if load[a] > slots {
+				lines[a] = append(lines[a], came)
+				return
+			}
+			start(a, came)
+		})
+	})
+	return w.hist
+}
+
+func (w *world) arrivals(rate float64, span time.Duration, do func()) {
+	end := w.now.Add(span)
+	var next func()
+	next = func() {
+		w.after(time.Duration(w.rand.ExpFloat64()/rate*float64(time.Second)), func() {
+			if w.now.Before(end) {
+				do()
+				next()
+			}
+		})
+	}
+	next()
+	w.run(end.Add(time.Second))
+}
+
+// BenchmarkTail measures answer times against one ideal queue and two random choices
+// in virtual time; the ratios don't depend on the machine.
+func BenchmarkTail(b *testing.B) {
+	const (
+		cores, targets, slots = 9, 50, 8
+		span                  = 60 * time.Second
+	)
+	for _, tc := range []struct {
+		name string
+		mean time.Duration
+		hop  time.Duration
+		load float64
+		slow bool
+		kill bool
+	}{
+		{"association/plain/50", 100 * time.Millisecond, 500 * time.Microsecond, 0.50, false, false},
+		{"association/plain/80", 100 * time.Millisecond, 500 * time.Microsecond, 0.80, false, false},
+		{"association/plain/95", 100 * time.Millisecond, 500 * time.Microsecond, 0.95, false, false},
+		{"association/short/80", 20 * time.Millisecond, 500 * time.Microsecond, 0.80, false, false},
+		{"association/short/95", 20 * time.Millisecond, 500 * time.Microsecond, 0.95, false, false},
+		{"association/slow/50", 100 * time.Millisecond, 500 * time.Microsecond, 0.50, true, false},
+		{"association/slow/65", 100 * time.Millisecond, 500 * time.Microsecond, 0.65, true, false},
+		{"association/kill/50", 100 * time.Millisecond, 500 * time.Microsecond, 0.50, false, true},
+		{"association/kill/80", 100 * time.Millisecond, 500 * time.Microsecond, 0.80, false, true},
+		{"wildheart/plain/50", 100 * time.Millisecond, 1500 * time.Microsecond, 0.50, false, false},
+		{"wildheart/plain/80", 100 * time.Millisecond, 1500 * time.Microsecond, 0.80, false, false},
+		{"wildheart/plain/95", 100 * time.Millisecond, 1500 * time.Microsecond, 0.95, false, false},
+	} {
+		b.Run(tc.name, func(b *testing.B) {
+			for range b.N {
+				rate := tc.load * targets * slots / tc.mean.Seconds()
+				slow := map[string]float64{}
+				if tc.slow {
+					for i := 0; i < targets; i += 10 {
+						slow[fmt.Sprintf("t%02d", i)] = 5
+					}
+				}
+				w := newWorld(1, cores, targets, slots, tc.mean, tc.hop)
+				w.slow = slow
+				w.load(rate, w.now.Add(span), 10*time.Second)
+				if tc.kill {
+					w.after(span/2, func() { w.kill("e4") })
+				}
+				w.run(w.now.Add(span + time.Second))
+				q := ideal(1, targets, slots, rate, tc.mean, tc.hop, span, slow)
+				p := twoChoices(1, cores, targets, slots, rate, tc.mean, tc.hop, span, slow)
+				for _, at := range []float64{50, 99, 99.9} {
+					own := float64(w.hist.ValueAtPercentile(at))
+					b.ReportMetric(own/1e6, fmt.Sprintf("p%v-ms", at))
+					b.ReportMetric(own/float64(q.ValueAtPercentile(at)), fmt.Sprintf("p%v/ideal", at))
+					b.ReportMetric(own/float64(p.ValueAtPercentile(at)), fmt.Sprintf("p%v/two", at))
+				}
+				b.ReportMetric(float64(w.refuse), "refused")
+				b.ReportMetric(float64(w.over), "over")
+			}
+		})
+	}
+}
