proc: the request path end to end in separate processes

A caller's request enters at any entry process, is sent to a target whose slot its owner holds or lends, and comes back whole; a repeat through another process is answered from the id's home and not run. Settings, sheet, membership, tables and the administration API are joined to it; stand-ins run as processes of their own. Not yet: batch work, faults, load.

--- a/internal/peer/member/group.go
+++ b/internal/peer/member/group.go
@@ -24,6 +24,7 @@
 	Timeout time.Duration // of one heartbeat
 	Log     logr.Logger
 	Changed func(View)             // called on each new view, one call at a time
+	Joined  func()                 // called after each joining, before which others may have taken over
 	Load    func() map[string]Load // what heartbeats tell of this process
 	Heard   func(id string, load map[string]Load)
 }
@@ -50,6 +51,7 @@
 	mu     sync.Mutex
 	view   View
 	lease  string
+	joined time.Time
 	self   Member
 	until  time.Time // own authority by the store's lease, on the monotonic clock
 	away   bool      // the last store call failed
@@ -189,17 +191,31 @@
 		err = g.hold(ctx, lease, self)
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.away = err != nil
+	anew := err == nil && g.lease != lease
 	if err == nil {
 		g.lease = lease
 		// Reckoned from before the renewal was sent, less a margin for clocks that
 		// run at different rates.
 		g.until = sent.Add(g.o.Lease - g.o.Lease/10)
 	}
+	if anew {
+		g.joined = time.Now()
+	}
+	g.mu.Unlock()
+	if anew && g.o.Joined != nil {
+		g.o.Joined()
+	}
 	return err
 }
 
+// JoinedAt returns when this process last joined; what it knew of its holdings before may be out of date.
+func (g *Group) JoinedAt() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.joined
+}
+
 // hold writes this process's key when the view lacks it or shows it otherwise.
 func (g *Group) hold(ctx context.Context, lease string, self Member) error {
 	if m, ok := g.View().Get(self.ID); ok && m == self {
--- /dev/null
+++ b/internal/proc/cli/admin.go
@@ -0,0 +1,224 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"bramleysail.example/bramleysail/internal/ctrl/sheet"
+	"bramleysail.example/bramleysail/internal/proc/node"
+)
+
+const (
+	adminTimeout = 10 * time.Second
+	tokenEnv     = "BRAMLEYSAIL_TOKEN"
+)
+
+func adminFlags(more ...cli.Flag) []cli.Flag {
+	return append(more,
+		&cli.StringFlag{Name: "admin", Value: "127.0.0.1:8082", Usage: "administration `ADDRESS` of any entry process"},
+		&cli.StringFlag{Name: "token", Sources: cli.EnvVars(tokenEnv), Usage: "administration token"},
+		&cli.StringFlag{Name: "output", Value: "table", Usage: "table or json"},
+	)
+}
+
+// call makes one call of the administration API and decodes its answer into out.
+func call[Out any](ctx context.Context, c *cli.Command, method, path string, body any) (Out, error) {
+	var out Out
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return out, errors.Wrap(err, "cli")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.String("admin")+path, bytes.NewReader(data))
+	if err != nil {
+		return out, errors.Wrap(err, "cli")
+	}
+	if t := c.String("token"); t != "" {
+		req.Header.Set("Authorization", "Bearer "+t)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return out, exit{errors.Wrap(err, "cli: no answer; a change may be in force"), ExitUnknown}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		var p node.Problem
+		_ = json.NewDecoder(resp.Body).Decode(&p)
+		return out, exit{errors.Errorf("cli: %s: %s", p.Code, p.Text), problemExit(p.Code)}
+	}
+	return out, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "cli")
+}
+
+func problemExit(code node.AdminCode) int {
+	switch code {
+	case node.AdminInvalid, node.AdminZone:
+		return ExitInvalid
+	case node.AdminConflict, node.AdminShrunken:
+		return ExitConflict
+	case node.AdminStore:
+		return ExitUnknown
+	}
+	return ExitFailed
+}
+
+// show prints v as JSON when asked for, or else by table.
+func show[T any](c *cli.Command, out io.Writer, v T, table func(io.Writer, T)) error {
+	switch c.String("output") {
+	case "json":
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	case "table":
+		w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+		table(w, v)
+		return w.Flush()
+	}
+	return exit{errors.Errorf("cli: --output: %q is neither table nor json", c.String("output")), ExitInvalid}
+}
+
+// config is the administration API's answer about the configuration.
+type config struct {
+	Num  uint64            `json:"num"`
+	Out  map[string]uint64 `json:"out"`
+	Text string            `json:"text"`
+}
+
+func (c config) outZones() string {
+	var zones []string
+	for z := range c.Out {
+		zones = append(zones, z)
+	}
+	slices.Sort(zones)
+	if len(zones) == 0 {
+		return "none"
+	}
+	return strings.Join(zones, " ")
+}
+
+func configTable(w io.Writer, c config) {
+	fmt.Fprintf(w, "configuration\t%d\nout\t%s\n", c.Num, c.outZones())
+}
+
+func sheetCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "sheet",
+		Usage: "read or replace the day's sheet",
+		Commands: []*cli.Command{
+			{
+				Name: "show", Usage: "print the sheet in force", Flags: adminFlags(),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					v, err := call[config](ctx, c, http.MethodGet, "/v1/sheet", nil)
+					if err != nil {
+						return err
+					}
+					return show(c, out, v, func(w io.Writer, v config) {
+						configTable(w, v)
+						fmt.Fprintf(w, "\n%s\n", v.Text)
+					})
+				},
+			},
+			{
+				Name: "put", Usage: "put a sheet in force", ArgsUsage: "FILE",
+				Description: "The sheet's base is the number of the configuration that it was drawn from.\nExample: bramleysail sheet put examples/association.sheet.toml",
+				Flags:       adminFlags(&cli.BoolFlag{Name: "confirm", Usage: "the sheet is meant to drop half or more of what is declared"}),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					text, err := readSheet(c)
+					if err != nil {
+						return err
+					}
+					v, err := call[config](ctx, c, http.MethodPut, "/v1/sheet", struct {
+						Text    string `json:"text"`
+						Confirm bool   `json:"confirm"`
+					}{text, c.Bool("confirm")})
+					if err != nil {
+						return err
+					}
+					return show(c, out, v, configTable)
+				},
+			},
+			{
+				Name: "diff", Usage: "show what a sheet would change", ArgsUsage: "FILE", Flags: adminFlags(),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					text, err := readSheet(c)
+					if err != nil {
+						return err
+					}
+					v, err := call[config](ctx, c, http.MethodGet, "/v1/sheet", nil)
+					if err != nil {
+						return err
+					}
+					_, err = io.WriteString(out, sheet.Diff(v.Text, text))
+					return err
+				},
+			},
+		},
+	}
+}
+
+func readSheet(c *cli.Command) (string, error) {
+	data, err := os.ReadFile(c.Args().First())
+	if err != nil {
+		return "", exit{errors.Wrap(err, "cli"), ExitInvalid}
+	}
+	if _, err := sheet.Parse(string(data)); err != nil {
+		return "", err
+	}
+	return string(data), nil
+}
+
+func domainCommand(out io.Writer) *cli.Command {
+	move := func(verb, usage string) *cli.Command {
+		return &cli.Command{
+			Name: verb, Usage: usage, ArgsUsage: "NAME", Flags: adminFlags(),
+			Description: "Example: bramleysail domain " + verb + " heredia",
+			Action: func(ctx context.Context, c *cli.Command) error {
+				v, err := call[config](ctx, c, http.MethodPost, "/v1/zones/"+c.Args().First()+"/"+verb, nil)
+				if err != nil {
+					return err
+				}
+				return show(c, out, v, configTable)
+			},
+		}
+	}
+	return &cli.Command{
+		Name: "domain", Usage: "take a failure domain out of service or bring it back",
+		Commands: []*cli.Command{move("out", "nothing starts there any more"), move("back", "it may be used again")},
+	}
+}
+
+func statusCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "show what an entry process knows", Flags: adminFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			v, err := call[node.Status](ctx, c, http.MethodGet, "/v1/status", nil)
+			if err != nil {
+				return err
+			}
+			return show(c, out, v, statusTable)
+		},
+	}
+}
+
+func statusTable(w io.Writer, s node.Status) {
+	fmt.Fprintf(w, "node\t%s\nzone\t%s\nready\t%t\nsure\t%t\nview\t%d\nmembers\t%s\nconfiguration\t%d\nout\t%s\n",
+		s.Node, s.Zone, s.Ready, s.Sure, s.Epoch, strings.Join(s.Members, " "), s.Config, strings.Join(s.Out, " "))
+	for name, v := range s.Services {
+		fmt.Fprintf(w, "\nservice %s\tqueued %d\n", name, v.Queued)
+		for _, t := range v.Targets {
+			fmt.Fprintf(w, "  %s\tslots %d\tin use %d\tuntracked %d\tleaving %t\tejected %t\n", t.Addr, t.Slots, t.Out, t.Ghosts, t.Leaving, t.Ejected)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proc/cli/cli.go
@@ -0,0 +1,136 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"bramleysail.example/bramleysail/internal/base/conf"
+	"bramleysail.example/bramleysail/internal/base/telem"
+	"bramleysail.example/bramleysail/internal/ctrl/sheet"
+	"bramleysail.example/bramleysail/internal/proc/node"
+)
+
+// Exit codes of the command.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1 // the command could not be carried out
+	ExitInvalid  = 2 // the input is wrong; nothing was changed
+	ExitConflict = 3 // somebody else changed it first; nothing was changed
+	ExitUnknown  = 4 // no answer: the change may be in force; read back
+	ExitBroken   = 5 // the demo saw a promise broken
+)
+
+const exitHelp = `Exit codes: 0 done, 1 failed, 2 invalid input, 3 conflict, 4 outcome unknown, 5 promise broken (demo).`
+
+// Run carries out the command line args and returns the exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	root := &cli.Command{
+		Name:           "bramleysail",
+		Usage:          "schedules latency-critical services and batch work on shared hosts",
+		Description:    exitHelp,
+		Writer:         out,
+		ErrWriter:      errOut,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			serveCommand(errOut), checkCommand(out), sheetCommand(out), domainCommand(out), statusCommand(out), standinCommand(out),
+		},
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(errOut, err)
+	return exitCode(err)
+}
+
+// exit is an error that carries the exit code.
+type exit struct {
+	error
+	code int
+}
+
+func (e exit) Unwrap() error { return e.error }
+
+func exitCode(err error) int {
+	var e exit
+	var faults conf.Faults
+	switch {
+	case errors.As(err, &e):
+		return e.code
+	case errors.As(err, &faults):
+		return ExitInvalid
+	}
+	return ExitFailed
+}
+
+func serveCommand(errOut io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:        "serve",
+		Usage:       "run one entry process until SIGTERM or SIGINT",
+		Description: "Example: bramleysail serve --settings examples/association.toml",
+		Flags:       []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE` in TOML; defaults without"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s := conf.Default()
+			if f := c.String("settings"); f != "" {
+				var err error
+				if s, err = conf.Load(f); err != nil {
+					return err
+				}
+			}
+			return serve(ctx, s, errOut)
+		},
+	}
+}
+
+func serve(ctx context.Context, s conf.Settings, errOut io.Writer) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	n, err := node.Start(s, telem.NewLog(errOut, s.Log.Level))
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-n.Lost():
+		err = errors.New("cli: a listener was lost")
+	}
+	// A second signal ends the process at once.
+	stop()
+	if serr := n.Stop(context.Background()); err == nil {
+		err = serr
+	}
+	return err
+}
+
+func checkCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:        "check",
+		Usage:       "check a settings file or, with --sheet, a sheet; every fault is listed",
+		ArgsUsage:   "FILE",
+		Description: "Examples: bramleysail check examples/association.toml\n          bramleysail check --sheet examples/association.sheet.toml",
+		Flags:       []cli.Flag{&cli.BoolFlag{Name: "sheet", Usage: "the file is a sheet"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			data, err := os.ReadFile(c.Args().First())
+			if err != nil {
+				return errors.Wrap(err, "cli")
+			}
+			if c.Bool("sheet") {
+				_, err = sheet.Parse(string(data))
+			} else {
+				_, err = conf.Parse(string(data))
+			}
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "%s: ok\n", c.Args().First())
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/proc/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli is the command line.
+package cli
--- /dev/null
+++ b/internal/proc/node/doc.go
@@ -0,0 +1,2 @@
+// Package node assembles a serving process from its parts and runs it.
+package node
--- /dev/null
+++ b/internal/proc/node/peer.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"bramleysail.example/bramleysail/internal/peer/member"
+	"bramleysail.example/bramleysail/internal/route/broker"
+	"bramleysail.example/bramleysail/internal/route/once"
+)
+
+var httpClient = &http.Client{}
+
+// errService says that the service isn't known here yet; the peer may ask again.
+var errService = errors.New("node: service not known here")
+
+// Peer is what the other entry processes call over net/rpc.
+type Peer struct {
+	n *Node
+}
+
+// Beat exchanges heartbeats.
+func (p *Peer) Beat(in member.Beat, out *member.Beat) error {
+	p.n.group.Hear(in)
+	*out = p.n.group.Beat()
+	return nil
+}
+
+// with runs f on the broker of a service.
+func with[Out any](p *Peer, service string, out *Out, f func(*broker.Broker) Out) error {
+	rt := p.n.routes.get(service)
+	if rt == nil {
+		return errService
+	}
+	*out = f(rt.broker)
+	return nil
+}
+
+// Ask asks for slots.
+func (p *Peer) Ask(in broker.AskArgs, out *broker.AskReply) error {
+	return with(p, in.Service, out, func(b *broker.Broker) broker.AskReply { return b.Ask(in) })
+}
+
+// Free gives a permit back.
+func (p *Peer) Free(in broker.FreeArgs, out *bool) error {
+	return with(p, in.Service, out, func(b *broker.Broker) bool { b.Free(in); return true })
+}
+
+// Claim takes a target over.
+func (p *Peer) Claim(in broker.ClaimArgs, out *broker.ClaimReply) error {
+	return with(p, in.Service, out, func(b *broker.Broker) broker.ClaimReply { return b.Claim(in) })
+}
+
+// Held asks for the permits in use of a lost owner's target.
+func (p *Peer) Held(in broker.HeldArgs, out *broker.HeldReply) error {
+	return with(p, in.Service, out, func(b *broker.Broker) broker.HeldReply { return b.Held(in) })
+}
+
+// Begin enters a non-idempotent request.
+func (p *Peer) Begin(in once.BeginArgs, out *once.BeginReply) error {
+	*out = p.n.homes.Serve(in)
+	return nil
+}
+
+// Finish tells how a non-idempotent request ended.
+func (p *Peer) Finish(in once.FinishArgs, out *bool) error {
+	p.n.homes.Heed(in)
+	*out = true
+	return nil
+}
+
+// Pull asks for the records of the ids whose home the asker is.
+func (p *Peer) Pull(in once.PullArgs, out *once.PullReply) error {
+	*out = p.n.homes.Give(in)
+	return nil
+}
--- /dev/null
+++ b/internal/proc/whole/procs_test.go
@@ -0,0 +1,341 @@
+package whole
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/plat/hosts"
+	"bramleysail.example/bramleysail/internal/proc/node"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "bramleysail")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "bramleysail")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/bramleysail").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// proc is a process of the system or a stand-in.
+type proc struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	line chan string // the first line of output that matches
+	done chan struct{}
+
+	mu  sync.Mutex
+	log bytes.Buffer
+	err error
+}
+
+// start runs the command and waits for a line of output that matches.
+func start(t *testing.T, match string, args ...string) (*proc, []string) {
+	t.Helper()
+	p := &proc{t: t, cmd: exec.Command(binary, args...), line: make(chan string, 1), done: make(chan struct{})}
+	r, w := io.Pipe()
+	p.cmd.Stdout, p.cmd.Stderr = w, w
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	re := regexp.MustCompile(match)
+	go p.read(r, re)
+	go func() {
+		p.err = p.cmd.Wait()
+		_ = w.Close()
+		close(p.done)
+	}()
+	t.Cleanup(p.kill)
+	select {
+	case l := <-p.line:
+		return p, re.FindStringSubmatch(l)
+	case <-p.done:
+	case <-time.After(patience):
+	}
+	t.Fatalf("%v did not start:\n%s", args, p.text())
+	return nil, nil
+}
+
+func (p *proc) read(r io.Reader, re *regexp.Regexp) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, 1<<20)
+	for s.Scan() {
+		p.mu.Lock()
+		p.log.WriteString(s.Text() + "\n")
+		p.mu.Unlock()
+		if re.MatchString(s.Text()) {
+			select {
+			case p.line <- s.Text():
+			default:
+			}
+		}
+	}
+	_, _ = io.Copy(io.Discard, r)
+}
+
+func (p *proc) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+func (p *proc) signal(s syscall.Signal) {
+	_ = p.cmd.Process.Signal(s)
+}
+
+func (p *proc) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+	if p.t.Failed() {
+		p.t.Logf("%v\n%s", p.cmd.Args[1:], p.text())
+	}
+}
+
+// patience is how long a test waits for something that has to happen; no verdict
+// depends on how long it takes.
+const patience = 60 * time.Second
+
+// eventually waits until cond holds.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for !cond() {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("never came about: %s", what)
+		case <-tick.C:
+		}
+	}
+}
+
+// entryProc is a serving process.
+type entryProc struct {
+	*proc
+	caller, admin string
+}
+
+// system is a small deployment: stand-ins and serving processes.
+type system struct {
+	t       *testing.T
+	dir     string
+	store   string
+	hosts   string
+	targets []string
+	entries []*entryProc
+}
+
+var zones = []string{"heredia", "cartago", "escazu"}
+
+func newSystem(t *testing.T) *system {
+	s := &system{t: t, dir: t.TempDir()}
+	_, m := start(t, `listening (\S+)`, "standin", "store")
+	s.store = m[1]
+	_, m = start(t, `listening (\S+)`, "standin", "hosts")
+	s.hosts = m[1]
+	return s
+}
+
+func (s *system) addTargets(n, slots int, work time.Duration) {
+	for range n {
+		_, m := start(s.t, `listening (\S+)`, "standin", "target", "--slots", fmt.Sprint(slots), "--work", work.String())
+		s.setHost(hosts.Host{Addr: m[1], Kind: hosts.KindTarget, Zone: zones[len(s.targets)%3], Service: "registro", State: hosts.StateLive})
+		s.targets = append(s.targets, m[1])
+	}
+}
+
+func (s *system) setHost(h hosts.Host) {
+	s.t.Helper()
+	s.send(http.MethodPut, "http://"+s.hosts+"/", h, nil)
+}
+
+const settings = `
+name = "e%d"
+zone = "%s"
+[listen]
+caller = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+[store]
+url = "http://%s"
+timeout = "500ms"
+lease = "2s"
+wait = "2s"
+[hosts]
+url = "http://%s"
+every = "200ms"
+[stop]
+linger = "300ms"
+grace = "20s"
+`
+
+func (s *system) addEntry() *entryProc {
+	n := len(s.entries)
+	file := filepath.Join(s.dir, fmt.Sprintf("e%d.toml", n))
+	text := fmt.Sprintf(settings, n, zones[n%3], s.store, s.hosts)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	p, m := start(s.t, `msg=serving .*caller=(\S+) .*admin=(\S+)`, "serve", "--settings", file)
+	e := &entryProc{p, m[1], m[2]}
+	s.entries = append(s.entries, e)
+	return e
+}
+
+func (e *entryProc) ready() bool {
+	resp, err := http.Get("http://" + e.admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (e *entryProc) status() node.Status {
+	var s node.Status
+	resp, err := http.Get("http://" + e.admin + "/v1/status")
+	if err != nil {
+		return s
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&s)
+	return s
+}
+
+// owned returns how many targets the process owns.
+func (e *entryProc) owned() int {
+	return len(e.status().Services["registro"].Targets)
+}
+
+// settle waits until every process is ready and every target is owned once.
+func (s *system) settle() {
+	s.t.Helper()
+	eventually(s.t, "all targets owned", func() bool {
+		sum := 0
+		for _, e := range s.entries {
+			select {
+			case <-e.done:
+				continue
+			default:
+			}
+			if !e.ready() {
+				return false
+			}
+			sum += e.owned()
+		}
+		return sum == len(s.targets)
+	})
+}
+
+// putSheet puts the association's example sheet in force through the command line.
+func (s *system) putSheet() {
+	s.t.Helper()
+	s.run(0, "sheet", "put", "--admin", s.entries[0].admin, "../../../examples/association.sheet.toml")
+}
+
+// run runs a command of the command line to its end and checks its exit code.
+func (s *system) run(code int, args ...string) string {
+	s.t.Helper()
+	c := exec.Command(binary, args...)
+	out, _ := c.CombinedOutput()
+	if got := c.ProcessState.ExitCode(); got != code {
+		s.t.Fatalf("%v: exit code %d, not %d:\n%s", args, got, code, out)
+	}
+	return string(out)
+}
+
+func (s *system) send(method, url string, body, out any) {
+	s.t.Helper()
+	data, err := json.Marshal(body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req, err := http.NewRequest(method, url, bytes.NewReader(data))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if out != nil {
+		if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+// targetStats is what a target counted.
+type targetStats struct{ Peak, Conns, Over, Total, Twice int }
+
+func (s *system) stats() targetStats {
+	var sum targetStats
+	for _, addr := range s.targets {
+		var st targetStats
+		s.send(http.MethodGet, "http://"+addr+"/stats", nil, &st)
+		sum.Total += st.Total
+		sum.Over += st.Over
+		sum.Twice += st.Twice
+		sum.Peak = max(sum.Peak, st.Peak)
+		sum.Conns = max(sum.Conns, st.Conns)
+	}
+	return sum
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status  int
+	outcome string
+	body    string
+	err     error
+}
+
+var caller = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+// post sends a check-in with the key.
+func post(addr, key, body string) answer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/registro/checkin", strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	// Without this the caller's own transport would repeat the request by itself.
+	req.GetBody = nil
+	return do(req)
+}
+
+func do(req *http.Request) answer {
+	resp, err := caller.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header.Get("Sail-Outcome"), string(data), err}
+}
--- /dev/null
+++ b/internal/route/once/home.go
@@ -0,0 +1,307 @@
+package once
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"bramleysail.example/bramleysail/internal/peer/link"
+	"bramleysail.example/bramleysail/internal/peer/member"
+)
+
+// ErrUnsure says that the request was not begun: its home can't be reached or can't
+// vouch for it yet. It has not run; it may be tried again later.
+var ErrUnsure = errors.New("once: home not reached")
+
+// BeginArgs asks a home to enter a request.
+type BeginArgs struct {
+	Epoch uint64 // of the sender's view
+	ID    string
+	Print uint64
+	By    string
+}
+
+// BeginReply is a home's answer. Epoch is the home's view; Ready is false when the
+// two views differ or the home has yet to learn what others know.
+type BeginReply struct {
+	Epoch   uint64
+	Ready   bool
+	Verdict Verdict
+	Record  Record
+}
+
+// FinishArgs tells a home how a request ended; with Drop set that it was never sent.
+type FinishArgs struct {
+	Record Record
+	Drop   bool
+}
+
+// PullArgs asks for the records whose home the asker is in the view of that epoch.
+type PullArgs struct {
+	Epoch uint64
+	By    string
+}
+
+// PullReply holds them; Ready is false while the giver's view is older. Blank is how
+// long ago the giver's memory became incomplete, 0 when it's whole.
+type PullReply struct {
+	Ready bool
+	Blank time.Duration
+	Rows  []Record
+}
+
+// Homes runs one process's part of the ids' homes. Each request is entered in the
+// table of the process that sends it and in that of its home, the first member in
+// the id's order; where these are the same process, the second is its witness. So
+// what one lost process knew, another knows as well, and a process that becomes the
+// home of an id learns it from the others before it answers.
+type Homes struct {
+	table *Table
+	group *member.Group
+	links *link.Set
+	log   logr.Logger
+	limit time.Duration // of one call
+
+	mu    sync.Mutex
+	warm  uint64          // epoch for which everything is known
+	from  map[string]bool // members that were in the last view for which it was
+	ready bool
+}
+
+// NewHomes returns the homes' part of a process.
+func NewHomes(t *Table, g *member.Group, l *link.Set, limit time.Duration, log logr.Logger) *Homes {
+	return &Homes{table: t, group: g, links: l, limit: limit, log: log, from: map[string]bool{}}
+}
+
+const (
+	retryEvery = 20 * time.Millisecond
+	// tries bounds how often a begin is repeated while views or homes settle.
+	tries = 50
+)
+
+// Begin enters the request here and at its home. Only Fresh with a nil error allows
+// it to be sent.
+func (h *Homes) Begin(ctx context.Context, id string, print uint64) (Verdict, Record, error) {
+	self := h.group.Self().ID
+	v, r := h.table.Begin(time.Now(), id, print, self, h.alive)
+	if v != Fresh {
+		return v, r, nil
+	}
+	v, r, err := h.enter(ctx, id, print, self)
+	if err != nil || v != Fresh {
+		h.table.Drop(id, self)
+	}
+	if err != nil {
+		go h.drop(id, self)
+	}
+	return v, r, err
+}
+
+// enter begins the request at the home, or at the witness when this process is the home.
+func (h *Homes) enter(ctx context.Context, id string, print uint64, self string) (Verdict, Record, error) {
+	for range tries {
+		if !h.group.Lawful() {
+			return "", Record{}, errors.Wrap(ErrUnsure, "this process has lost its membership")
+		}
+		view := h.group.View()
+		home, ok := view.Home(id)
+		if ok && home.ID == self {
+			if !h.isWarm(view.Epoch()) {
+				if err := pause(ctx); err != nil {
+					return "", Record{}, err
+				}
+				continue
+			}
+			home, ok = view.Home(id, self)
+		}
+		if !ok {
+			return Fresh, Record{}, nil // alone: nobody else could be asked about it either
+		}
+		rep, err := h.call(ctx, home, BeginArgs{view.Epoch(), id, print, self})
+		switch {
+		case err != nil:
+			return "", Record{}, errors.Wrap(ErrUnsure, err.Error())
+		case rep.Ready:
+			return rep.Verdict, rep.Record, nil
+		}
+		if err := pause(ctx); err != nil {
+			return "", Record{}, err
+		}
+	}
+	return "", Record{}, errors.Wrap(ErrUnsure, "views did not settle")
+}
+
+func (h *Homes) call(ctx context.Context, m member.Member, in BeginArgs) (BeginReply, error) {
+	cctx, cancel := context.WithTimeout(ctx, h.limit)
+	defer cancel()
+	return link.Call[BeginArgs, BeginReply](cctx, h.links.To(m.Addr), "Peer.Begin", in)
+}
+
+func pause(ctx context.Context) error {
+	t := time.NewTimer(retryEvery)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return errors.Wrap(ErrUnsure, ctx.Err().Error())
+	case <-t.C:
+		return nil
+	}
+}
+
+func (h *Homes) alive(id string) bool {
+	_, ok := h.group.View().Get(id)
+	return ok
+}
+
+// Serve answers a peer's Begin.
+//
+// It guards against two homes for one id: during a change of members two processes
+// may each think they are the home. Equal views have one home, and a home answers in
+// a view only after every member of it has moved to that view and passed on its records.
+func (h *Homes) Serve(in BeginArgs) BeginReply {
+	view := h.group.View()
+	rep := BeginReply{Epoch: view.Epoch()}
+	if in.Epoch != view.Epoch() || !h.group.Lawful() {
+		return rep
+	}
+	if home, _ := view.Home(in.ID); home.ID == h.group.Self().ID && !h.isWarm(view.Epoch()) {
+		return rep
+	}
+	rep.Ready = true
+	rep.Verdict, rep.Record = h.table.Begin(time.Now(), in.ID, in.Print, in.By, h.alive)
+	return rep
+}
+
+// Finish notes how a request that was begun here ended, here and at its home.
+func (h *Homes) Finish(r Record) {
+	r.By = h.group.Self().ID
+	h.table.Finish(time.Now(), r)
+	h.tell(FinishArgs{Record: r})
+}
+
+// Drop notes that a request that was begun here was certainly not sent.
+func (h *Homes) Drop(id string) {
+	self := h.group.Self().ID
+	h.table.Drop(id, self)
+	h.drop(id, self)
+}
+
+func (h *Homes) drop(id, by string) {
+	h.tell(FinishArgs{Record: Record{ID: id, By: by}, Drop: true})
+}
+
+// tell passes the word to the home and the witness, a few times if it is lost. A home
+// that never hears it answers repeats with "running" and, once this process is gone,
+// with "unknown": both true.
+func (h *Homes) tell(in FinishArgs) {
+	self := h.group.Self().ID
+	view := h.group.View()
+	home, ok := view.Home(in.Record.ID)
+	if ok && home.ID == self {
+		home, ok = view.Home(in.Record.ID, self)
+	}
+	if !ok {
+		return
+	}
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), h.limit)
+		_, err := link.Call[FinishArgs, bool](ctx, h.links.To(home.Addr), "Peer.Finish", in)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// Heed takes in a peer's word on how a request ended.
+func (h *Homes) Heed(in FinishArgs) {
+	if in.Drop {
+		h.table.Drop(in.Record.ID, in.Record.By)
+		return
+	}
+	h.table.Finish(time.Now(), in.Record)
+}
+
+// Give answers a peer's Pull.
+func (h *Homes) Give(in PullArgs) PullReply {
+	view := h.group.View()
+	if view.Epoch() < in.Epoch {
+		return PullReply{}
+	}
+	return PullReply{Ready: true, Blank: h.table.Blank(time.Now()), Rows: h.table.Select(func(id string) bool {
+		home, ok := view.Home(id)
+		return ok && home.ID == in.By
+	})}
+}
+
+func (h *Homes) isWarm(epoch uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ready && h.warm == epoch
+}
+
+// Settle learns what the other members of a new view know, until a newer view comes
+// or ctx ends. It returns at once for a view that has nobody else in it.
+func (h *Homes) Settle(ctx context.Context, view member.View) {
+	self := h.group.Self().ID
+	todo := map[string]member.Member{}
+	for _, m := range view.Members() {
+		if m.ID != self {
+			todo[m.ID] = m
+		}
+	}
+	for len(todo) > 0 && ctx.Err() == nil && h.group.View().Epoch() == view.Epoch() {
+		for id, m := range todo {
+			if h.pull(ctx, m, view.Epoch()) {
+				delete(todo, id)
+			}
+		}
+		if len(todo) > 0 && pause(ctx) != nil {
+			return
+		}
+	}
+	if len(todo) == 0 {
+		h.settled(view)
+	}
+}
+
+func (h *Homes) pull(ctx context.Context, m member.Member, epoch uint64) bool {
+	cctx, cancel := context.WithTimeout(ctx, 4*h.limit)
+	defer cancel()
+	rep, err := link.Call[PullArgs, PullReply](cctx, h.links.To(m.Addr), "Peer.Pull", PullArgs{epoch, h.group.Self().ID})
+	if err != nil || !rep.Ready {
+		return false
+	}
+	now := time.Now()
+	h.table.Merge(now, rep.Rows)
+	if rep.Blank > 0 {
+		h.table.SetBlank(now.Add(-rep.Blank))
+	}
+	return true
+}
+
+// settled notes that everything is known for the view, or that too many members were
+// lost since the last one for that to be true. A process's first view has no last one:
+// what was lost before it came is known to those that were there.
+func (h *Homes) settled(view member.View) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lost := 0
+	for id := range h.from {
+		if _, ok := view.Get(id); !ok {
+			lost++
+		}
+	}
+	if lost > 1 {
+		h.table.SetBlank(time.Now())
+		h.log.Info("request ids may be forgotten", "lost", lost, "epoch", view.Epoch())
+	}
+	h.from = map[string]bool{}
+	for _, m := range view.Members() {
+		h.from[m.ID] = true
+	}
+	h.warm, h.ready = view.Epoch(), true
+}
--- a/internal/route/pool/action.go
+++ b/internal/route/pool/action.go
@@ -41,7 +41,8 @@
 type Result struct {
 	Outcome Outcome
 	Took    time.Duration
-	Load    int // requests at the target by its own word, or -1
+	Load    int  // requests at the target by its own word, or -1
+	Leaving bool // by the target's own word
 }
 
 // Held is a permit that is out, as it is passed on with its target.
--- a/internal/route/pool/core.go
+++ b/internal/route/pool/core.go
@@ -11,6 +11,7 @@
 	Life time.Duration // longest that a request runs at a target; a permit lives several times that
 	Wait time.Duration // longest that a request waits for a slot
 	Seed uint64
+	Most int // permits of one target that one peer has at once; 0 means no limit
 }
 
 const (
@@ -89,6 +90,18 @@
 	c.out = append(c.out, a)
 }
 
+// Self returns the id of the process that the core decides for.
+func (c *Core) Self() string { return c.o.Self }
+
+// Life returns how long a permit lives.
+func (c *Core) Life() time.Duration { return lives * c.o.Life }
+
+// SetLimits changes the longest run, the longest wait and the permits of one target
+// that one peer has at once.
+func (c *Core) SetLimits(life, wait time.Duration, most int) {
+	c.o.Life, c.o.Wait, c.o.Most = life, wait, most
+}
+
 // SetLawful tells whether this process may still use and lend what it owns.
 func (c *Core) SetLawful(now time.Time, lawful bool) []Action {
 	c.lawful = lawful
@@ -114,7 +127,7 @@
 	if !c.lawful {
 		return nil
 	}
-	return c.pick(now, avoid)
+	return c.pick(now, avoid, c.o.Self)
 }
 
 // admit queues the call if it can be served in time. When it can't, but its team
@@ -224,11 +237,15 @@
 		if !mine && theirs == nil {
 			return
 		}
-		t := c.pick(now, call.Avoid)
+		by := c.o.Self
+		if !mine || theirs != nil && theirs.came.Add(ownFirst).Before(call.Came) {
+			by = id
+		}
+		t := c.pick(now, call.Avoid, by)
 		if t == nil {
 			return
 		}
-		if mine && (theirs == nil || !theirs.came.Add(ownFirst).Before(call.Came)) {
+		if by == c.o.Self {
 			c.queue.pop()
 			if c.late(now, call) {
 				continue
@@ -396,7 +413,7 @@
 	Slots   int
 	Out     int
 	Ghosts  int
-	Leaving bool
+	Leaving bool // by the host list, an operator or its own word
 	Ejected bool
 }
 
@@ -404,7 +421,7 @@
 func (c *Core) Targets(now time.Time) []Owned {
 	var rows []Owned
 	for _, t := range c.order {
-		rows = append(rows, Owned{t.addr, t.slots, len(t.out), t.ghosts, t.leaving, now.Before(t.ejected)})
+		rows = append(rows, Owned{t.addr, t.slots, len(t.out), t.ghosts, t.leaving || t.said, now.Before(t.ejected)})
 	}
 	return rows
 }
--- a/internal/route/pool/share.go
+++ b/internal/route/pool/share.go
@@ -59,14 +59,15 @@
 	return c.take()
 }
 
-// Probed takes in the answer to a probe of an owned target: whether it is healthy
-// and how many requests it has by its own word, or -1.
-func (c *Core) Probed(now time.Time, addr string, healthy bool, load int) []Action {
+// Probed takes in the answer to a probe of an owned target: whether it is healthy,
+// how many requests it has by its own word, or -1, and whether it says it is leaving.
+func (c *Core) Probed(now time.Time, addr string, healthy bool, load int, leaving bool) []Action {
 	t := c.targets[addr]
 	if t == nil {
 		return nil
 	}
 	t.heed(load)
+	t.said = healthy && leaving
 	if !healthy && now.Before(t.ejected) {
 		t.ejected = now.Add(t.backoff)
 	}
@@ -81,7 +82,7 @@
 	p.came = now.Add(-wait)
 	var got []Permit
 	for len(got) < n && c.lawful && c.queue.size == 0 {
-		t := c.pick(now, "")
+		t := c.pick(now, "", id)
 		if t == nil {
 			break
 		}
--- a/internal/route/pool/target.go
+++ b/internal/route/pool/target.go
@@ -13,7 +13,8 @@
 	out     map[Key]held
 	ghosts  int       // slots that requests nobody tracks may still occupy
 	until   time.Time // when the ghosts are gone for certain
-	leaving bool
+	leaving bool      // by the host list or an operator
+	said    bool      // by its own word it is leaving
 	fails   int
 	ejected time.Time // no request before then; zero when not ejected
 	backoff time.Duration
@@ -36,7 +37,7 @@
 
 // free returns how many more requests the target takes now.
 func (t *target) free(now time.Time) int {
-	if t.leaving || now.Before(t.ejected) {
+	if t.leaving || t.said || now.Before(t.ejected) {
 		return 0
 	}
 	n := t.slots - len(t.out) - t.ghosts
@@ -52,6 +53,7 @@
 	case OutcomeNever:
 		return
 	case OutcomeOK:
+		t.said = r.Leaving
 		t.fails, t.trial, t.backoff = 0, false, 0
 		t.measure(r.Took)
 		return
@@ -101,15 +103,26 @@
 	}
 }
 
-// pick returns the target to use next: not slow before slow, then the one with the
-// most free slots; nil when none is free.
-func (c *Core) pick(now time.Time, avoid string) *target {
+// lentTo returns how many of the target's permits a process has.
+func (t *target) lentTo(by string) int {
+	n := 0
+	for _, h := range t.out {
+		if h.by == by {
+			n++
+		}
+	}
+	return n
+}
+
+// pick returns the target that the process by uses next: not slow before slow, then
+// the one with the most free slots; nil when none is free.
+func (c *Core) pick(now time.Time, avoid, by string) *target {
 	var best *target
 	var bestFree int
 	limit := c.slowLimit()
 	for _, t := range c.order {
 		n := t.free(now)
-		if n == 0 {
+		if n == 0 || c.o.Most > 0 && by != c.o.Self && t.lentTo(by) >= c.o.Most {
 			continue
 		}
 		if best == nil || better(t, best, n, bestFree, limit, avoid) {
--- a/internal/route/pool/virtual_test.go
+++ b/internal/route/pool/virtual_test.go
@@ -234,7 +234,7 @@
 	if a.Call.Came.After(w.from) {
 		_ = w.hist.RecordValue(int64(w.now.Sub(a.Call.Came)))
 	}
-	w.do(id, w.cores[id].Done(w.now, a.Permit, Result{OutcomeOK, w.now.Sub(begun), -1}))
+	w.do(id, w.cores[id].Done(w.now, a.Permit, Result{Outcome: OutcomeOK, Took: w.now.Sub(begun), Load: -1}))
 }
 
 // load makes calls arrive at random cores at the rate until the time.
