batch: jobs run on workers under contracts, through the same entry processes

A job is one row of a bucket, a record that only the bucket's holder writes, with all that gathered since the last write. A rack's holder fences its workers, keeps the ledger of their resources and pulls tasks from the buckets. A placement has a number and is run at most once; a finished task's result goes out only after the record counts it. Ruled out: a store record for each start (13,000 a second), one record a job (several writes for each of many small jobs), records a rack (no fixed home for a job's id). Run: go test ./internal/proc/whole: 3 entry processes, 4 workers, 20 tasks: each result let out once, 20 starts; repeated submission changes nothing. Not yet: any failure of it is tried.

--- a/internal/base/conf/conf.go
+++ b/internal/base/conf/conf.go
@@ -89,6 +89,9 @@
 	Lease time.Duration `toml:"lease"` // of a worker's tasks, renewed at a third of it
 	Poll  time.Duration `toml:"poll"`  // between two reports
 	Fresh time.Duration `toml:"fresh"` // age of the last confirmed configuration up to which tasks start
+	// Buckets is the number of records that jobs are spread over. It is the same in every
+	// process and stays as it is: a job is found by it.
+	Buckets int `toml:"buckets"`
 }
 
 // Default returns the settings that hold where a file says nothing.
@@ -101,10 +104,12 @@
 		Limit:  Limit{1 << 20, 8 << 20, 10 * time.Second, 10 * time.Minute},
 		Stop:   Stop{3 * time.Second, 30 * time.Second},
 		Log:    Log{"info"},
-		Worker: Worker{6 * time.Second, 200 * time.Millisecond, 3 * time.Second},
+		Worker: Worker{6 * time.Second, 200 * time.Millisecond, 3 * time.Second, 16},
 	}
 }
 
+const maxBuckets = 1000
+
 // Faults lists everything that is wrong with a file, each with its key and, where known, its line.
 type Faults []string
 
@@ -196,6 +201,9 @@
 	if s.Limit.Body <= 0 || s.Limit.Answer <= 0 {
 		f = append(f, "limit.body, limit.answer: must be above 0")
 	}
+	if s.Worker.Buckets < 1 || s.Worker.Buckets > maxBuckets {
+		f = append(f, fmt.Sprintf("worker.buckets: must be 1 to %d, is %d", maxBuckets, s.Worker.Buckets))
+	}
 	switch s.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
--- /dev/null
+++ b/internal/batch/hold/rack.go
@@ -0,0 +1,256 @@
+package hold
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/jobs"
+	"bramleysail.example/bramleysail/internal/batch/rack"
+	"bramleysail.example/bramleysail/internal/batch/wire"
+	"bramleysail.example/bramleysail/internal/ctrl/shard"
+	"bramleysail.example/bramleysail/internal/peer/link"
+	"bramleysail.example/bramleysail/internal/plat/hosts"
+)
+
+// rackHolding is a rack that is held here.
+type rackHolding struct {
+	name string
+	ep   uint64
+
+	mu      sync.Mutex
+	core    *rack.Core
+	waiting map[string]int // tasks without a rack, by bucket, as last heard
+	turn    int
+	busy    map[string]bool // holders with a call under way
+	polled  map[string]bool // workers with a report under way
+}
+
+// takeRack holds a rack from now on; its workers are fenced one by one.
+func (h *Holder) takeRack(_ context.Context, name string, row shard.Row) {
+	zone := h.rackZones()[name]
+	r := &rackHolding{name: name, ep: row.Ep, waiting: map[string]int{}, busy: map[string]bool{}, polled: map[string]bool{},
+		core: rack.New(time.Now(), rack.Options{Rack: name, Zone: zone, Ep: row.Ep, Lease: h.o.Lease, Fresh: h.o.Fresh, Bucket: h.Bucket})}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if mine, ok := h.o.Keeper.Mine(RackTable)[name]; ok && mine.Ep == row.Ep && h.racks[name] == nil {
+		h.racks[name] = r
+		h.o.Log.Info("rack held", "rack", name, "ep", row.Ep)
+	}
+}
+
+func (h *Holder) heldRacks() []*rackHolding {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := make([]*rackHolding, 0, len(h.racks))
+	for _, r := range h.racks {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *rackHolding) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// tend lets each rack's core do what is due and carries it out.
+func (h *Holder) tend(ctx context.Context) {
+	if !h.o.Keeper.Sure() {
+		return
+	}
+	now := time.Now()
+	conf := h.o.Config()
+	confirmed := now.Add(-min(h.o.Age(), time.Hour))
+	byRack := map[string][]string{}
+	for _, w := range h.o.Hosts() {
+		if w.Kind == hosts.KindWorker {
+			byRack[w.Rack] = append(byRack[w.Rack], w.Addr)
+		}
+	}
+	for _, r := range h.heldRacks() {
+		r.mu.Lock()
+		r.core.SetWorkers(byRack[r.name])
+		actions := r.core.Tick(now, rack.Config{Usable: conf.Usable(r.core.Zone()), Confirmed: confirmed})
+		r.mu.Unlock()
+		for _, a := range actions {
+			h.wg.Go(func() { h.do(ctx, r, a) })
+		}
+		h.poll(ctx, r, byRack[r.name])
+	}
+}
+
+// do carries out one command and hands its result to the core.
+func (h *Holder) do(ctx context.Context, r *rackHolding, a rack.Action) {
+	switch a := a.(type) {
+	case rack.Fence:
+		res := command(ctx, h.workers, a.Addr, "fence", a.Msg)
+		r.tell(func(now time.Time) { r.core.Fenced(now, a.Addr, res) })
+	case rack.Renew:
+		res := command(ctx, h.workers, a.Addr, "renew", a.Msg)
+		r.tell(func(now time.Time) { r.core.Renewed(now, a.Addr, res) })
+	case rack.Start:
+		res := command(ctx, h.workers, a.Addr, "start", a.Msg)
+		h.o.Scope.Tagged(map[string]string{"result": resultName(res)}).Counter("starts").Inc(1)
+		r.tell(func(now time.Time) { r.core.Started(now, a.Place, res) })
+	case rack.Act:
+		res := command(ctx, h.workers, a.Addr, "act", a.Msg)
+		if a.Msg.Verb == wire.VerbCheckpoint || a.Msg.Verb == wire.VerbStop {
+			h.o.Scope.Tagged(map[string]string{"verb": string(a.Msg.Verb)}).Counter("evictions").Inc(1)
+			h.o.Log.Info("task evicted", "task", a.Msg.ID, "verb", string(a.Msg.Verb), "worker", a.Addr)
+		}
+		r.tell(func(now time.Time) { r.core.Acted(now, a.Place, a.Msg.Verb, res) })
+	}
+}
+
+func resultName(res rack.Result) string {
+	switch {
+	case res.Lost:
+		return "lost"
+	case res.Refusal != "":
+		return string(res.Refusal)
+	}
+	return "ok"
+}
+
+func (r *rackHolding) tell(f func(time.Time)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(time.Now())
+}
+
+// poll reads the workers' lagging reports.
+func (h *Holder) poll(ctx context.Context, r *rackHolding, addrs []string) {
+	for _, addr := range addrs {
+		r.mu.Lock()
+		busy := r.polled[addr]
+		r.polled[addr] = true
+		r.mu.Unlock()
+		if busy {
+			continue
+		}
+		h.wg.Go(func() {
+			rep, err := h.workers.report(ctx, addr)
+			r.tell(func(time.Time) {
+				r.polled[addr] = false
+				if err == nil {
+					r.core.Reported(addr, rep)
+				}
+			})
+		})
+	}
+}
+
+// SyncArgs carries the reports of one rack to a process, by bucket.
+type SyncArgs struct {
+	Reports map[string]jobs.Report
+}
+
+// SyncReply carries the answers.
+type SyncReply struct {
+	Answers map[string]jobs.Answer
+}
+
+// round lets each rack report to the holders of all buckets.
+func (h *Holder) round(ctx context.Context) {
+	if !h.o.Keeper.Sure() {
+		return
+	}
+	byHolder := map[string][]string{}
+	for i := range h.o.Buckets {
+		name := BucketName(i)
+		if id := h.o.Keeper.Holder(BucketTable, name); id != "" {
+			byHolder[id] = append(byHolder[id], name)
+		}
+	}
+	for _, r := range h.heldRacks() {
+		offered := r.next(h.o.Buckets)
+		for id, names := range byHolder {
+			if !r.begin(id) {
+				continue
+			}
+			h.wg.Go(func() {
+				defer r.finish(id)
+				h.sync(ctx, r, id, names, offered)
+			})
+		}
+	}
+}
+
+func (r *rackHolding) begin(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy[id] {
+		return false
+	}
+	r.busy[id] = true
+	return true
+}
+
+func (r *rackHolding) finish(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.busy, id)
+}
+
+// next names the bucket that is offered what is free in this round: in turn those with
+// waiting tasks. Offered to all at once, the same room would be filled by each.
+func (r *rackHolding) next(buckets int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for range buckets {
+		r.turn = (r.turn + 1) % buckets
+		if name := BucketName(r.turn); r.waiting[name] > 0 {
+			return name
+		}
+	}
+	return ""
+}
+
+func (h *Holder) sync(ctx context.Context, r *rackHolding, id string, names []string, offered string) {
+	in := SyncArgs{map[string]jobs.Report{}}
+	r.mu.Lock()
+	for _, name := range names {
+		in.Reports[name] = r.core.Report(name, name == offered)
+	}
+	r.mu.Unlock()
+	rep, ok := h.exchange(ctx, id, in)
+	if !ok {
+		return
+	}
+	r.tell(func(now time.Time) {
+		for name, a := range rep.Answers {
+			r.core.Take(now, name, a)
+			r.waiting[name] = a.Waiting
+		}
+	})
+}
+
+// exchange sends reports to a bucket holder. An answer that takes longer than the
+// timeout isn't used: its giver may have lost the bucket since.
+func (h *Holder) exchange(ctx context.Context, id string, in SyncArgs) (SyncReply, bool) {
+	if id == h.o.Group.Self().ID {
+		return h.Sync(in), true
+	}
+	m, ok := h.o.Group.View().Get(id)
+	if !ok {
+		return SyncReply{}, false
+	}
+	cctx, cancel := context.WithTimeout(ctx, h.o.Timeout)
+	defer cancel()
+	rep, err := link.Call[SyncArgs, SyncReply](cctx, h.o.Links.To(m.Addr), "Peer.Sync", in)
+	return rep, err == nil
+}
+
+// Sync answers a rack's reports for the buckets that are held here.
+func (h *Holder) Sync(in SyncArgs) SyncReply {
+	out := SyncReply{map[string]jobs.Answer{}}
+	for name, rep := range in.Reports {
+		if b := h.getBucket(name); b != nil {
+			out.Answers[name] = b.hear(rep)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/batch/rack/core.go
@@ -0,0 +1,383 @@
+package rack
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/jobs"
+	"bramleysail.example/bramleysail/internal/batch/wire"
+)
+
+// Options says how a Core is set up; all fields are needed.
+type Options struct {
+	Rack   string
+	Zone   string
+	Ep     uint64        // of this holding
+	Lease  time.Duration // of a worker's tasks
+	Fresh  time.Duration // how old the confirmed configuration may be when a task starts
+	Bucket func(job string) string
+}
+
+// Config is what the core needs of the configuration at a time.
+type Config struct {
+	Usable    bool      // tasks may run in the rack's failure domain
+	Confirmed time.Time // when the read began that last confirmed it
+}
+
+// state is how far a task got here.
+type state string
+
+const (
+	stateStarting state = "starting" // a start was decided; it may have arrived or not
+	stateRunning  state = "running"
+	stateStopping state = "stopping"
+	stateFinished state = "finished" // kept at the worker until it's recorded
+	stateFailed   state = "failed"
+	stateStopped  state = "stopped"
+)
+
+// run is a placement that was started here.
+type run struct {
+	place  jobs.Place
+	worker string
+	size   wire.Size
+	task   wire.Task
+	state  state
+	done   time.Duration
+	asked  bool      // a command about it is under way
+	unsure bool      // a start had an unknown outcome
+	bound  time.Time // until then such a start may still arrive
+	counts bool      // it's recorded that this placement finished the task
+	forget bool      // it's recorded otherwise; the worker may forget it
+}
+
+// holds reports whether the run may occupy resources.
+func (r *run) holds() bool {
+	return r.state == stateStarting || r.state == stateRunning || r.state == stateStopping
+}
+
+type want struct {
+	task  jobs.Task
+	since time.Time
+}
+
+// Core decides for one rack under one holding; it isn't safe for concurrent use.
+type Core struct {
+	o        Options
+	began    time.Time
+	now      time.Time
+	workers  map[string]*worker
+	wants    map[string]map[jobs.Place]want // by bucket
+	suspect  map[jobs.Place]bool            // a former holder may have started it
+	runs     map[jobs.Place]*run
+	backs    map[jobs.Place]time.Duration // given back, until recorded
+	released map[jobs.Place]bool          // finished and known to count at the worker, until recorded
+	conf     Config
+	out      []Action
+}
+
+// margin is how much longer than a lease is waited for its end.
+const margin = 500 * time.Millisecond
+
+// New returns the core of a holding that begins now.
+func New(now time.Time, o Options) *Core {
+	return &Core{o: o, began: now, now: now, workers: map[string]*worker{}, wants: map[string]map[jobs.Place]want{},
+		suspect: map[jobs.Place]bool{}, runs: map[jobs.Place]*run{}, backs: map[jobs.Place]time.Duration{},
+		released: map[jobs.Place]bool{}}
+}
+
+// Ep returns the holding's epoch.
+func (c *Core) Ep() uint64 { return c.o.Ep }
+
+// Zone returns the rack's failure domain.
+func (c *Core) Zone() string { return c.o.Zone }
+
+// SetWorkers names the rack's workers; one that isn't named any more stays known while
+// tasks may run there.
+func (c *Core) SetWorkers(addrs []string) {
+	for _, a := range addrs {
+		if c.workers[a] == nil {
+			c.workers[a] = &worker{addr: a}
+		}
+	}
+	for a := range c.workers {
+		if !slices.Contains(addrs, a) && !c.used(a) {
+			delete(c.workers, a)
+		}
+	}
+}
+
+func (c *Core) used(addr string) bool {
+	for _, r := range c.runs {
+		if r.worker == addr {
+			return true
+		}
+	}
+	return false
+}
+
+// settled reports whether every lease that a former holder gave has ended.
+func (c *Core) settled(now time.Time) bool {
+	return now.After(c.began.Add(c.o.Lease + margin))
+}
+
+// unsuspect gives back what a former holder may have started and no worker has shown.
+// It has certainly ended; but as it may have run, it isn't started under the same number.
+func (c *Core) unsuspect() {
+	for p := range c.suspect {
+		delete(c.suspect, p)
+		c.giveBack(p, 0)
+	}
+}
+
+// Tick returns what is to be done now.
+func (c *Core) Tick(now time.Time, conf Config) []Action {
+	c.now, c.conf = now, conf
+	if c.settled(now) {
+		c.unsuspect()
+	}
+	for _, addr := range slices.Sorted(maps.Keys(c.workers)) {
+		c.tend(now, c.workers[addr])
+	}
+	c.drop()
+	c.start(now)
+	return c.take()
+}
+
+func (c *Core) take() []Action {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// tend fences or renews a worker, or gives it up when its lease has run out.
+func (c *Core) tend(now time.Time, w *worker) {
+	if w.fenced && now.After(w.over) {
+		c.lapse(w)
+	}
+	if w.busy || now.Sub(w.tried) < c.o.Lease/6 {
+		return
+	}
+	w.busy, w.tried = true, now
+	if !w.fenced {
+		c.out = append(c.out, Fence{w.addr, wire.Fence{Epoch: c.o.Ep}})
+		return
+	}
+	c.renew(now, w)
+}
+
+// renew extends the worker's lease. Its tasks stop at the latest when, by this
+// process's clock, a lease has passed since now.
+func (c *Core) renew(now time.Time, w *worker) {
+	w.over = now.Add(c.o.Lease + margin)
+	c.out = append(c.out, Renew{w.addr, wire.Renew{Epoch: c.o.Ep, Until: w.at(now.Add(c.o.Lease))}})
+}
+
+// lapse gives up a worker that couldn't be renewed: its tasks have stopped and go back
+// with what their checkpoints keep. Finished ones stay: the worker holds their results.
+func (c *Core) lapse(w *worker) {
+	w.fenced = false
+	for _, r := range c.sorted() {
+		if r.worker == w.addr && (r.holds() || r.state == stateStopped) {
+			c.giveBack(r.place, r.task.From)
+			delete(c.runs, r.place)
+		}
+	}
+}
+
+func (c *Core) sorted() []*run {
+	list := slices.Collect(maps.Values(c.runs))
+	slices.SortFunc(list, func(a, b *run) int { return cmp.Compare(a.place.No, b.place.No) })
+	return list
+}
+
+func (c *Core) bucket(p jobs.Place) string { return c.o.Bucket(p.Job) }
+
+func (c *Core) giveBack(p jobs.Place, kept time.Duration) {
+	c.backs[p] = max(kept, c.backs[p])
+	delete(c.wants[c.bucket(p)], p)
+}
+
+// drop stops what is no longer wanted here, what the failure domain may no longer run,
+// and lets workers forget what is recorded.
+func (c *Core) drop() {
+	for _, r := range c.sorted() {
+		if r.asked {
+			continue
+		}
+		switch r.state {
+		case stateStarting:
+			c.doubt(r)
+		case stateRunning, stateStopping:
+			c.evict(r)
+		case stateFinished:
+			if r.counts {
+				c.act(r, wire.VerbAccept)
+			} else if r.forget {
+				c.act(r, wire.VerbForget)
+			}
+		case stateFailed:
+			if r.forget {
+				c.act(r, wire.VerbForget)
+			}
+		case stateStopped:
+			c.giveBack(r.place, r.done)
+			c.act(r, wire.VerbForget)
+		}
+	}
+	if c.conf.Usable {
+		return
+	}
+	for _, m := range c.wants {
+		for p, w := range m {
+			if c.runs[p] == nil && !c.suspect[p] {
+				c.giveBack(p, w.task.From)
+			}
+		}
+	}
+}
+
+// doubt gives back a start of unknown outcome once the worker has shown, after the last
+// moment at which it could have arrived, that it didn't.
+func (c *Core) doubt(r *run) {
+	w := c.workers[r.worker]
+	if r.unsure && w != nil && w.heard.After(r.bound.Add(margin)) {
+		delete(c.runs, r.place)
+		c.giveBack(r.place, r.task.From)
+	}
+}
+
+func (c *Core) evict(r *run) {
+	switch {
+	case !c.wanted(r.place):
+		r.state = stateStopping
+		c.act(r, wire.VerbStop)
+	case !c.conf.Usable || r.state == stateStopping:
+		r.state = stateStopping
+		c.act(r, wire.VerbCheckpoint)
+	}
+}
+
+// wanted reports whether the placement's bucket wants it here, as far as it has spoken yet.
+func (c *Core) wanted(p jobs.Place) bool {
+	m, spoken := c.wants[c.bucket(p)]
+	if !spoken {
+		return true
+	}
+	_, ok := m[p]
+	return ok
+}
+
+func (c *Core) act(r *run, verb wire.Verb) {
+	if w := c.workers[r.worker]; w == nil || !w.fenced {
+		return
+	}
+	r.asked = true
+	c.out = append(c.out, Act{r.worker, r.place, wire.Act{Epoch: c.o.Ep, ID: r.place.String(), Verb: verb}})
+}
+
+// giveUp is how long a task waits for room before it goes back.
+const giveUp = 5 * time.Second
+
+// start starts the wanted tasks that have no run, and repeats starts of unknown outcome.
+//
+// Nothing starts unless the configuration was confirmed lately. The start carries the
+// end of that time on the worker's clock: the check alone doesn't help when this
+// process is paused between it and the sending.
+func (c *Core) start(now time.Time) {
+	end := c.conf.Confirmed.Add(c.o.Fresh)
+	if !c.conf.Usable || !now.Before(end) {
+		return
+	}
+	for _, r := range c.sorted() {
+		if r.state == stateStarting && !r.asked {
+			c.command(r, end)
+		}
+	}
+	for _, w := range c.waiting() {
+		target := c.choose(now, w.task.Spec.Size)
+		if target != nil {
+			c.command(c.newRun(target, w.task), end)
+		} else if now.Sub(w.since) > giveUp {
+			c.giveBack(w.task.Place, w.task.From)
+		}
+	}
+}
+
+// waiting returns the wanted placements that aren't started, in order.
+func (c *Core) waiting() []want {
+	var list []want
+	for _, m := range c.wants {
+		for p, w := range m {
+			if c.runs[p] == nil && !c.suspect[p] {
+				list = append(list, w)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b want) int {
+		return cmp.Or(cmp.Compare(a.task.Spec.Order(), b.task.Spec.Order()), a.since.Compare(b.since),
+			cmp.Compare(a.task.Place.Job, b.task.Place.Job), cmp.Compare(a.task.Place.Index, b.task.Place.Index))
+	})
+	return list
+}
+
+func (c *Core) newRun(w *worker, t jobs.Task) *run {
+	r := &run{place: t.Place, worker: w.addr, size: t.Spec.Size, state: stateStarting,
+		task: wire.Task{ID: t.Place.String(), Size: t.Spec.Size, Run: t.Spec.Run, From: t.From, Standing: t.Spec.Standing}}
+	c.runs[t.Place] = r
+	return r
+}
+
+func (c *Core) command(r *run, end time.Time) {
+	w := c.workers[r.worker]
+	if w == nil || !w.fenced {
+		return
+	}
+	r.asked, r.bound = true, end
+	c.out = append(c.out, Start{r.worker, r.place, wire.Start{Epoch: c.o.Ep, NotAfter: w.at(end), Task: r.task}})
+}
+
+// free returns what a worker has left by the ledger.
+func (c *Core) free(w *worker) wire.Size {
+	f := w.size
+	for _, r := range c.runs {
+		if r.worker == w.addr && r.holds() {
+			f = f.Minus(r.size)
+		}
+	}
+	return f
+}
+
+// choose returns the worker where the task leaves least, nil when it fits nowhere.
+func (c *Core) choose(now time.Time, s wire.Size) *worker {
+	var best *worker
+	var rest wire.Size
+	for _, addr := range slices.Sorted(maps.Keys(c.workers)) {
+		w := c.workers[addr]
+		if !c.takes(now, w) {
+			continue
+		}
+		f := c.free(w)
+		if !f.Covers(s) {
+			continue
+		}
+		if f = f.Minus(s); best == nil || tighter(f, rest) {
+			best, rest = w, f
+		}
+	}
+	return best
+}
+
+// takes reports whether the worker gets new tasks: one at a time after a rest.
+func (c *Core) takes(now time.Time, w *worker) bool {
+	if !w.fenced || now.Before(w.rests) {
+		return false
+	}
+	return w.poor < poorLimit || !c.used(w.addr)
+}
+
+func tighter(a, b wire.Size) bool {
+	return cmp.Or(cmp.Compare(a.Accel, b.Accel), cmp.Compare(a.CPU, b.CPU), cmp.Compare(a.Mem, b.Mem)) < 0
+}
--- a/internal/batch/wire/wire.go
+++ b/internal/batch/wire/wire.go
@@ -43,6 +43,7 @@
 	RefusalEpoch Refusal = "epoch" // the command is of another holder's epoch
 	RefusalLease Refusal = "lease" // the worker's lease has lapsed
 	RefusalRoom  Refusal = "room"  // not enough resources
+	RefusalLate  Refusal = "late"  // it arrived after its time
 )
 
 // Verb is a command about a task that is already on the worker.
@@ -53,7 +54,8 @@
 	VerbCheckpoint Verb = "checkpoint" // save the progress, then stop
 	VerbStop       Verb = "stop"       // stop and lose the progress since the start
 	VerbThrottle   Verb = "throttle"
-	VerbForget     Verb = "forget" // drop a task that no longer runs
+	VerbAccept     Verb = "accept" // a finished task counts: let its result out, then forget it
+	VerbForget     Verb = "forget" // drop a task that no longer runs, with any result
 )
 
 // Task is what a worker needs to run a task.
@@ -65,16 +67,27 @@
 	Standing bool          `json:"standing,omitempty"`
 }
 
-// Fence carries a holder's epoch and how long its lease on the worker runs from now.
+// Clock is a moment on a worker's own monotonic clock, as time since the worker began.
+type Clock time.Duration
+
+// Fence raises a worker's epoch; it extends no lease.
 type Fence struct {
-	Epoch uint64        `json:"epoch"`
-	Lease time.Duration `json:"lease"`
+	Epoch uint64 `json:"epoch"`
 }
 
-// Start asks a worker to run a task; repeating it for a task already there changes nothing.
-type Start struct {
+// Renew sets until when the worker's tasks may run. The moment is on the worker's own
+// clock, so that a renewal which arrives late extends nothing.
+type Renew struct {
 	Epoch uint64 `json:"epoch"`
-	Task  Task   `json:"task"`
+	Until Clock  `json:"until"`
+}
+
+// Start asks a worker to run a task not later than a moment on its own clock;
+// repeating it for a task already there changes nothing.
+type Start struct {
+	Epoch    uint64 `json:"epoch"`
+	NotAfter Clock  `json:"notafter"`
+	Task     Task   `json:"task"`
 }
 
 // Act asks a worker to do something with a task that it has.
@@ -93,9 +106,10 @@
 	Size  Size          `json:"size"`
 }
 
-// Report is a worker's inventory; by fence and act it is current, by report it lags.
+// Report is a worker's inventory; in the answer to a command it is current, by itself it lags.
 type Report struct {
 	Epoch uint64       `json:"epoch"`
+	Now   Clock        `json:"now"`
 	Size  Size         `json:"size"`
 	Tasks []TaskReport `json:"tasks"`
 }
--- a/internal/ctrl/shard/keeper.go
+++ b/internal/ctrl/shard/keeper.go
@@ -42,6 +42,7 @@
 	tables map[string]record
 	at     time.Time // when the read began whose answer was last taken in
 	needed map[string]time.Time
+	given  map[string]uint64 // items given up to another holder, by table and name, with its epoch
 	nudge  chan struct{}
 }
 
@@ -52,7 +53,7 @@
 
 // NewKeeper returns a keeper that knows no table yet.
 func NewKeeper(o Options) *Keeper {
-	return &Keeper{o: o, tables: map[string]record{}, needed: map[string]time.Time{}, nudge: make(chan struct{}, 1)}
+	return &Keeper{o: o, tables: map[string]record{}, needed: map[string]time.Time{}, given: map[string]uint64{}, nudge: make(chan struct{}, 1)}
 }
 
 // Run follows and plans until ctx ends.
@@ -77,13 +78,22 @@
 	defer k.mu.Unlock()
 	rows := map[string]Row{}
 	for name, r := range k.tables[table].table.Rows {
-		if r.By == self {
+		if r.By == self && r.Ep >= k.given[table+"/"+name] {
 			rows[name] = r
 		}
 	}
 	return rows
 }
 
+// Yield gives an item up to the holder of a newer epoch, whose table this process may
+// not have seen yet.
+func (k *Keeper) Yield(table, item string, ep uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	key := table + "/" + item
+	k.given[key] = max(k.given[key], ep)
+}
+
 // Sure reports whether this process may act on what the tables give it.
 func (k *Keeper) Sure() bool {
 	if !k.o.Group.Lawful() {
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"sync"
@@ -15,21 +16,23 @@
 // Worker is the stand-in; New gives it its resources.
 type Worker struct {
 	mu     sync.Mutex
-	now    func() time.Time
+	now    func() wire.Clock
 	size   wire.Size
 	epoch  uint64
-	until  time.Time
+	until  wire.Clock
 	tasks  map[string]*task
 	starts map[string]int
-	lag    time.Duration
-	report wire.Report
-	at     time.Time
-	fail   bool
+	// accepts counts the results let out, which is what the outside world sees of a task.
+	accepts map[string]int
+	lag     time.Duration
+	report  wire.Report
+	at      wire.Clock
+	fail    bool
 }
 
 type task struct {
 	spec  wire.Task
-	begun time.Time
+	begun wire.Clock
 	done  time.Duration
 	state wire.TaskState
 	rate  float64
@@ -37,7 +40,13 @@
 
 // New returns a worker of that size whose reports lag by lag.
 func New(size wire.Size, lag time.Duration) *Worker {
-	return &Worker{now: time.Now, size: size, lag: lag, tasks: map[string]*task{}, starts: map[string]int{}}
+	began := time.Now()
+	return NewAt(size, lag, func() wire.Clock { return wire.Clock(time.Since(began)) })
+}
+
+// NewAt returns a worker with the given clock.
+func NewAt(size wire.Size, lag time.Duration, now func() wire.Clock) *Worker {
+	return &Worker{now: now, size: size, lag: lag, tasks: map[string]*task{}, starts: map[string]int{}, accepts: map[string]int{}}
 }
 
 // Starts returns how often the task has been started here.
@@ -47,20 +56,27 @@
 	return w.starts[id]
 }
 
+// Accepts returns how many results were let out, by task id.
+func (w *Worker) Accepts() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.accepts)
+}
+
 // Handler returns the worker's HTTP interface.
 func (w *Worker) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Post("/v1/fence", handle(w.fence))
-	r.Post("/v1/renew", handle(w.renew))
-	r.Post("/v1/start", handle(w.start))
-	r.Post("/v1/act", handle(w.act))
+	r.Post("/v1/fence", handle(w.Fence))
+	r.Post("/v1/renew", handle(w.Renew))
+	r.Post("/v1/start", handle(w.Start))
+	r.Post("/v1/act", handle(w.Act))
 	r.Get("/v1/report", func(rw http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(rw).Encode(w.lagged())
+		_ = json.NewEncoder(rw).Encode(w.Report())
 	})
 	r.Get("/stats", func(rw http.ResponseWriter, _ *http.Request) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		_ = json.NewEncoder(rw).Encode(w.starts)
+		_ = json.NewEncoder(rw).Encode(struct{ Starts, Accepts map[string]int }{w.starts, w.accepts})
 	})
 	return r
 }
@@ -83,11 +99,11 @@
 	}
 }
 
-// fence raises the epoch and returns what is here, without lag.
+// Fence raises the epoch and returns what is here, without lag.
 //
 // It guards against a former holder that was paused and wakes up: its commands
 // carry the older epoch and are refused from here on, whenever they were sent.
-func (w *Worker) fence(in wire.Fence) (wire.Report, wire.Refusal) {
+func (w *Worker) Fence(in wire.Fence) (wire.Report, wire.Refusal) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if in.Epoch < w.epoch {
@@ -95,33 +111,59 @@
 	}
 	w.advance()
 	w.epoch = in.Epoch
-	w.until = w.now().Add(in.Lease)
 	return w.snapshot(), ""
 }
 
-func (w *Worker) renew(in wire.Fence) (struct{}, wire.Refusal) {
+// SetFailing makes every task that starts here fail at once, or not any more.
+func (w *Worker) SetFailing(fail bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fail = fail
+}
+
+// Running returns the ids of the tasks that run here now.
+func (w *Worker) Running() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	var ids []string
+	for id, t := range w.tasks {
+		if t.state == wire.TaskRunning {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Renew lets the tasks run until a moment.
+func (w *Worker) Renew(in wire.Renew) (wire.Report, wire.Refusal) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if in.Epoch != w.epoch {
-		return struct{}{}, wire.RefusalEpoch
+		return wire.Report{}, wire.RefusalEpoch
 	}
 	w.advance()
-	w.until = w.now().Add(in.Lease)
-	return struct{}{}, ""
+	w.until = max(w.until, in.Until)
+	return w.snapshot(), ""
 }
 
-func (w *Worker) start(in wire.Start) (struct{}, wire.Refusal) {
+// Start runs a task, unless it's here already.
+func (w *Worker) Start(in wire.Start) (wire.Report, wire.Refusal) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
 	if in.Epoch != w.epoch {
-		return struct{}{}, wire.RefusalEpoch
-	}
-	if w.now().After(w.until) {
-		return struct{}{}, wire.RefusalLease
+		return wire.Report{}, wire.RefusalEpoch
 	}
 	if t := w.tasks[in.Task.ID]; t != nil {
-		return struct{}{}, ""
+		return w.snapshot(), ""
+	}
+	if w.now() > w.until {
+		return wire.Report{}, wire.RefusalLease
+	}
+	if w.now() > in.NotAfter {
+		return wire.Report{}, wire.RefusalLate
 	}
 	free := w.size
 	for _, t := range w.tasks {
@@ -130,7 +172,7 @@
 		}
 	}
 	if !free.Covers(in.Task.Size) {
-		return struct{}{}, wire.RefusalRoom
+		return wire.Report{}, wire.RefusalRoom
 	}
 	w.starts[in.Task.ID]++
 	state := wire.TaskRunning
@@ -138,10 +180,11 @@
 		state = wire.TaskFailed
 	}
 	w.tasks[in.Task.ID] = &task{spec: in.Task, begun: w.now(), done: in.Task.From, state: state, rate: 1}
-	return struct{}{}, ""
+	return w.snapshot(), ""
 }
 
-func (w *Worker) act(in wire.Act) (wire.Report, wire.Refusal) {
+// Act checkpoints, stops, throttles or forgets a task.
+func (w *Worker) Act(in wire.Act) (wire.Report, wire.Refusal) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
@@ -163,6 +206,11 @@
 		}
 	case wire.VerbThrottle:
 		t.rate = in.Rate
+	case wire.VerbAccept:
+		if t.state == wire.TaskFinished {
+			w.accepts[in.ID]++
+			delete(w.tasks, in.ID)
+		}
 	case wire.VerbForget:
 		if t.state != wire.TaskRunning {
 			delete(w.tasks, in.ID)
@@ -176,28 +224,28 @@
 func (w *Worker) advance() {
 	now := w.now()
 	end := now
-	if now.After(w.until) {
+	if now > w.until {
 		end = w.until
 	}
 	for _, t := range w.tasks {
 		if t.state != wire.TaskRunning {
 			continue
 		}
-		if d := end.Sub(t.begun); d > 0 {
+		if d := end - t.begun; d > 0 {
 			t.done += time.Duration(float64(d) * t.rate)
 		}
 		t.begun = now
 		switch {
 		case t.done >= t.spec.Run && !t.spec.Standing:
 			t.state = wire.TaskFinished
-		case now.After(w.until):
+		case now > w.until:
 			t.state = wire.TaskStopped
 		}
 	}
 }
 
 func (w *Worker) snapshot() wire.Report {
-	r := wire.Report{Epoch: w.epoch, Size: w.size}
+	r := wire.Report{Epoch: w.epoch, Now: w.now(), Size: w.size}
 	for id, t := range w.tasks {
 		r.Tasks = append(r.Tasks, wire.TaskReport{ID: id, State: t.state, Done: t.done, Size: t.spec.Size})
 	}
@@ -205,10 +253,11 @@
 	return r
 }
 
-func (w *Worker) lagged() wire.Report {
+// Report returns the inventory as it was up to the lag ago.
+func (w *Worker) Report() wire.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.now().Sub(w.at) >= w.lag {
+	if time.Duration(w.now()-w.at) >= w.lag || w.report.Now == 0 {
 		w.advance()
 		w.report, w.at = w.snapshot(), w.now()
 	}
--- a/internal/proc/cli/admin.go
+++ b/internal/proc/cli/admin.go
@@ -64,7 +64,7 @@
 
 func problemExit(code node.AdminCode) int {
 	switch code {
-	case node.AdminInvalid, node.AdminZone:
+	case node.AdminInvalid, node.AdminZone, node.AdminAbsent:
 		return ExitInvalid
 	case node.AdminConflict, node.AdminShrunken:
 		return ExitConflict
--- a/internal/proc/node/admin.go
+++ b/internal/proc/node/admin.go
@@ -1,16 +1,20 @@
 package node
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
 	"net/http/pprof"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 
 	"bramleysail.example/bramleysail/internal/base/conf"
+	"bramleysail.example/bramleysail/internal/batch/hold"
+	"bramleysail.example/bramleysail/internal/batch/jobs"
 	"bramleysail.example/bramleysail/internal/ctrl/sheet"
 	"bramleysail.example/bramleysail/internal/plat/store"
 	"bramleysail.example/bramleysail/internal/route/pool"
@@ -27,6 +31,7 @@
 	AdminShrunken AdminCode = "shrunken"     // 409, may be confirmed
 	AdminZone     AdminCode = "unknown-zone" // 404
 	AdminAbsent   AdminCode = "not-found"    // 404
+	AdminFull     AdminCode = "full"         // 503, nothing was changed
 	AdminStore    AdminCode = "store"        // 503, the outcome may be unknown
 )
 
@@ -52,6 +57,9 @@
 		r.Get("/v1/sheet", n.getSheet)
 		r.Put("/v1/sheet", n.putSheet)
 		r.Post("/v1/zones/{zone}/{move}", n.moveZone)
+		r.Post("/v1/jobs", n.submitJob)
+		r.Get("/v1/jobs/{id}", n.showJob)
+		r.Post("/v1/jobs/{id}/cancel", n.cancelJob)
 	})
 	return r
 }
@@ -147,6 +155,62 @@
 	answer(w, http.StatusOK, configView{c.Num, c.Out, c.Text})
 }
 
+// submitTimeout is how long a submission waits for the store.
+const submitTimeout = 5 * time.Second
+
+// maxJob is the largest job in bytes as it is submitted.
+const maxJob = 16 << 10
+
+func (n *Node) submitJob(w http.ResponseWriter, r *http.Request) {
+	var s jobs.Spec
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJob))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		answer(w, http.StatusBadRequest, Problem{AdminInvalid, err.Error()})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
+	defer cancel()
+	answerJob(w, n.holder.Submit(ctx, hold.SubmitArgs{Spec: s}))
+}
+
+func (n *Node) cancelJob(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
+	defer cancel()
+	answerJob(w, n.holder.Submit(ctx, hold.SubmitArgs{Spec: jobs.Spec{ID: chi.URLParam(r, "id")}, Cancel: true}))
+}
+
+func (n *Node) showJob(w http.ResponseWriter, r *http.Request) {
+	answerJob(w, n.holder.Show(r.Context(), chi.URLParam(r, "id")))
+}
+
+// JobView is a job as the administration API shows it.
+type JobView struct {
+	Spec  jobs.Spec  `json:"spec"`
+	State jobs.State `json:"state"`
+	Why   string     `json:"why,omitempty"`
+	Done  int        `json:"done"`
+	Run   int        `json:"run"` // tasks that a rack has
+}
+
+func answerJob(w http.ResponseWriter, rep hold.SubmitReply) {
+	switch rep.Code {
+	case hold.CodeOK:
+		j := rep.Job
+		answer(w, http.StatusOK, JobView{j.Spec, j.State, j.Why, int(j.Done.Count()), len(j.Place)})
+	case hold.CodeInvalid:
+		answer(w, http.StatusBadRequest, Problem{AdminInvalid, rep.Text})
+	case hold.CodeExists:
+		answer(w, http.StatusConflict, Problem{AdminConflict, rep.Text})
+	case hold.CodeAbsent:
+		answer(w, http.StatusNotFound, Problem{AdminAbsent, rep.Text})
+	case hold.CodeFull:
+		answer(w, http.StatusServiceUnavailable, Problem{AdminFull, rep.Text})
+	default:
+		answer(w, http.StatusServiceUnavailable, Problem{AdminStore, rep.Text})
+	}
+}
+
 // Status is what a process tells operators of itself.
 type Status struct {
 	Node     string                   `json:"node"`
--- a/internal/proc/node/node.go
+++ b/internal/proc/node/node.go
@@ -16,6 +16,7 @@
 
 	"bramleysail.example/bramleysail/internal/base/conf"
 	"bramleysail.example/bramleysail/internal/base/telem"
+	"bramleysail.example/bramleysail/internal/batch/hold"
 	"bramleysail.example/bramleysail/internal/ctrl/shard"
 	"bramleysail.example/bramleysail/internal/ctrl/sheet"
 	"bramleysail.example/bramleysail/internal/peer/link"
@@ -42,6 +43,7 @@
 	relay  *relay.Relay
 	routes routes
 	entry  *entry.Entry
+	holder *hold.Holder
 	lost   chan struct{} // closed when a listener fails
 
 	scope   tally.Scope
@@ -136,6 +138,12 @@
 	})
 	n.feed = sheet.NewFeed(n.store, n.s.Store.Wait, n.configChanged, n.log)
 	n.homes = once.NewHomes(once.New(n.s.Limit.Keep), n.group, n.links, n.s.Peer.Timeout, n.log)
+	n.holder = hold.New(hold.Options{
+		Store: n.store, Group: n.group, Keeper: n.keeper, Links: n.links,
+		Config: n.feed.Now, Age: n.feed.Age, Hosts: n.hosts.now,
+		Buckets: n.s.Worker.Buckets, Lease: n.s.Worker.Lease, Poll: n.s.Worker.Poll, Fresh: n.s.Worker.Fresh,
+		Timeout: n.s.Peer.Timeout, Log: n.log, Scope: n.scope,
+	})
 	n.relay = relay.New(n.s.Limit.Answer)
 	n.entry = entry.New(n.id, entry.Options{
 		Find: n.find, Homes: n.homes, Relay: n.relay, Limit: n.s.Limit, Log: n.log, Scope: n.scope,
@@ -151,6 +159,7 @@
 	n.lateWG.Go(func() { n.group.Run(late) })
 	n.lateWG.Go(func() { n.keeper.Run(late) })
 	n.lateWG.Go(func() { n.feed.Run(late, n.s.Worker.Fresh) })
+	n.lateWG.Go(func() { n.holder.Run(late) })
 	n.wg.Go(func() { n.followHosts(ctx) })
 	n.callers = &http.Server{Handler: n.entry.Handler(), ReadHeaderTimeout: n.s.Limit.Read}
 	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: n.s.Limit.Read}
--- a/internal/proc/node/peer.go
+++ b/internal/proc/node/peer.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/pkg/errors"
 
+	"bramleysail.example/bramleysail/internal/batch/hold"
 	"bramleysail.example/bramleysail/internal/peer/member"
 	"bramleysail.example/bramleysail/internal/route/broker"
 	"bramleysail.example/bramleysail/internal/route/once"
@@ -75,3 +77,23 @@
 	*out = p.n.homes.Give(in)
 	return nil
 }
+
+// Yield gives up a rack or a bucket.
+func (p *Peer) Yield(in hold.YieldArgs, out *bool) error {
+	*out = p.n.holder.Yield(in)
+	return nil
+}
+
+// Submit takes in a job, or its cancellation, for a bucket that is held here.
+func (p *Peer) Submit(in hold.SubmitArgs, out *hold.SubmitReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	*out = p.n.holder.Accept(ctx, in)
+	return nil
+}
+
+// Sync answers the reports of racks.
+func (p *Peer) Sync(in hold.SyncArgs, out *hold.SyncReply) error {
+	*out = p.n.holder.Sync(in)
+	return nil
+}
--- a/internal/proc/node/routes.go
+++ b/internal/proc/node/routes.go
@@ -194,9 +194,9 @@
 	return ok
 }
 
-// items returns what there is to be held: the targets of each service.
+// items returns what there is to be held: the targets of each service, racks and buckets.
 func (n *Node) items() map[string][]shard.Item {
-	out := map[string][]shard.Item{}
+	out := n.holder.Items()
 	services := n.routes.all()
 	for _, h := range n.hosts.now() {
 		if _, ok := services[h.Service]; ok && h.Kind == hosts.KindTarget {
@@ -232,7 +232,7 @@
 	for r.owned() > 0 && len(r.n.group.View().Live()) > 0 {
 		select {
 		case <-ctx.Done():
-			r.n.log.Info("targets not handed over; they move when the lease is closed", "targets", r.owned())
+			r.n.log.Info("not everything was handed over; the rest moves when the lease is closed", "left", r.owned())
 			return
 		case <-t.C:
 		}
@@ -242,7 +242,7 @@
 const handOverFor = 5 * time.Second
 
 func (r *routes) owned() int {
-	sum := 0
+	sum := r.n.holder.Held()
 	for _, rt := range r.all() {
 		sum += len(rt.broker.Targets())
 	}
--- a/internal/proc/whole/path_test.go
+++ b/internal/proc/whole/path_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/jobs"
 )
 
 // The main job: a caller's request enters at any process, reaches a target and its
@@ -29,3 +31,30 @@
 		t.Errorf("the same key with other content: %+v", a)
 	}
 }
+
+// The other main job: a batch job submitted through one process, and again through
+// another, runs on workers that others hold and is recorded as finished once.
+func TestBatchPath(t *testing.T) {
+	s := newSystem(t)
+	s.addWorkers(4, 2)
+	for range 3 {
+		s.addEntry()
+	}
+	s.putSheet()
+	for _, e := range s.entries {
+		s.run(0, "job", "submit", "--admin", e.admin, "--kind", "audit", "--n", "20", "--run", "50ms", "audit-7")
+	}
+	eventually(t, "the job done", func() bool { return s.job(s.entries[1], "audit-7").State == jobs.StateDone })
+	eventually(t, "every result let out", func() bool { _, accepts := s.work(); return len(accepts) == 20 })
+	starts, accepts := s.work()
+	for task, n := range accepts {
+		if n != 1 {
+			t.Errorf("task %s: its result went out %d times", task, n)
+		}
+	}
+	if len(starts) != 20 {
+		t.Errorf("%d starts for 20 tasks: %v", len(starts), starts)
+	}
+	s.run(2, "job", "submit", "--admin", s.entries[0].admin, "--kind", "unheard-of", "x")
+	s.run(3, "job", "submit", "--admin", s.entries[0].admin, "--kind", "audit", "--n", "21", "audit-7")
+}
--- a/internal/proc/whole/procs_test.go
+++ b/internal/proc/whole/procs_test.go
@@ -14,7 +14,6 @@
 	"regexp"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -100,9 +99,6 @@
 	return p.log.String()
 }
 
-func (p *proc) signal(s syscall.Signal) {
-	_ = p.cmd.Process.Signal(s)
-}
 
 func (p *proc) kill() {
 	_ = p.cmd.Process.Kill()
@@ -145,6 +141,7 @@
 	store   string
 	hosts   string
 	targets []string
+	workers []string
 	entries []*entryProc
 }
 
@@ -167,6 +164,41 @@
 	}
 }
 
+func (s *system) addWorkers(n, racks int) {
+	for i := range n {
+		_, m := start(s.t, `listening (\S+)`, "standin", "worker", "--cpu", "4000", "--mem", "8000", "--lag", "100ms")
+		rack := i % racks
+		s.setHost(hosts.Host{Addr: m[1], Kind: hosts.KindWorker, Zone: zones[rack%3], Rack: fmt.Sprintf("rack%d", rack), State: hosts.StateLive})
+		s.workers = append(s.workers, m[1])
+	}
+}
+
+// workerStats is what the workers counted: starts and results let out, by task.
+type workerStats struct{ Starts, Accepts map[string]int }
+
+func (s *system) work() (starts, accepts map[string]int) {
+	starts, accepts = map[string]int{}, map[string]int{}
+	for _, addr := range s.workers {
+		var st workerStats
+		s.send(http.MethodGet, "http://"+addr+"/stats", nil, &st)
+		for id, n := range st.Starts {
+			starts[id] += n
+		}
+		for id, n := range st.Accepts {
+			task, _, _ := strings.Cut(id, "@")
+			accepts[task] += n
+		}
+	}
+	return starts, accepts
+}
+
+// job returns a job as an entry process shows it.
+func (s *system) job(e *entryProc, id string) node.JobView {
+	var v node.JobView
+	s.send(http.MethodGet, "http://"+e.admin+"/v1/jobs/"+id, nil, &v)
+	return v
+}
+
 func (s *system) setHost(h hosts.Host) {
 	s.t.Helper()
 	s.send(http.MethodPut, "http://"+s.hosts+"/", h, nil)
@@ -190,6 +222,10 @@
 [stop]
 linger = "300ms"
 grace = "20s"
+[worker]
+lease = "2s"
+poll = "50ms"
+buckets = 4
 `
 
 func (s *system) addEntry() *entryProc {
