batch: property tests of both cores over stand-in workers in virtual time

Random schedules of deaths, cuts, pauses, lost answers, domains out and back, cancels. Seen to fail: placements of a job cancelled before its rack heard of them stayed in the record for good; the bucket now names them and the rack says that it hasn't got them. Pools: TestSlots and others in virtual time; the first failure there was the test's own (a claim answered for a target not yet taken over).

--- a/internal/batch/jobs/core.go
+++ b/internal/batch/jobs/core.go
@@ -63,6 +63,7 @@
 	Run      []Task  // everything that the rack is to run
 	Counts   []Place // finished ones that count; their results may go out
 	Recorded []Place // the other reported ones that are dealt with
+	Ended    []Place // those of jobs that have ended; the rack stops them or says that it hasn't got them
 	Waiting  int     // tasks that have no rack yet
 }
 
@@ -204,7 +205,7 @@
 	if r.Usable {
 		c.place(r, allowed)
 	}
-	a := Answer{OK: true, Run: c.list(r.Rack), Waiting: c.Waiting()}
+	a := Answer{OK: true, Run: c.list(r.Rack), Waiting: c.Waiting(), Ended: c.ended(r.Rack)}
 	c.recorded(r, &a)
 	return a
 }
@@ -304,6 +305,22 @@
 	return out
 }
 
+// ended lists the placements on a rack that jobs which have ended still have.
+func (c *Core) ended(rack string) []Place {
+	var out []Place
+	for id, j := range c.work.Jobs {
+		if j.State == StateOpen {
+			continue
+		}
+		for i, at := range j.Place {
+			if at.Rack == rack {
+				out = append(out, Place{id, i, at.No})
+			}
+		}
+	}
+	return out
+}
+
 // Order ranks jobs: standing first, then by rank.
 func (s Spec) Order() int {
 	switch {
--- a/internal/batch/rack/event.go
+++ b/internal/batch/rack/event.go
@@ -213,6 +213,11 @@
 			r.forget = true
 		}
 	}
+	for _, p := range a.Ended {
+		if c.runs[p] == nil {
+			c.backs[p] = 0
+		}
+	}
 	old, spoken := c.wants[bucket]
 	next := make(map[jobs.Place]want, len(a.Run))
 	for _, t := range a.Run {
--- /dev/null
+++ b/internal/batch/rack/rack_test.go
@@ -0,0 +1,195 @@
+package rack
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bramleysail.example/bramleysail/internal/batch/jobs"
+	"bramleysail.example/bramleysail/internal/batch/wire"
+)
+
+// The seed is fixed so that every run gives the same verdict.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "5s")
+}
+
+// Holders of racks and of the bucket die, messages are lost or come after a pause,
+// workers are cut off for longer than their lease, failure domains go out and come
+// back, jobs are cancelled. A user must never see a photo book go out twice, a task on
+// two workers, one lost, or one started where operators said no.
+func TestExactlyOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"))
+		specs := drawJobs(t)
+		w.mess = rapid.Bool().Draw(t, "mess")
+		submitted := map[string]jobs.Spec{}
+		for _, s := range specs {
+			submitted[s.ID] = s
+			w.submit(s)
+		}
+		cancelled := drawFaults(t, w, specs)
+		w.run(40 * time.Second)
+		w.mend()
+		w.run(5 * time.Minute)
+		if w.fault != "" {
+			t.Fatal(w.fault)
+		}
+		accepts := w.accepts()
+		for id, s := range submitted {
+			checkJob(t, w, s, cancelled[id], accepts)
+		}
+	})
+}
+
+func drawJobs(t *rapid.T) []jobs.Spec {
+	var specs []jobs.Spec
+	for i := range rapid.IntRange(1, 4).Draw(t, "jobs") {
+		specs = append(specs, jobs.Spec{
+			ID: fmt.Sprintf("job%d", i), Kind: "audit", N: rapid.IntRange(1, 8).Draw(t, "n"),
+			Size: wire.Size{CPU: rapid.IntRange(500, 4000).Draw(t, "cpu"), Mem: 1000},
+			Run:  time.Duration(rapid.IntRange(100, 12000).Draw(t, "run")) * time.Millisecond,
+		})
+	}
+	return specs
+}
+
+func drawFaults(t *rapid.T, w *world, specs []jobs.Spec) map[string]bool {
+	at := func(what string) time.Duration {
+		return time.Duration(rapid.IntRange(500, 35000).Draw(t, what)) * time.Millisecond
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "deaths") {
+		rack := fmt.Sprintf("r%d", rapid.IntRange(0, racks-1).Draw(t, "rack"))
+		w.after(at("death"), func() { w.killHolder(rack) })
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "bucket deaths") {
+		w.after(at("bucket death"), w.killBucket)
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "cuts") {
+		addr := fmt.Sprintf("r%d/w%d", rapid.IntRange(0, racks-1).Draw(t, "rack"), rapid.IntRange(0, perRack-1).Draw(t, "worker"))
+		w.after(at("cut"), func() { w.cut[addr] = true })
+		w.after(at("mended"), func() { delete(w.cut, addr) })
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "moves") {
+		zone := fmt.Sprintf("zr%d", rapid.IntRange(0, racks-1).Draw(t, "zone"))
+		w.after(at("out"), func() { w.out[zone] = w.now })
+		w.after(at("back"), func() { delete(w.out, zone) })
+	}
+	cancelled := map[string]bool{}
+	if rapid.Bool().Draw(t, "cancel") {
+		id := specs[0].ID
+		cancelled[id] = true
+		w.after(at("cancelled"), func() { _ = w.bucket.core.Cancel(w.now, id) })
+	}
+	return cancelled
+}
+
+// submit brings a job in again and again until the store holds it, as its user would.
+func (w *world) submit(s jobs.Spec) {
+	if w.job(s.ID) != nil {
+		return
+	}
+	if b := w.bucket; b != nil && !b.dead {
+		if err := b.core.Submit(w.now, s); err != nil {
+			w.broken("submission: %v", err)
+		}
+	}
+	w.after(step, func() { w.submit(s) })
+}
+
+// killHolder ends a rack's holder; another follows when its lease has lapsed.
+func (w *world) killHolder(rack string) {
+	h := w.racks[rack]
+	if h.dead {
+		return
+	}
+	h.dead = true
+	w.after(time.Duration(w.rand.IntN(7000))*time.Millisecond, func() { w.hold(rack, h.ep+1) })
+}
+
+func (w *world) killBucket() {
+	b := w.bucket
+	if b.dead {
+		return
+	}
+	b.dead = true
+	w.after(time.Duration(w.rand.IntN(7000))*time.Millisecond, func() { w.holdBucket(b.ep + 1) })
+}
+
+// mend ends all faults.
+func (w *world) mend() {
+	w.mess = false
+	clear(w.cut)
+	clear(w.out)
+}
+
+func checkJob(t *rapid.T, w *world, s jobs.Spec, cancelled bool, accepts map[string]int) {
+	j := w.job(s.ID)
+	if j == nil {
+		t.Fatalf("job %s is lost", s.ID)
+	}
+	if !cancelled && j.State != jobs.StateDone {
+		t.Fatalf("job %s is %s %s, %d of %d done, placed %v", s.ID, j.State, j.Why, j.Done.Count(), s.N, j.Place)
+	}
+	for i := range s.N {
+		task := fmt.Sprintf("%s/%d", s.ID, i)
+		want := 0
+		if j.Done.Test(uint(i)) {
+			want = 1
+		}
+		if accepts[task] != want {
+			t.Fatalf("task %s: recorded as finished %d times, its result went out %d times", task, want, accepts[task])
+		}
+	}
+	if len(j.Place) > 0 {
+		t.Fatalf("job %s is %s and still has placements %v", s.ID, j.State, j.Place)
+	}
+}
+
+// A task is evicted because its failure domain goes out. It must go on elsewhere from
+// its checkpoint, not from its beginning.
+func TestCheckpoint(t *testing.T) {
+	w := newWorld(1)
+	w.submit(jobs.Spec{ID: "audit", Kind: "audit", N: 1, Size: wire.Size{CPU: 1000, Mem: 1000}, Run: 20 * time.Second})
+	w.run(12 * time.Second)
+	for i := range racks {
+		zone := fmt.Sprintf("zr%d", i)
+		for j := range perRack {
+			if len(w.workers[fmt.Sprintf("r%d/w%d", i, j)].Running()) > 0 {
+				w.out[zone] = w.now
+			}
+		}
+	}
+	if len(w.out) != 1 {
+		t.Fatalf("the task runs in %d failure domains", len(w.out))
+	}
+	w.run(13 * time.Second)
+	if j := w.job("audit"); w.fault != "" || j.State != jobs.StateDone {
+		t.Errorf("%s; after 25 s of a task of 20 s it is %s", w.fault, j.State)
+	}
+}
+
+// A worker fails everything at once, so it is always free. It must rest after a few
+// failures, and no job may be parked for its sake.
+func TestBadWorker(t *testing.T) {
+	w := newWorld(1)
+	w.workers["r0/w0"].SetFailing(true)
+	w.submit(jobs.Spec{ID: "books", Kind: "photo", N: 60, Size: wire.Size{CPU: 500, Mem: 500}, Run: 2 * time.Second})
+	w.run(2 * time.Minute)
+	failed := 0
+	for id := range 200 {
+		for no := range 400 {
+			failed += w.workers["r0/w0"].Starts(fmt.Sprintf("books/%d@%d", id, no))
+		}
+	}
+	j := w.job("books")
+	if w.fault != "" || j.State != jobs.StateDone {
+		t.Errorf("%s; job %s %s, %d done", w.fault, j.State, j.Why, j.Done.Count())
+	}
+	t.Logf("%d of 60 tasks were started on the bad worker", failed)
+}
--- /dev/null
+++ b/internal/route/pool/pool_test.go
@@ -0,0 +1,185 @@
+package pool
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The seed is fixed so that every run gives the same verdict.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "5s")
+}
+
+// Entry processes die, targets change hands under load and some requests hang at their
+// target after their sender has given up. What a user would see of a fault: a target
+// that gets more than its slots refuses or slows what it has; a slot that nobody gives
+// back is capacity lost for good; a call that ends twice or never is an answer lost.
+func TestSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const cores, targets, slots = 4, 8, 3
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), cores, targets, slots, 20*time.Millisecond, 500*time.Microsecond)
+		w.hang = rapid.SampledFrom([]float64{0, 0.002, 0.01}).Draw(t, "hang")
+		begin := w.now
+		w.load(rapid.Float64Range(100, 1400).Draw(t, "rate"), begin.Add(5*time.Second), 5*time.Second)
+		for range rapid.IntRange(0, 12).Draw(t, "moves") {
+			at := time.Duration(rapid.IntRange(0, 5000).Draw(t, "at")) * time.Millisecond
+			addr := fmt.Sprintf("t%02d", rapid.IntRange(0, targets-1).Draw(t, "target"))
+			to := fmt.Sprintf("e%d", rapid.IntRange(0, cores-1).Draw(t, "to"))
+			w.after(at, func() { w.move(addr, to) })
+		}
+		for range rapid.IntRange(0, 2).Draw(t, "kills") {
+			at := time.Duration(rapid.IntRange(500, 3000).Draw(t, "kill at")) * time.Millisecond
+			id := fmt.Sprintf("e%d", rapid.IntRange(1, cores-1).Draw(t, "dead"))
+			w.after(at, func() { w.kill(id) })
+		}
+		w.run(begin.Add(time.Minute))
+		if w.over > 0 {
+			t.Fatalf("%d requests reached a target whose slots were all busy", w.over)
+		}
+		if w.late > 0 {
+			t.Fatalf("%d refusals came after the deadline", w.late)
+		}
+		for id, n := range w.ended {
+			if n > 1 {
+				t.Fatalf("call %d ended %d times", id, n)
+			}
+		}
+		w.checkIdle(t)
+	})
+}
+
+// checkIdle holds that after the load nothing waits and every slot is free again.
+func (w *world) checkIdle(t *rapid.T) {
+	for id, c := range w.cores {
+		if w.dead[id] {
+			continue
+		}
+		if c.Queued() > 0 {
+			t.Fatalf("%s: %d calls still wait", id, c.Queued())
+		}
+		for _, o := range c.Targets(w.now) {
+			if o.Out+o.Ghosts > 0 {
+				t.Fatalf("%s: %+v isn't free after the load", id, o)
+			}
+		}
+	}
+}
+
+// Twice as many requests come as can be answered, from one team that floods and one
+// that asks for less than its share. Callers must be refused at once or answered, the
+// rate of answers must stay what it was at capacity, and the small team must not be
+// crowded out by the flood.
+func TestOverload(t *testing.T) {
+	const cores, targets, slots = 3, 6, 8
+	const span = 20 * time.Second
+	answered := func(load float64) (*world, int) {
+		w := newWorld(7, cores, targets, slots, 50*time.Millisecond, 500*time.Microsecond)
+		begin := w.now
+		w.load(load*targets*slots/0.05, begin.Add(span), 2*time.Second)
+		w.run(begin.Add(span + 5*time.Second))
+		return w, len(w.sent)
+	}
+	_, best := answered(0.98)
+	w, n := answered(2)
+	if float64(n) < 0.9*float64(best) {
+		t.Errorf("at twice the capacity %d are answered, at 98 %% %d", n, best)
+	}
+	if w.late > 0 || w.refuse == 0 {
+		t.Errorf("%d of %d refusals came after the deadline", w.late, w.refuse)
+	}
+	t.Logf("answered at 0.98 and 2 of capacity: %d and %d; refused %d", best, n, w.refuse)
+}
+
+// A team floods the queue; another team's few calls come after. They must be served in
+// turn with the flood's, not behind all of it, and when the queue is full the flood's
+// newest make room.
+func TestFairShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(Options{Self: "e0", Wait: time.Second})
+	c.Own(now, "t00", 1, nil, 0)
+	call := func(id uint64, team string, p Prio) []Action {
+		return c.Arrive(now, Call{ID: id, Team: team, Prio: p, Came: now, Until: now.Add(time.Minute)})
+	}
+	first := call(1, "flood", "")[0].(Send)
+	for id := uint64(2); id < 30; id++ {
+		call(id, "flood", "")
+	}
+	call(100, "small", "")
+	call(101, "small", PrioUrgent)
+	call(102, "flood", PrioLow)
+	p := first.Permit
+	var order []uint64
+	for range 5 {
+		for _, a := range c.Done(now, p, Result{Outcome: OutcomeOK, Took: time.Millisecond, Load: -1}) {
+			if s, ok := a.(Send); ok {
+				order = append(order, s.Call.ID)
+				p = s.Permit
+			}
+		}
+	}
+	if fmt.Sprint(order) != "[101 2 100 3 4]" {
+		t.Errorf("served in the order %v", order)
+	}
+}
+
+// A target fails everything at once, so it always has a free slot and would draw every
+// request. It must be ejected, tried again after a while by a probe and one request,
+// and half of the targets must stay in use whatever fails.
+func TestEject(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(Options{Self: "e0"})
+	for _, a := range []string{"t00", "t01"} {
+		c.Own(now, a, 2, nil, 0)
+	}
+	send := func(id uint64) (Send, bool) {
+		for _, a := range c.Arrive(now, Call{ID: id, Came: now, Until: now.Add(time.Minute)}) {
+			if s, ok := a.(Send); ok {
+				return s, true
+			}
+		}
+		return Send{}, false
+	}
+	for id := uint64(1); id <= 40; id++ {
+		s, ok := send(id)
+		if !ok {
+			t.Fatalf("call %d found no target though half must stay in use", id)
+		}
+		out := OutcomeOK
+		if s.Permit.Target == "t00" || id > 20 {
+			out = OutcomeFailed
+		}
+		c.Done(now, s.Permit, Result{Outcome: out, Took: time.Millisecond, Load: -1})
+	}
+	if got := c.Targets(now); !got[0].Ejected || got[1].Ejected {
+		t.Fatalf("t00 fails always, t01 after it: %+v", got)
+	}
+	now = now.Add(firstEject + time.Millisecond)
+	c.Probed(now, "t00", true, 0, false)
+	a, _ := send(50)
+	b, _ := send(51)
+	if a.Permit.Target == b.Permit.Target && a.Permit.Target == "t00" {
+		t.Error("two requests at once try the target that comes back")
+	}
+}
+
+// The owner of a target is away for longer than its lease while it believes otherwise.
+func TestUnlawful(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(Options{Self: "e0"})
+	c.Own(now, "t00", 2, nil, 0)
+	c.SetLawful(now, false)
+	for _, a := range c.Arrive(now, Call{ID: 1, Came: now, Until: now.Add(time.Minute)}) {
+		if _, ok := a.(Send); ok {
+			t.Error("a process that has lost its lease sends to what it owned")
+		}
+	}
+	if got, _ := c.Asked(now, "e1", 1, 0); len(got) > 0 {
+		t.Error("it lends what it owned")
+	}
+}
--- a/internal/route/pool/virtual_test.go
+++ b/internal/route/pool/virtual_test.go
@@ -32,8 +32,15 @@
 	hist   *hdrhistogram.Histogram
 	waits  *hdrhistogram.Histogram
 	from   time.Time
-	// owner and ghosts say what a takeover finds.
-	owner map[string]string
+	owner  map[string]string // of each target
+	using  map[Key]use
+	hang   float64 // share of requests that a target never answers
+}
+
+// use is a permit that a core uses.
+type use struct {
+	by, target string
+	until      time.Time
 }
 
 type event struct {
@@ -98,7 +105,7 @@
 	w := &world{
 		now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 2)), hop: hop, mean: mean, slots: slots,
 		cores: map[string]*Core{}, dead: map[string]bool{}, busy: map[string]int{}, slow: map[string]float64{},
-		ended: map[uint64]int{}, sent: map[uint64]int{}, owner: map[string]string{},
+		ended: map[uint64]int{}, sent: map[uint64]int{}, owner: map[string]string{}, using: map[Key]use{},
 		hist: hdrhistogram.New(1, maxTrack, 3), waits: hdrhistogram.New(1, maxTrack, 3),
 	}
 	w.from = w.now
@@ -214,6 +221,11 @@
 	}
 	begun := w.now
 	addr := a.Permit.Target
+	w.using[a.Permit.Key] = use{id, addr, a.Permit.Until}
+	if w.rand.Float64() < w.hang {
+		w.lose(id, a)
+		return
+	}
 	w.after(w.way(id, addr), func() {
 		if w.busy[addr] >= w.slots {
 			w.over++
@@ -226,7 +238,31 @@
 	})
 }
 
+// lose lets a request hang at its target until the target gives it up, which is later
+// than its sender does.
+func (w *world) lose(id string, a Send) {
+	addr := a.Permit.Target
+	w.after(w.way(id, addr), func() {
+		if w.busy[addr] >= w.slots {
+			w.over++
+		}
+		w.busy[addr]++
+		w.after(hangFor, func() { w.busy[addr]-- })
+	})
+	w.after(time.Second, func() {
+		delete(w.using, a.Permit.Key)
+		if w.dead[id] {
+			return
+		}
+		w.ended[a.Call.ID]++
+		w.do(id, w.cores[id].Done(w.now, a.Permit, Result{Outcome: OutcomeLost, Load: -1}))
+	})
+}
+
+const hangFor = 4 * time.Second
+
 func (w *world) done(id string, a Send, begun time.Time) {
+	delete(w.using, a.Permit.Key)
 	if w.dead[id] {
 		return
 	}
@@ -257,7 +293,8 @@
 	next(1)
 }
 
-// kill ends a core; half of the lease later the others share its targets.
+// kill ends a core; a lease later the others share its targets. Of what it had in
+// flight nobody knows but the target.
 func (w *world) kill(id string) {
 	w.dead[id] = true
 	for i := range len(w.cores) {
@@ -265,21 +302,57 @@
 			w.cores[other].Gone(id)
 		}
 	}
-	w.after(3*time.Second, func() {
-		i := 0
+	w.after(leaseTime, func() {
+		at := 0
 		for n := range w.slotsOf(id) {
-			addr := fmt.Sprintf("t%02d", n)
-			for w.dead[fmt.Sprintf("e%d", i%len(w.cores))] {
-				i++
+			for w.dead[fmt.Sprintf("e%d", at%len(w.cores))] {
+				at++
 			}
-			to := fmt.Sprintf("e%d", i%len(w.cores))
-			i++
+			to := fmt.Sprintf("e%d", at%len(w.cores))
+			at++
+			addr := fmt.Sprintf("t%02d", n)
 			w.owner[addr] = to
-			w.do(to, w.cores[to].Own(w.now, addr, w.slots, nil, w.busy[addr]))
+			w.do(to, w.cores[to].Own(w.now, addr, w.slots, w.held(addr), w.slots))
+			w.probe(to, addr)
+		}
+	})
+}
+
+const leaseTime = 3 * time.Second
+
+// held names the permits of a target that live cores use.
+func (w *world) held(addr string) []Held {
+	var out []Held
+	for k, u := range w.using {
+		if u.target == addr && !w.dead[u.by] {
+			out = append(out, Held{k, u.by, u.until.Sub(w.now)})
 		}
+	}
+	return out
+}
+
+// probe asks a target for its load now and again while its owner has untracked requests there.
+func (w *world) probe(id, addr string) {
+	w.after(50*time.Millisecond, func() {
+		if w.dead[id] || w.owner[addr] != id {
+			return
+		}
+		w.do(id, w.cores[id].Probed(w.now, addr, true, w.busy[addr], false))
+		w.probe(id, addr)
 	})
 }
 
+// move hands a target from its owner to another core, as at a planned change.
+func (w *world) move(addr, to string) {
+	from := w.owner[addr]
+	if from == to || w.dead[from] || w.dead[to] || w.cores[from].targets[addr] == nil {
+		return // a claim waits until the holder before has taken the target over itself
+	}
+	w.owner[addr] = to
+	held, ghosts := w.cores[from].Disown(w.now, addr, to)
+	w.to(from, to, func(c *Core) []Action { return c.Own(w.now, addr, w.slots, held, ghosts) })
+}
+
 // slotsOf yields the numbers of the targets that a core owns, in order.
 func (w *world) slotsOf(id string) func(func(int) bool) {
 	return func(yield func(int) bool) {
