batch/rack: a worker forgets a task only when no start of it can arrive any more

Ruled out: a former holder's start (fenced by epoch), an overfull ledger by adoption (the inventory carries sizes). Change: forget and accept wait until the last moment at which such a start is taken.

--- a/internal/batch/rack/core.go
+++ b/internal/batch/rack/core.go
@@ -270,10 +270,19 @@
 	return ok
 }
 
+// act sends a command about a run to its worker.
+//
+// A worker may forget a task only when no start of it can arrive any more: one that was
+// held up on its way would run the task a second time, on resources that the ledger
+// has given to others.
 func (c *Core) act(r *run, verb wire.Verb) {
 	if w := c.workers[r.worker]; w == nil || !w.fenced {
 		return
 	}
+	forgets := verb == wire.VerbForget || verb == wire.VerbAccept
+	if forgets && r.unsure && !c.now.After(r.bound.Add(margin)) {
+		return
+	}
 	r.asked = true
 	c.out = append(c.out, Act{r.worker, r.place, wire.Act{Epoch: c.o.Ep, ID: r.place.String(), Verb: verb}})
 }
