--- a/internal/batch/rack/core.go
+++ b/internal/batch/rack/core.go
@@ -154,8 +154,8 @@
 
 // tend fences or renews a worker, or gives it up when its lease has run out.
 func (c *Core) tend(now time.Time, w *worker) {
-	if w.fenced && now.After(w.over) {
-		c.lapse(w)
+	if !w.over.IsZero() && now.After(w.over) {
+		c.lapse(now, w)
 	}
 	if w.busy || now.Sub(w.tried) < c.o.Lease/6 {
 		return
@@ -177,10 +177,11 @@
 
 // lapse gives up a worker that couldn't be renewed: its tasks have stopped and go back
 // with what their checkpoints keep. Finished ones stay: the worker holds their results.
-func (c *Core) lapse(w *worker) {
+// So does a start that is still in time: fenced and renewed again, the worker would take it.
+func (c *Core) lapse(now time.Time, w *worker) {
 	w.fenced = false
 	for _, r := range c.sorted() {
-		if r.worker == w.addr && (r.holds() || r.state == stateStopped) {
+		if r.worker == w.addr && (r.holds() || r.state == stateStopped) && now.After(r.bound.Add(margin)) {
 			c.giveBack(r.place, r.task.From)
 			delete(c.runs, r.place)
 		}
