--- /dev/null
+++ b/internal/proc/whole/batch_test.go
@@ -0,0 +1,198 @@
+package whole
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/jobs"
+)
+
+func smallBatch(t *testing.T, entries, workers, racks int) *system {
+	t.Helper()
+	s := newSystem(t)
+	s.addWorkers(workers, racks)
+	for range entries {
+		s.addEntry()
+	}
+	s.putSheet()
+	return s
+}
+
+func (s *system) submit(id string, n int, run time.Duration) {
+	s.t.Helper()
+	s.run(0, "job", "submit", "--admin", s.entries[0].admin, "--kind", "audit", "--n", fmt.Sprint(n), "--cpu", "1000", "--run", run.String(), id)
+}
+
+// doneOnce waits until the job is done and every result has gone out, once.
+func (s *system) doneOnce(e *entryProc, id string, n int) {
+	s.t.Helper()
+	eventually(s.t, "job "+id+" done", func() bool { return s.job(e, id).State == jobs.StateDone })
+	out := func() map[string]int {
+		_, accepts := s.work()
+		mine := map[string]int{}
+		for task, k := range accepts {
+			if strings.HasPrefix(task, id+"/") {
+				mine[task] = k
+			}
+		}
+		return mine
+	}
+	eventually(s.t, "every result out", func() bool { return len(out()) == n })
+	for task, k := range out() {
+		if k != 1 {
+			s.t.Errorf("the result of %s went out %d times", task, k)
+		}
+	}
+	starts, _ := s.work()
+	for id, k := range starts {
+		if k != 1 {
+			s.t.Errorf("placement %s was started %d times", id, k)
+		}
+	}
+}
+
+// The entry process that holds racks and buckets is killed, and another stands still for
+// longer than its lease and wakes up, while photo books are made. Each must go out once.
+func TestBatchDeaths(t *testing.T) {
+	s := smallBatch(t, 4, 6, 3)
+	s.submit("books", 150, 300*time.Millisecond)
+	eventually(t, "some done", func() bool { return s.job(s.entries[0], "books").Done > 20 })
+	_ = s.entries[1].cmd.Process.Kill()
+	_ = s.entries[2].cmd.Process.Signal(syscall.SIGSTOP)
+	eventually(t, "two members left", func() bool { return len(s.entries[0].status().Members) == 2 })
+	_ = s.entries[2].cmd.Process.Signal(syscall.SIGCONT)
+	s.doneOnce(s.entries[0], "books", 150)
+}
+
+// An operator takes a failure domain out. Nothing may start there, what runs there goes
+// on elsewhere, and once it is back it is used again.
+func TestDomainOut(t *testing.T) {
+	s := smallBatch(t, 3, 6, 3)
+	s.submit("audits", 24, 4*time.Second)
+	running := func(zone int) int {
+		n := 0
+		for i, addr := range s.workers {
+			if i%3 == zone {
+				var rep struct{ Tasks []struct{ State string } }
+				s.send(http.MethodGet, "http://"+addr+"/v1/report", nil, &rep)
+				for _, k := range rep.Tasks {
+					if k.State == "running" {
+						n++
+					}
+				}
+			}
+		}
+		return n
+	}
+	eventually(t, "tasks in every domain", func() bool { return running(0) > 0 && running(1) > 0 && running(2) > 0 })
+	s.run(0, "domain", "out", "--admin", s.entries[2].admin, zones[1])
+	eventually(t, "none left there", func() bool { return running(1) == 0 })
+	before, _ := s.work()
+	count := func(starts map[string]int, zone int) int {
+		n := 0
+		for i, addr := range s.workers {
+			if i%3 == zone {
+				var st workerStats
+				s.send(http.MethodGet, "http://"+addr+"/stats", nil, &st)
+				n += len(st.Starts)
+			}
+		}
+		return n
+	}
+	there := count(before, 1)
+	s.submit("more", 12, 300*time.Millisecond)
+	s.doneOnce(s.entries[1], "more", 12)
+	s.doneOnce(s.entries[1], "audits", 24)
+	if n := count(nil, 1); n != there {
+		t.Errorf("%d tasks were started in a domain that is out", n-there)
+	}
+	s.run(0, "domain", "back", "--admin", s.entries[0].admin, zones[1])
+	s.submit("again", 60, 300*time.Millisecond)
+	s.doneOnce(s.entries[2], "again", 60)
+	if count(nil, 1) == there {
+		t.Error("nothing was started in the domain after it was back")
+	}
+}
+
+// The store goes away while audits run, for longer than every lease, and comes back.
+// What runs must run on; what finishes meanwhile is recorded later, once; nothing that
+// is submitted meanwhile is called accepted.
+func TestBatchStoreAway(t *testing.T) {
+	s := smallBatch(t, 3, 6, 3)
+	s.submit("audits", 12, 5*time.Second)
+	eventually(t, "all started", func() bool { starts, _ := s.work(); return len(starts) == 12 })
+	s.storeDown(true)
+	s.run(4, "job", "submit", "--admin", s.entries[0].admin, "--kind", "audit", "late")
+	finished := func() int {
+		n := 0
+		for _, addr := range s.workers {
+			var rep struct{ Tasks []struct{ State string } }
+			s.send(http.MethodGet, "http://"+addr+"/v1/report", nil, &rep)
+			for _, k := range rep.Tasks {
+				if k.State == "finished" {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	eventually(t, "all finished and held", func() bool { return finished() == 12 })
+	if _, accepts := s.work(); len(accepts) > 0 {
+		t.Errorf("results went out before they were recorded: %v", accepts)
+	}
+	s.storeDown(false)
+	s.doneOnce(s.entries[1], "audits", 12)
+	if starts, _ := s.work(); len(starts) < 12 {
+		t.Errorf("%d starts for 12 tasks", len(starts))
+	}
+	s.run(0, "job", "submit", "--admin", s.entries[0].admin, "--kind", "audit", "late")
+	s.doneOnce(s.entries[1], "late", 1)
+}
+
+// Two operators change the configuration at the same time, and a sheet drawn up before
+// one of the changes comes after it. One wins, the others are told so; nothing reverts.
+func TestOperatorsRace(t *testing.T) {
+	s := smallBatch(t, 3, 3, 3)
+	s.run(0, "domain", "out", "--admin", s.entries[0].admin, zones[0])
+	out := s.run(3, "sheet", "put", "--admin", s.entries[1].admin, "../../../examples/association.sheet.toml")
+	if !strings.Contains(out, "drawn from configuration 0, in force is 2 (out: heredia)") {
+		t.Errorf("the refusal doesn't say what has changed: %s", out)
+	}
+	type result struct{ code, num int }
+	results := make(chan result, 6)
+	for i := range 6 {
+		go func() {
+			verb, zone := "out", zones[1+i%2]
+			resp, err := http.Post("http://"+s.entries[i%3].admin+"/v1/zones/"+zone+"/"+verb, "", nil)
+			if err != nil {
+				results <- result{}
+				return
+			}
+			defer resp.Body.Close()
+			var v struct{ Num int }
+			_ = json.NewDecoder(resp.Body).Decode(&v)
+			results <- result{resp.StatusCode, v.Num}
+		}()
+	}
+	high := 0
+	for range 6 {
+		r := <-results
+		if r.code != http.StatusOK && r.code != http.StatusConflict {
+			t.Errorf("a racing operator got %d", r.code)
+		}
+		high = max(high, r.num)
+	}
+	eventually(t, "one configuration everywhere", func() bool {
+		for _, e := range s.entries {
+			if int(e.status().Config) != high || len(e.status().Out) < 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
