plat/store: a lost answer is settled also when others have built on the write

Cause (TestSettle, porcupine: the history isn't that of one register): the answer of a write is lost, a second writer reads it and writes its own on top; the first then finds a conflict and a foreign value and reports that it changed nothing, though its change is in force. For a configuration: an operator told of a conflict while the domain is out. Change: who settles says whether a stored value contains its write; a configuration carries the ids of the 32 writes before it. Buckets and tables read anew after any conflict and need only the value itself.

--- /dev/null
+++ b/internal/base/conf/conf_test.go
@@ -0,0 +1,58 @@
+package conf
+
+import (
+	"os"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// The commented examples must be what the defaults say where they say the same.
+func TestExamples(t *testing.T) {
+	for _, name := range []string{"association.toml", "wildheart.toml"} {
+		if _, err := Load("../../../examples/" + name); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Every mistake in a file must be named at once, unknown keys with their line.
+func TestFaults(t *testing.T) {
+	_, err := Parse(`name = "x"
+colour = "red"
+[listen]
+caller = "8080"
+[store]
+url = "ftp://x"
+lease = "1s"
+[limit]
+body = -1
+reed = "1s"
+[log]
+level = "loud"
+[worker]
+buckets = 0
+`)
+	if err == nil {
+		t.Fatal("it's accepted")
+	}
+	goldie.New(t).Assert(t, "faults", []byte(err.Error()))
+}
+
+func TestSyntax(t *testing.T) {
+	if _, err := Parse("name = \n"); err == nil {
+		t.Error("it's accepted")
+	}
+	if _, err := Load(os.DevNull + "/none"); err == nil {
+		t.Error("a file that isn't there is accepted")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("[store]\nlease = \"1s\"")
+	f.Fuzz(func(t *testing.T, text string) {
+		if s, err := Parse(text); err == nil && s.Store.Lease < 3*s.Store.Timeout {
+			t.Error("a lease that one slow call loses is accepted")
+		}
+	})
+}
--- a/internal/batch/hold/bucket.go
+++ b/internal/batch/hold/bucket.go
@@ -130,7 +130,7 @@
 	}
 	// While the store is away this goes on trying: nothing that waits for the write is
 	// answered meanwhile.
-	err = store.Settle(ctx, b.h.o.Store, bucketPrefix+b.name, value, b.rev)
+	err = store.Settle(ctx, b.h.o.Store, bucketPrefix+b.name, value, b.rev, store.Same(value))
 	if err == nil {
 		err = b.reread(ctx, value)
 	}
--- /dev/null
+++ b/internal/batch/jobs/bench_test.go
@@ -0,0 +1,66 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/wire"
+)
+
+// benchBucket returns a held bucket with so many jobs of 10 tasks, half of them placed.
+func benchBucket(b *testing.B, n int) *Core {
+	now := time.Unix(1000, 0)
+	c := New(Bucket{}, 1)
+	for i := range n {
+		s := Spec{ID: fmt.Sprintf("provenance-audit-%06d", i), Kind: "audit", Team: "provenance", N: 10,
+			Size: wire.Size{CPU: 1000, Mem: 1000}, Run: time.Minute}
+		if err := c.Submit(now, s); err != nil {
+			b.Fatal(err)
+		}
+	}
+	commit(b, c)
+	free := make([]wire.Size, 0, 5*n)
+	for range 5 * n {
+		free = append(free, wire.Size{CPU: 1000, Mem: 1000})
+	}
+	c.Hear(now, Report{Rack: "rack-1", Ep: 1, Usable: true, Offer: Offer{Free: free}}, func(string) bool { return true })
+	commit(b, c)
+	return c
+}
+
+func commit(b *testing.B, c *Core) int {
+	value, err := c.Begin("id")
+	if err != nil {
+		b.Fatal(err)
+	}
+	c.Ended(true)
+	return len(value)
+}
+
+// BenchmarkCommit measures writing the record: time and bytes a job of 10 tasks.
+func BenchmarkCommit(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := benchBucket(b, n)
+			size := 0
+			for b.Loop() {
+				size = commit(b, c)
+			}
+			b.ReportMetric(float64(size)/float64(n), "B/job")
+		})
+	}
+}
+
+// BenchmarkHear measures answering a rack that has nothing to say.
+func BenchmarkHear(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := benchBucket(b, n)
+			now := time.Unix(1000, 0)
+			for b.Loop() {
+				c.Hear(now, Report{Rack: "rack-2", Ep: 1, Usable: true}, func(string) bool { return true })
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/batch/rack/bench_test.go
@@ -0,0 +1,88 @@
+package rack
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/jobs"
+	"bramleysail.example/bramleysail/internal/batch/wire"
+)
+
+// benchRack returns a core with fenced workers, and no tasks.
+func benchRack(now time.Time, workers int) *Core {
+	c := New(now, Options{Rack: "r", Zone: "z", Ep: 1, Lease: time.Minute, Fresh: time.Minute, Bucket: func(string) string { return "b" }})
+	var addrs []string
+	for i := range workers {
+		addrs = append(addrs, fmt.Sprintf("w%05d", i))
+	}
+	c.SetWorkers(addrs)
+	c.Tick(now, Config{Usable: true, Confirmed: now})
+	for _, a := range addrs {
+		c.Fenced(now, a, Result{Report: wire.Report{Epoch: 1, Size: wire.Size{CPU: 60000, Mem: 250000}}})
+	}
+	return c
+}
+
+func benchTasks(n int) []jobs.Task {
+	var list []jobs.Task
+	for i := range n {
+		list = append(list, jobs.Task{Place: jobs.Place{Job: "job", Index: i, No: uint64(i + 1)},
+			Spec: jobs.Spec{ID: "job", N: n, Size: wire.Size{CPU: 3000, Mem: 4000}, Run: time.Minute}})
+	}
+	return list
+}
+
+// BenchmarkPlace measures placing 20 tasks a worker: decisions a second on one core and
+// bytes a task.
+func BenchmarkPlace(b *testing.B) {
+	for _, workers := range []int{8, 64, 500} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			tasks := benchTasks(20 * workers)
+			var spent time.Duration
+			var before, after runtime.MemStats
+			for range b.N {
+				c := benchRack(now, workers)
+				c.Take(now, "b", jobs.Answer{OK: true})
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				began := time.Now()
+				c.Take(now, "b", jobs.Answer{OK: true, Run: tasks})
+				got := c.Tick(now, Config{Usable: true, Confirmed: now})
+				spent += time.Since(began)
+				if len(got) < len(tasks) {
+					b.Fatalf("%d of %d were started", len(got), len(tasks))
+				}
+				got = nil
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(c)
+			}
+			b.ReportMetric(float64(b.N*len(tasks))/spent.Seconds(), "decisions/s")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(tasks)), "B/task")
+		})
+	}
+}
+
+// BenchmarkTick measures a round with nothing to decide, 20 tasks running on each worker.
+func BenchmarkTick(b *testing.B) {
+	for _, workers := range []int{8, 64, 500} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			c := benchRack(now, workers)
+			c.Take(now, "b", jobs.Answer{OK: true})
+			c.Take(now, "b", jobs.Answer{OK: true, Run: benchTasks(20 * workers)})
+			for _, a := range c.Tick(now, Config{Usable: true, Confirmed: now}) {
+				if s, ok := a.(Start); ok {
+					c.Started(now, s.Place, Result{Report: wire.Report{Size: wire.Size{CPU: 60000, Mem: 250000}}})
+				}
+			}
+			for b.Loop() {
+				c.Tick(now, Config{Usable: true, Confirmed: now})
+				c.Report("b", true)
+			}
+		})
+	}
+}
--- a/internal/ctrl/shard/keeper.go
+++ b/internal/ctrl/shard/keeper.go
@@ -199,7 +199,7 @@
 	}
 	cctx, cancel := context.WithTimeout(ctx, 2*turn)
 	defer cancel()
-	err = store.Settle(cctx, k.o.Store, prefix+name, value, old.rev)
+	err = store.Settle(cctx, k.o.Store, prefix+name, value, old.rev, store.Same(value))
 	switch {
 	case err == nil:
 		k.o.Log.Info("table written", "table", name, "items", len(items), "seq", next.Seq)
--- a/internal/ctrl/shard/plan_test.go
+++ b/internal/ctrl/shard/plan_test.go
@@ -87,3 +87,17 @@
 		}
 	}
 }
+
+// BenchmarkPlan measures a plan after the loss of one member of nine.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			its := items(n)
+			table, _ := Plan(Table{}, its, member.NewView(1, members(0, 1, 2, 3, 4, 5, 6, 7, 8)...))
+			view := member.NewView(2, members(0, 1, 2, 3, 5, 6, 7, 8)...)
+			for b.Loop() {
+				Plan(table, its, view)
+			}
+		})
+	}
+}
--- a/internal/ctrl/sheet/record.go
+++ b/internal/ctrl/sheet/record.go
@@ -32,6 +32,7 @@
 // operators have taken out.
 type Config struct {
 	ID    string            `json:"id"`   // of the write, so that a lost answer can be settled
+	Past  []string          `json:"past"` // the ids of the writes before, for the same reason
 	Num   uint64            `json:"num"`  // grows by one with each change
 	Text  string            `json:"text"` // of the sheet
 	Out   map[string]uint64 `json:"out"`  // failure domains that are out, and the number that took them out
@@ -145,13 +146,18 @@
 	return next.write(ctx, s)
 }
 
+// maxPast is how many writes back a lost answer can be settled.
+const maxPast = 32
+
 func (c Config) write(ctx context.Context, s store.Store) (Config, error) {
+	c.Past = append([]string{c.ID}, c.Past...)
+	c.Past = c.Past[:min(len(c.Past), maxPast)]
 	c.ID, c.Num = uuid.NewString(), c.Num+1
 	value, err := json.Marshal(c)
 	if err != nil {
 		return Config{}, errors.Wrap(err, "sheet")
 	}
-	err = store.Settle(ctx, s, key, value, c.rev)
+	err = store.Settle(ctx, s, key, value, c.rev, c.contains)
 	if errors.Is(err, store.ErrConflict) {
 		return Config{}, errors.Wrap(ErrConflict, "another operator changed the configuration at the same time; read it and try again")
 	}
@@ -161,6 +167,12 @@
 	return c, nil
 }
 
+// contains reports whether a stored configuration is this one or was built on it.
+func (c Config) contains(stored []byte) bool {
+	var now Config
+	return json.Unmarshal(stored, &now) == nil && (now.ID == c.ID || slices.Contains(now.Past, c.ID))
+}
+
 // Diff lists the lines that stand only in the old (-) or only in the new text (+).
 func Diff(old, next string) string {
 	a, b := strings.Split(old, "\n"), strings.Split(next, "\n")
--- a/internal/peer/member/group.go
+++ b/internal/peer/member/group.go
@@ -58,6 +58,8 @@
 	heard  map[string]time.Time
 	theirs map[string]bool // peers whose store calls fail too
 	nudge  chan struct{}
+
+	abandoned bool
 }
 
 // New returns a group that isn't joined yet.
@@ -342,9 +344,20 @@
 	}
 }
 
+// Abandon makes the end of Run leave the lease to lapse by itself, as a process that
+// dies would.
+func (g *Group) Abandon() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.abandoned = true
+}
+
 func (g *Group) leave() {
 	g.mu.Lock()
 	lease := g.lease
+	if g.abandoned {
+		lease = ""
+	}
 	g.lease, g.until = "", time.Time{}
 	g.mu.Unlock()
 	if lease == "" {
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -57,21 +57,22 @@
 }
 
 // Settle makes a Swap whose answer was lost certain: it repeats the same
-// compare-and-swap and, on a conflict, reads back whether the stored value is its own.
-// The value must be unique to this write (carry a write id).
+// compare-and-swap and, on a conflict, reads back and asks mine whether the stored
+// value contains this write.
 //
-// The failure it guards against: the answer is lost after the write took effect,
-// and the writer, taking the conflict of its repeat for a rival's win, reports a
-// failure for a change that is in force. Repeating is safe because the revision
-// in the condition lets at most one of the copies through.
-func Settle(ctx context.Context, s Store, key string, value []byte, rev uint64) error {
+// The failure it guards against: the answer is lost after the write took effect, and
+// the writer, taking the conflict of its repeat for a rival's win, reports a failure
+// for a change that is in force. Repeating is safe because the revision in the
+// condition lets at most one of the copies through. By the time of the reading back
+// others may have built on this write; so mine should know it in their values too.
+func Settle(ctx context.Context, s Store, key string, value []byte, rev uint64, mine func(stored []byte) bool) error {
 	for {
 		err := s.Swap(ctx, key, value, rev)
 		switch {
 		case err == nil:
 			return nil
 		case errors.Is(err, ErrConflict):
-			return settled(ctx, s, key, value)
+			return settled(ctx, s, key, mine)
 		case !errors.Is(err, ErrUnknown):
 			return err
 		}
@@ -81,13 +82,19 @@
 	}
 }
 
+// Same returns a mine for Settle that knows only the value itself. It's enough where a
+// conflict, true or not, leads to reading everything anew.
+func Same(value []byte) func([]byte) bool {
+	return func(stored []byte) bool { return string(stored) == string(value) }
+}
+
 const retryPause = 50 * time.Millisecond
 
-func settled(ctx context.Context, s Store, key string, value []byte) error {
+func settled(ctx context.Context, s Store, key string, mine func([]byte) bool) error {
 	for {
 		e, err := s.Get(ctx, key)
 		switch {
-		case err == nil && string(e.Value) == string(value):
+		case err == nil && mine(e.Value):
 			return nil
 		case err == nil, errors.Is(err, ErrNotFound):
 			return ErrConflict
--- /dev/null
+++ b/internal/plat/store/store_test.go
@@ -0,0 +1,123 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	fakestore "bramleysail.example/bramleysail/internal/fake/store"
+	"bramleysail.example/bramleysail/internal/plat/store"
+)
+
+// op is one operation on a register: a read, or a swap that expects a value.
+type op struct {
+	swap      bool
+	from, to  string
+	succeeded bool
+	read      string
+}
+
+var register = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, in, out any) (bool, any) {
+		i, o := in.(op), out.(op)
+		switch {
+		case !i.swap:
+			return o.read == state, state
+		case o.succeeded:
+			return i.from == state, i.to
+		}
+		// A swap that is told to have lost changed nothing, whatever the state was.
+		return i.from != state, state
+	},
+}
+
+// Several writers race on one key while answers are lost after the write took effect.
+// What a user would see of a fault: two operators both told that they won, or one told
+// that it lost while its change is in force. The cause would be a lost answer that is
+// settled wrongly. The history must be that of one register.
+func TestSettle(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	fake := &fakestore.Store{}
+	srv := httptest.NewServer(fake.Handler())
+	defer srv.Close()
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var wg sync.WaitGroup
+	began := time.Now()
+	for w := range 4 {
+		wg.Go(func() {
+			s := store.NewHTTP(srv.URL, 5*time.Second)
+			for i := range 12 {
+				if i%3 == 0 {
+					fake.LoseAnswers(1)
+				}
+				id := fmt.Sprintf("<%d-%d>", w, i)
+				read := porcupine.Operation{ClientId: w, Input: op{}, Call: int64(time.Since(began))}
+				e, err := s.Get(context.Background(), "k")
+				if err != nil && !errors.Is(err, store.ErrNotFound) {
+					t.Error(err)
+					return
+				}
+				read.Output, read.Return = op{read: string(e.Value)}, int64(time.Since(began))
+				value := string(e.Value) + id
+				swap := porcupine.Operation{ClientId: w, Input: op{swap: true, from: string(e.Value), to: value}, Call: int64(time.Since(began))}
+				err = store.Settle(context.Background(), s, "k", []byte(value), e.Rev, func(stored []byte) bool { return strings.Contains(string(stored), id) })
+				if err != nil && !errors.Is(err, store.ErrConflict) {
+					t.Error(err)
+					return
+				}
+				swap.Output, swap.Return = op{succeeded: err == nil}, int64(time.Since(began))
+				mu.Lock()
+				history = append(history, read, swap)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	if !porcupine.CheckOperations(register, history) {
+		t.Error("the history isn't that of one register")
+	}
+}
+
+// The service is away, and comes back: calls must say that their outcome is unknown,
+// and a lease that its holder couldn't renew meanwhile must not be lost by that alone.
+func TestOutage(t *testing.T) {
+	fake := &fakestore.Store{}
+	srv := httptest.NewServer(fake.Handler())
+	defer srv.Close()
+	s := store.NewHTTP(srv.URL, time.Second)
+	ctx := context.Background()
+	lease, err := s.Open(ctx, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Hold(ctx, lease, "m/a", []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	fake.SetDown(true)
+	if err := s.Swap(ctx, "k", []byte("v"), 0); !errors.Is(err, store.ErrUnknown) {
+		t.Errorf("a write while the service is away: %v", err)
+	}
+	fake.SetDown(false)
+	if err := s.Renew(ctx, lease); err != nil {
+		t.Errorf("the lease after the outage: %v", err)
+	}
+	if err := s.Close(ctx, lease); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Get(ctx, "m/a"); !errors.Is(err, store.ErrNotFound) {
+		t.Errorf("a key whose lease is closed: %v", err)
+	}
+	if err := s.Renew(ctx, lease); !errors.Is(err, store.ErrLapsed) {
+		t.Errorf("a closed lease: %v", err)
+	}
+}
--- a/internal/proc/cli/cli.go
+++ b/internal/proc/cli/cli.go
@@ -14,6 +14,7 @@
 	"bramleysail.example/bramleysail/internal/base/conf"
 	"bramleysail.example/bramleysail/internal/base/telem"
 	"bramleysail.example/bramleysail/internal/ctrl/sheet"
+	"bramleysail.example/bramleysail/internal/proc/demo"
 	"bramleysail.example/bramleysail/internal/proc/node"
 )
 
@@ -39,7 +40,7 @@
 		ErrWriter:      errOut,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			serveCommand(errOut), checkCommand(out), sheetCommand(out), domainCommand(out), jobCommand(out), statusCommand(out), standinCommand(out),
+			demoCommand(out), serveCommand(errOut), checkCommand(out), sheetCommand(out), domainCommand(out), jobCommand(out), statusCommand(out), standinCommand(out),
 		},
 	}
 	err := root.Run(ctx, args)
@@ -89,6 +90,21 @@
 	}
 }
 
+func demoCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:        "demo",
+		Usage:       "run the main job on embedded stand-ins, bring about faults and check the promises",
+		Description: "It takes under a minute, needs nothing but loopback, and exits with 5 if a promise was broken.",
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			broken, err := demo.Run(ctx, out)
+			if err == nil && len(broken) > 0 {
+				err = exit{errors.Errorf("cli: %d promises were broken", len(broken)), ExitBroken}
+			}
+			return err
+		},
+	}
+}
+
 func serve(ctx context.Context, s conf.Settings, errOut io.Writer) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- /dev/null
+++ b/internal/proc/demo/doc.go
@@ -0,0 +1,3 @@
+// Package demo runs the main job on embedded stand-ins in one process, brings about
+// faults, and checks the promises.
+package demo
--- a/internal/proc/node/node.go
+++ b/internal/proc/node/node.go
@@ -208,6 +208,13 @@
 	n.cancel()
 	n.wg.Wait()
 	n.routes.handOver(grace)
+	n.end(grace)
+	n.log.Info("stopped", "cut", err != nil)
+	return errors.Wrap(err, "node: requests were cut after the grace period")
+}
+
+// end stops what is left once no request needs it.
+func (n *Node) end(ctx context.Context) {
 	n.late()
 	n.peers.Close()
 	_ = n.admin.Close()
@@ -216,11 +223,22 @@
 	n.links.Keep(nil)
 	n.relay.Close()
 	_ = n.flush.Close()
-	if terr := n.traces(grace); terr != nil {
-		n.log.Info("traces not flushed", "err", terr.Error())
+	if err := n.traces(ctx); err != nil {
+		n.log.Info("traces not flushed", "err", err.Error())
 	}
-	n.log.Info("stopped", "cut", err != nil)
-	return errors.Wrap(err, "node: requests were cut after the grace period")
+}
+
+// Abort ends the process as if it had died: requests are cut, nothing is handed over
+// and its lease is left to lapse. The demo uses it.
+func (n *Node) Abort() {
+	if n.stopping.Swap(true) {
+		return
+	}
+	n.group.Abandon()
+	n.cancel()
+	_ = n.callers.Close()
+	n.wg.Wait()
+	n.end(context.Background())
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/proc/whole/bench_test.go
@@ -0,0 +1,188 @@
+package whole
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	benchTargets = 50
+	benchSlots   = 8
+	benchWork    = 200 * time.Millisecond
+	benchSpan    = 12 * time.Second
+)
+
+// BenchmarkPath measures answer times of real processes, 9 entry processes before 50
+// targets of 8 slots, against a caller that holds one ideal queue before all slots and
+// goes straight to the targets. The ratios are of the same run.
+func BenchmarkPath(b *testing.B) {
+	for _, tc := range []struct {
+		name string
+		load float64
+		slow bool
+		kill bool
+	}{
+		{"50", 0.50, false, false},
+		{"80", 0.80, false, false},
+		{"95", 0.95, false, false},
+		{"50-slow", 0.50, true, false},
+		{"80-kill", 0.80, false, true},
+	} {
+		b.Run(tc.name, func(b *testing.B) {
+			for range b.N {
+				s := benchSystem(b)
+				if tc.slow {
+					for i := 0; i < benchTargets; i += 10 {
+						s.fault(s.targets[i], "", 5*benchWork)
+					}
+				}
+				rate := tc.load * benchTargets * benchSlots / benchWork.Seconds()
+				ideal := idealRun(s, rate)
+				before := s.cpu()
+				alloc := s.alloc()
+				if tc.kill {
+					time.AfterFunc(benchSpan/2, func() { _ = s.entries[4].cmd.Process.Kill() })
+				}
+				own, n, failed := ownRun(s, rate, tc.kill)
+				for _, at := range []float64{50, 99, 99.9} {
+					v := float64(own.ValueAtPercentile(at))
+					b.ReportMetric(v/1e6, fmt.Sprintf("p%v-ms", at))
+					b.ReportMetric(v/float64(ideal.ValueAtPercentile(at)), fmt.Sprintf("p%v/ideal", at))
+				}
+				b.ReportMetric(float64(failed), "failed")
+				b.ReportMetric(float64(s.stats().Over), "over")
+				if !tc.kill {
+					b.ReportMetric((s.cpu()-before).Seconds()*1e6/float64(n), "cpu-us/req")
+					b.ReportMetric((s.alloc()-alloc)/float64(n), "B-alloc/req")
+				}
+				for _, p := range s.procs {
+					p.kill()
+				}
+			}
+		})
+	}
+}
+
+func benchSystem(b *testing.B) *system {
+	s := &system{t: b, dir: b.TempDir()}
+	s.boot()
+	s.addTargets(benchTargets, benchSlots, benchWork)
+	for range 9 {
+		s.addEntry()
+	}
+	s.putSheet()
+	s.settle()
+	return s
+}
+
+// cpu returns the processor time that the entry processes have used.
+func (s *system) cpu() time.Duration {
+	var sum time.Duration
+	for _, e := range s.entries {
+		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", e.cmd.Process.Pid))
+		if err != nil {
+			continue
+		}
+		f := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+2:]))
+		user, _ := strconv.Atoi(f[11])
+		sys, _ := strconv.Atoi(f[12])
+		sum += time.Duration(user+sys) * (time.Second / 100)
+	}
+	return sum
+}
+
+// alloc returns the bytes that the entry processes have allocated.
+func (s *system) alloc() float64 {
+	sum := 0.0
+	for _, e := range s.entries {
+		resp, err := http.Get("http://" + e.admin + "/metrics")
+		if err != nil {
+			continue
+		}
+		sc := bufio.NewScanner(resp.Body)
+		for sc.Scan() {
+			if v, ok := strings.CutPrefix(sc.Text(), "go_memstats_alloc_bytes_total "); ok {
+				n, _ := strconv.ParseFloat(v, 64)
+				sum += n
+			}
+		}
+		_ = resp.Body.Close()
+	}
+	return sum
+}
+
+// open calls do at random moments at the rate for the span, and waits for all of them.
+func open(rate float64, do func(n int)) {
+	r := rand.New(rand.NewPCG(1, 2))
+	var wg sync.WaitGroup
+	next := time.Now()
+	end := next.Add(benchSpan)
+	for n := 0; next.Before(end); n++ {
+		next = next.Add(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+		<-time.After(time.Until(next))
+		wg.Go(func() { do(n) })
+	}
+	wg.Wait()
+}
+
+// idealRun measures a caller that knows every slot and queues before all of them.
+func idealRun(s *system, rate float64) *hdrhistogram.Histogram {
+	h := hdrhistogram.New(1, int64(time.Minute), 3)
+	free := make(chan string, benchTargets*benchSlots)
+	for range benchSlots {
+		for _, t := range s.targets {
+			free <- t
+		}
+	}
+	var mu sync.Mutex
+	open(rate, func(int) {
+		came := time.Now()
+		t := <-free
+		req, _ := http.NewRequest(http.MethodGet, "http://"+t+"/ideal", nil)
+		req.Header.Set("X-Request-Id", "ideal")
+		a := do(req)
+		free <- t
+		mu.Lock()
+		defer mu.Unlock()
+		if a.status == http.StatusOK {
+			_ = h.RecordValue(int64(time.Since(came)))
+		}
+	})
+	return h
+}
+
+// ownRun measures the entry processes; failed counts what wasn't answered whole.
+func ownRun(s *system, rate float64, kill bool) (h *hdrhistogram.Histogram, n, failed int) {
+	h = hdrhistogram.New(1, int64(time.Minute), 3)
+	var mu sync.Mutex
+	open(rate, func(i int) {
+		came := time.Now()
+		e := s.entries[i%len(s.entries)]
+		select {
+		case <-e.done: // the balancer has noticed
+			e = s.entries[(i+1)%len(s.entries)]
+		default:
+		}
+		req, _ := http.NewRequest(http.MethodGet, "http://"+e.caller+"/registro/bottle", nil)
+		a := do(req)
+		mu.Lock()
+		defer mu.Unlock()
+		n++
+		if a.status != http.StatusOK {
+			failed++
+			return
+		}
+		_ = h.RecordValue(int64(time.Since(came)))
+	})
+	return h, n, failed
+}
--- a/internal/proc/whole/fault_test.go
+++ b/internal/proc/whole/fault_test.go
@@ -213,3 +213,60 @@
 	s.run(0, "domain", "out", "--admin", e.admin, zones[2])
 	quiet(2)
 }
+
+// A caller repeats its check-ins through another entry process after the one that took
+// them, or their home, has died, and then after the next has died as well. What was
+// answered must be answered again, and nothing may run twice.
+func TestRepeatAfterDeath(t *testing.T) {
+	const n = 40
+	s := small(t, 4, 4, 4, 2*time.Millisecond)
+	for i := range n {
+		key := fmt.Sprint("case-", i)
+		if a := post(s.entries[i%2].caller, key, key); a.status != http.StatusOK {
+			t.Fatalf("%s: %+v", key, a)
+		}
+	}
+	for _, dead := range []int{0, 1} {
+		_ = s.entries[dead].cmd.Process.Kill()
+		<-s.entries[dead].done
+		s.settle()
+		for i := range n {
+			key := fmt.Sprint("case-", i)
+			eventually(t, "an answer to the repeat of "+key, func() bool {
+				a := post(s.entries[2+i%2].caller, key, key)
+				if a.status != http.StatusOK && a.code() != "home-unsure" {
+					t.Fatalf("after the death of %d, %s: %+v", dead, key, a)
+				}
+				return a.status == http.StatusOK
+			})
+		}
+	}
+	if st := s.stats(); st.Total != n || st.Twice != 0 {
+		t.Errorf("%d check-ins: %+v", n, st)
+	}
+}
+
+// A check-in hangs at its target, and the process that sent it dies. Nobody knows
+// whether it has run: a repeat must be told so and not be run.
+func TestUnknownAfterDeath(t *testing.T) {
+	s := small(t, 3, 1, 4, 2*time.Millisecond)
+	s.fault(s.targets[0], target.FaultHang, 0)
+	go post(s.entries[0].caller, "lost", "bottle")
+	eventually(t, "it runs", func() bool { return s.stats().Total == 1 })
+	if a := post(s.entries[1].caller, "lost", "bottle"); a.code() != "still-running" {
+		t.Errorf("a repeat while it runs: %+v", a)
+	}
+	_ = s.entries[0].cmd.Process.Kill()
+	<-s.entries[0].done
+	s.fault(s.targets[0], target.FaultNone, 0)
+	eventually(t, "the outcome unknown", func() bool {
+		a := post(s.entries[1].caller, "lost", "bottle")
+		if a.status == http.StatusOK {
+			t.Fatalf("it was run again: %+v", a)
+		}
+		return a.code() == "outcome-unknown"
+	})
+	if st := s.stats(); st.Total != 1 {
+		t.Errorf("it ran %d times", st.Total)
+	}
+}
--- a/internal/proc/whole/procs_test.go
+++ b/internal/proc/whole/procs_test.go
@@ -39,7 +39,7 @@
 
 // proc is a process of the system or a stand-in.
 type proc struct {
-	t    *testing.T
+	t    testing.TB
 	cmd  *exec.Cmd
 	line chan string // the first line of output that matches
 	done chan struct{}
@@ -50,7 +50,7 @@
 }
 
 // start runs the command and waits for a line of output that matches.
-func start(t *testing.T, match string, args ...string) (*proc, []string) {
+func start(t testing.TB, match string, args ...string) (*proc, []string) {
 	t.Helper()
 	p := &proc{t: t, cmd: exec.Command(binary, args...), line: make(chan string, 1), done: make(chan struct{})}
 	r, w := io.Pipe()
@@ -112,7 +112,7 @@
 const patience = 60 * time.Second
 
 // eventually waits until cond holds.
-func eventually(t *testing.T, what string, cond func() bool) {
+func eventually(t testing.TB, what string, cond func() bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -135,7 +135,8 @@
 
 // system is a small deployment: stand-ins and serving processes.
 type system struct {
-	t       *testing.T
+	t       testing.TB
+	procs   []*proc
 	dir     string
 	store   string
 	hosts   string
@@ -149,28 +150,39 @@
 
 func newSystem(t *testing.T) *system {
 	s := &system{t: t, dir: t.TempDir()}
-	_, m := start(t, `listening (\S+)`, "standin", "store")
-	s.store = m[1]
-	_, m = start(t, `listening (\S+)`, "standin", "hosts")
-	s.hosts = m[1]
+	s.boot()
 	return s
 }
 
+// boot starts the stand-ins that there is one of.
+func (s *system) boot() {
+	s.store = s.standin("store")
+	s.hosts = s.standin("hosts")
+}
+
+// standin starts a stand-in and returns its address.
+func (s *system) standin(args ...string) string {
+	s.t.Helper()
+	p, m := start(s.t, `listening (\S+)`, append([]string{"standin"}, args...)...)
+	s.procs = append(s.procs, p)
+	return m[1]
+}
+
 func (s *system) addTargets(n, slots int, work time.Duration) {
 	s.slots = slots
 	for range n {
-		_, m := start(s.t, `listening (\S+)`, "standin", "target", "--slots", fmt.Sprint(slots), "--work", work.String())
-		s.setHost(hosts.Host{Addr: m[1], Kind: hosts.KindTarget, Zone: zones[len(s.targets)%3], Service: "registro", State: hosts.StateLive})
-		s.targets = append(s.targets, m[1])
+		addr := s.standin("target", "--slots", fmt.Sprint(slots), "--work", work.String())
+		s.setHost(hosts.Host{Addr: addr, Kind: hosts.KindTarget, Zone: zones[len(s.targets)%3], Service: "registro", State: hosts.StateLive})
+		s.targets = append(s.targets, addr)
 	}
 }
 
 func (s *system) addWorkers(n, racks int) {
 	for i := range n {
-		_, m := start(s.t, `listening (\S+)`, "standin", "worker", "--cpu", "4000", "--mem", "8000", "--lag", "100ms")
+		addr := s.standin("worker", "--cpu", "4000", "--mem", "8000", "--lag", "100ms")
 		rack := i % racks
-		s.setHost(hosts.Host{Addr: m[1], Kind: hosts.KindWorker, Zone: zones[rack%3], Rack: fmt.Sprintf("rack%d", rack), State: hosts.StateLive})
-		s.workers = append(s.workers, m[1])
+		s.setHost(hosts.Host{Addr: addr, Kind: hosts.KindWorker, Zone: zones[rack%3], Rack: fmt.Sprintf("rack%d", rack), State: hosts.StateLive})
+		s.workers = append(s.workers, addr)
 	}
 }
 
@@ -237,6 +249,7 @@
 		s.t.Fatal(err)
 	}
 	p, m := start(s.t, `msg=serving .*caller=(\S+) .*admin=(\S+)`, "serve", "--settings", file)
+	s.procs = append(s.procs, p)
 	e := &entryProc{p, m[1], m[2]}
 	s.entries = append(s.entries, e)
 	return e
@@ -368,7 +381,7 @@
 	return body.Code
 }
 
-var caller = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+var caller = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 
 // post sends a check-in with the key.
 func post(addr, key, body string) answer {
