--- a/internal/base/telem/telem.go
+++ b/internal/base/telem/telem.go
@@ -9,6 +9,9 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	tally "github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 	"go.opentelemetry.io/otel"
@@ -32,16 +35,18 @@
 // reportEvery is how often metrics pass from their scope to the endpoint.
 const reportEvery = time.Second
 
-// NewMetrics returns a root scope, the handler that shows it in the usual text
+// NewMetrics returns a root scope with a registry of its own, the handler that shows it in the usual text
 // format, and a closer.
 func NewMetrics() (tally.Scope, http.Handler, io.Closer) {
-	r := promreporter.NewReporter(promreporter.Options{})
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r := promreporter.NewReporter(promreporter.Options{Registerer: reg, Gatherer: reg})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "bramleysail",
 		CachedReporter: r,
 		Separator:      promreporter.DefaultSeparator,
 	}, reportEvery)
-	return scope, r.HTTPHandler(), closer
+	return scope, promhttp.HandlerFor(reg, promhttp.HandlerOpts{}), closer
 }
 
 // Tracer returns the process's tracer; its spans go nowhere until StartTraces is called.
