--- a/internal/proc/whole/bench_test.go
+++ b/internal/proc/whole/bench_test.go
@@ -42,13 +42,19 @@
 		b.Run(tc.name, func(b *testing.B) {
 			for range b.N {
 				s := benchSystem(b)
-				if tc.slow {
-					for i := 0; i < benchTargets; i += 10 {
-						s.fault(s.targets[i], "", 5*benchWork)
+				rate := tc.load * benchTargets * benchSlots / benchWork.Seconds()
+				// A quarter into each run one target in ten becomes slow.
+				slow := func(work time.Duration) {
+					if tc.slow {
+						for i := 0; i < benchTargets; i += 10 {
+							s.fault(s.targets[i], "", work)
+						}
 					}
 				}
-				rate := tc.load * benchTargets * benchSlots / benchWork.Seconds()
+				time.AfterFunc(benchSpan/4, func() { slow(5 * benchWork) })
 				ideal := idealRun(s, rate)
+				slow(benchWork)
+				time.AfterFunc(benchSpan/4, func() { slow(5 * benchWork) })
 				before := s.cpu()
 				alloc := s.alloc()
 				if tc.kill {
--- a/internal/route/entry/budget.go
+++ b/internal/route/entry/budget.go
@@ -22,7 +22,7 @@
 	budgetShare = 0.1 // retries for each request
 	budgetMost  = 10  // retries that can be saved up
 	hedgeFactor = 3   // times the mean after which a second try is sent
-	hedgeFrom   = 100 // answers that have to be known before
+	hedgeFrom   = 20  // answers that have to be known before
 	meanWeight  = 50  // answers that the moving mean goes over
 )
 
