base/wait, fake/event: one pause that ends with a context, one queue of virtual events

Read as a newcomer: the same six lines of a timer and a select stood in eight places, the event heap in two tests.

--- /dev/null
+++ b/internal/base/wait/wait.go
@@ -0,0 +1,18 @@
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d and reports whether ctx lasted that long.
+func For(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return ctx.Err() == nil
+	}
+}
--- a/internal/batch/hold/bucket.go
+++ b/internal/batch/hold/bucket.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/batch/jobs"
 	"bramleysail.example/bramleysail/internal/ctrl/shard"
 	"bramleysail.example/bramleysail/internal/plat/store"
@@ -179,12 +180,7 @@
 		case ctx.Err() != nil:
 			return err
 		}
-		t := time.NewTimer(commitEvery)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		wait.For(ctx, commitEvery)
 	}
 }
 
--- a/internal/batch/hold/hold.go
+++ b/internal/batch/hold/hold.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -225,6 +226,13 @@
 	return len(h.racks) + len(h.buckets)
 }
 
+// Names returns the racks and the buckets that are held here, in order.
+func (h *Holder) Names() (racks, buckets []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(maps.Keys(h.racks)), slices.Sorted(maps.Keys(h.buckets))
+}
+
 func (h *Holder) getBucket(name string) *bucket {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/batch/rack/rack_test.go
+++ b/internal/batch/rack/rack_test.go
@@ -65,26 +65,26 @@
 	}
 	for range rapid.IntRange(0, 4).Draw(t, "deaths") {
 		rack := fmt.Sprintf("r%d", rapid.IntRange(0, racks-1).Draw(t, "rack"))
-		w.after(at("death"), func() { w.killHolder(rack) })
+		w.After(at("death"), func() { w.killHolder(rack) })
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "bucket deaths") {
-		w.after(at("bucket death"), w.killBucket)
+		w.After(at("bucket death"), w.killBucket)
 	}
 	for range rapid.IntRange(0, 2).Draw(t, "cuts") {
 		addr := fmt.Sprintf("r%d/w%d", rapid.IntRange(0, racks-1).Draw(t, "rack"), rapid.IntRange(0, perRack-1).Draw(t, "worker"))
-		w.after(at("cut"), func() { w.cut[addr] = true })
-		w.after(at("mended"), func() { delete(w.cut, addr) })
+		w.After(at("cut"), func() { w.cut[addr] = true })
+		w.After(at("mended"), func() { delete(w.cut, addr) })
 	}
 	for range rapid.IntRange(0, 2).Draw(t, "moves") {
 		zone := fmt.Sprintf("zr%d", rapid.IntRange(0, racks-1).Draw(t, "zone"))
-		w.after(at("out"), func() { w.out[zone] = w.now })
-		w.after(at("back"), func() { delete(w.out, zone) })
+		w.After(at("out"), func() { w.out[zone] = w.Now() })
+		w.After(at("back"), func() { delete(w.out, zone) })
 	}
 	cancelled := map[string]bool{}
 	if rapid.Bool().Draw(t, "cancel") {
 		id := specs[0].ID
 		cancelled[id] = true
-		w.after(at("cancelled"), func() { _ = w.bucket.core.Cancel(w.now, id) })
+		w.After(at("cancelled"), func() { _ = w.bucket.core.Cancel(w.Now(), id) })
 	}
 	return cancelled
 }
@@ -95,11 +95,11 @@
 		return
 	}
 	if b := w.bucket; b != nil && !b.dead {
-		if err := b.core.Submit(w.now, s); err != nil {
+		if err := b.core.Submit(w.Now(), s); err != nil {
 			w.broken("submission: %v", err)
 		}
 	}
-	w.after(step, func() { w.submit(s) })
+	w.After(step, func() { w.submit(s) })
 }
 
 // killHolder ends a rack's holder; another follows when its lease has lapsed.
@@ -109,7 +109,7 @@
 		return
 	}
 	h.dead = true
-	w.after(time.Duration(w.rand.IntN(7000))*time.Millisecond, func() { w.hold(rack, h.ep+1) })
+	w.After(time.Duration(w.rand.IntN(7000))*time.Millisecond, func() { w.hold(rack, h.ep+1) })
 }
 
 func (w *world) killBucket() {
@@ -118,7 +118,7 @@
 		return
 	}
 	b.dead = true
-	w.after(time.Duration(w.rand.IntN(7000))*time.Millisecond, func() { w.holdBucket(b.ep + 1) })
+	w.After(time.Duration(w.rand.IntN(7000))*time.Millisecond, func() { w.holdBucket(b.ep + 1) })
 }
 
 // mend ends all faults.
@@ -161,7 +161,7 @@
 		zone := fmt.Sprintf("zr%d", i)
 		for j := range perRack {
 			if len(w.workers[fmt.Sprintf("r%d/w%d", i, j)].Running()) > 0 {
-				w.out[zone] = w.now
+				w.out[zone] = w.Now()
 			}
 		}
 	}
--- a/internal/batch/rack/virtual_test.go
+++ b/internal/batch/rack/virtual_test.go
@@ -1,13 +1,13 @@
 package rack
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"strings"
 	"time"
 
+	"bramleysail.example/bramleysail/internal/fake/event"
 	fakeworker "bramleysail.example/bramleysail/internal/fake/worker"
 
 	"bramleysail.example/bramleysail/internal/batch/jobs"
@@ -18,10 +18,8 @@
 // virtual time. Messages are delayed, lost, or held back for as long as a paused
 // process would; holders die and others follow with a higher epoch.
 type world struct {
-	now     time.Time
+	event.Queue
 	begin   time.Time
-	queue   events
-	seq     int
 	rand    *rand.Rand
 	mess    bool // faults happen
 	workers map[string]*fakeworker.Worker
@@ -52,26 +50,6 @@
 	writing bool
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	x := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return x
-}
-
 const (
 	leaseOf = 6 * time.Second
 	freshOf = 3 * time.Second
@@ -84,11 +62,11 @@
 
 func newWorld(seed uint64) *world {
 	w := &world{
-		now: time.Unix(1000, 0), begin: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 3)),
+		Queue: event.New(time.Unix(1000, 0)), begin: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 3)),
 		workers: map[string]*fakeworker.Worker{}, cut: map[string]bool{}, racks: map[string]*holding{},
 		out: map[string]time.Time{}, finals: map[string]jobs.State{}, refused: map[wire.Refusal]int{},
 	}
-	clock := func() wire.Clock { return wire.Clock(w.now.Sub(w.begin)) }
+	clock := func() wire.Clock { return wire.Clock(w.Now().Sub(w.begin)) }
 	for r := range racks {
 		for i := range perRack {
 			w.workers[fmt.Sprintf("r%d/w%d", r, i)] = fakeworker.NewAt(workerSize, 300*time.Millisecond, clock)
@@ -99,20 +77,13 @@
 	return w
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now.Add(d), w.seq, do})
-}
-
+// run lets a span of time pass, or ends it at the first broken promise.
 func (w *world) run(d time.Duration) {
-	until := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(until) && w.fault == "" {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	until := w.Now().Add(d)
+	for w.fault == "" && w.Step(until) {
 		w.check()
 	}
-	w.now = until
+	w.Run(until)
 }
 
 // delay is how long a message takes; ok is false when it's lost.
@@ -138,18 +109,18 @@
 	there, ok := w.delay()
 	back, ok2 := w.delay()
 	if ok {
-		w.after(there, request)
+		w.After(there, request)
 	}
 	if ok && ok2 && there+back < patience {
-		w.after(there+back, answered)
+		w.After(there+back, answered)
 		return
 	}
-	w.after(patience, lost)
+	w.After(patience, lost)
 }
 
 // hold gives a rack to a new holder.
 func (w *world) hold(rack string, ep uint64) {
-	h := &holding{rack: rack, ep: ep, core: New(w.now, Options{Rack: rack, Zone: "z" + rack, Ep: ep, Lease: leaseOf, Fresh: freshOf,
+	h := &holding{rack: rack, ep: ep, core: New(w.Now(), Options{Rack: rack, Zone: "z" + rack, Ep: ep, Lease: leaseOf, Fresh: freshOf,
 		Bucket: func(string) string { return "b" }})}
 	w.racks[rack] = h
 	var tick func()
@@ -158,9 +129,9 @@
 			return
 		}
 		w.tick(h)
-		w.after(step, tick)
+		w.After(step, tick)
 	}
-	w.after(step, tick)
+	w.After(step, tick)
 	var sync func()
 	sync = func() {
 		if h.dead {
@@ -168,7 +139,7 @@
 		}
 		w.sync(h, sync)
 	}
-	w.after(step, sync)
+	w.After(step, sync)
 }
 
 func (w *world) tick(h *holding) {
@@ -178,7 +149,7 @@
 	}
 	h.core.SetWorkers(addrs)
 	_, out := w.out[h.core.Zone()]
-	for _, a := range h.core.Tick(w.now, Config{Usable: !out, Confirmed: w.now}) {
+	for _, a := range h.core.Tick(w.Now(), Config{Usable: !out, Confirmed: w.Now()}) {
 		w.do(h, a)
 	}
 	for _, a := range addrs {
@@ -192,10 +163,10 @@
 	switch a := a.(type) {
 	case Fence:
 		w.command(h, a.Addr, func(k *fakeworker.Worker) (wire.Report, wire.Refusal) { return k.Fence(a.Msg) },
-			func(res Result) { h.core.Fenced(w.now, a.Addr, res) })
+			func(res Result) { h.core.Fenced(w.Now(), a.Addr, res) })
 	case Renew:
 		w.command(h, a.Addr, func(k *fakeworker.Worker) (wire.Report, wire.Refusal) { return k.Renew(a.Msg) },
-			func(res Result) { h.core.Renewed(w.now, a.Addr, res) })
+			func(res Result) { h.core.Renewed(w.Now(), a.Addr, res) })
 	case Start:
 		w.command(h, a.Addr, func(k *fakeworker.Worker) (wire.Report, wire.Refusal) {
 			before := k.Starts(a.Msg.Task.ID)
@@ -204,17 +175,17 @@
 				w.started(h.core.Zone(), a.Msg.Task.ID)
 			}
 			return rep, no
-		}, func(res Result) { h.core.Started(w.now, a.Place, res) })
+		}, func(res Result) { h.core.Started(w.Now(), a.Place, res) })
 	case Act:
 		w.command(h, a.Addr, func(k *fakeworker.Worker) (wire.Report, wire.Refusal) { return k.Act(a.Msg) },
-			func(res Result) { h.core.Acted(w.now, a.Place, a.Msg.Verb, res) })
+			func(res Result) { h.core.Acted(w.Now(), a.Place, a.Msg.Verb, res) })
 	}
 }
 
 // started checks that no task starts where operators said no.
 func (w *world) started(zone, id string) {
-	if since, out := w.out[zone]; out && w.now.Sub(since) > freshOf {
-		w.broken("%s started in %s, %s after it was taken out", id, zone, w.now.Sub(since))
+	if since, out := w.out[zone]; out && w.Now().Sub(since) > freshOf {
+		w.broken("%s started in %s, %s after it was taken out", id, zone, w.Now().Sub(since))
 	}
 }
 
@@ -245,17 +216,17 @@
 	var a jobs.Answer
 	w.call(func() {
 		if b := w.bucket; b != nil && !b.dead {
-			a = b.core.Hear(w.now, rep, func(string) bool {
+			a = b.core.Hear(w.Now(), rep, func(string) bool {
 				_, out := w.out[rep.Zone]
 				return !out
 			})
 		}
 	}, func() {
 		if !h.dead {
-			h.core.Take(w.now, "b", a)
-			w.after(step, again)
+			h.core.Take(w.Now(), "b", a)
+			w.After(step, again)
 		}
-	}, func() { w.after(step, again) })
+	}, func() { w.After(step, again) })
 }
 
 // holdBucket gives the bucket to a new holder, which reads the record.
@@ -274,9 +245,9 @@
 			return
 		}
 		w.commit(b)
-		w.after(step, commit)
+		w.After(step, commit)
 	}
-	w.after(step, commit)
+	w.After(step, commit)
 }
 
 // commit writes the record; an answer that is lost is settled by reading back.
@@ -284,7 +255,7 @@
 	if b.writing || !b.core.Dirty() {
 		return
 	}
-	value, err := b.core.Begin(fmt.Sprint(w.seq))
+	value, err := b.core.Begin(fmt.Sprint(w.Seq()))
 	if err != nil {
 		w.broken("record: %v", err)
 		return
@@ -342,7 +313,7 @@
 
 func (w *world) broken(format string, args ...any) {
 	if w.fault == "" {
-		w.fault = fmt.Sprintf("%s: ", w.now.Sub(w.begin)) + fmt.Sprintf(format, args...)
+		w.fault = fmt.Sprintf("%s: ", w.Now().Sub(w.begin)) + fmt.Sprintf(format, args...)
 	}
 }
 
--- a/internal/ctrl/shard/keeper.go
+++ b/internal/ctrl/shard/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/peer/member"
 	"bramleysail.example/bramleysail/internal/plat/store"
 )
@@ -129,7 +130,7 @@
 		began := time.Now()
 		p, err := k.o.Store.List(ctx, prefix, after, k.o.Wait)
 		if err != nil {
-			sleep(ctx, lookEvery)
+			wait.For(ctx, lookEvery)
 			continue
 		}
 		after = p.Rev
@@ -240,15 +241,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Holder returns the member that holds an item by the latest table, or "".
 func (k *Keeper) Holder(table, item string) string {
 	k.mu.Lock()
--- a/internal/ctrl/sheet/record.go
+++ b/internal/ctrl/sheet/record.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/plat/store"
 )
 
@@ -193,7 +194,7 @@
 // Feed follows the configuration in force.
 type Feed struct {
 	store   store.Store
-	wait    time.Duration
+	hold    time.Duration // of one watch
 	changed func(Config)
 	log     logr.Logger
 
@@ -203,8 +204,8 @@
 }
 
 // NewFeed returns a feed that calls changed on each new configuration, one call at a time.
-func NewFeed(s store.Store, wait time.Duration, changed func(Config), log logr.Logger) *Feed {
-	return &Feed{store: s, wait: wait, changed: changed, log: log}
+func NewFeed(s store.Store, hold time.Duration, changed func(Config), log logr.Logger) *Feed {
+	return &Feed{store: s, hold: hold, changed: changed, log: log}
 }
 
 // Now returns the latest configuration seen.
@@ -228,19 +229,19 @@
 // read goes beside it, often enough that the age stays below confirm.
 func (f *Feed) Run(ctx context.Context, confirm time.Duration) {
 	var wg sync.WaitGroup
-	wg.Go(func() { f.follow(ctx, f.wait, 0) })
+	wg.Go(func() { f.follow(ctx, f.hold, 0) })
 	wg.Go(func() { f.follow(ctx, 0, confirm/3) })
 	wg.Wait()
 }
 
-func (f *Feed) follow(ctx context.Context, wait, pause time.Duration) {
+func (f *Feed) follow(ctx context.Context, hold, pause time.Duration) {
 	var after uint64
 	for ctx.Err() == nil {
 		began := time.Now()
-		p, err := f.store.List(ctx, key, after, wait)
+		p, err := f.store.List(ctx, key, after, hold)
 		if err == nil {
-			f.take(p, began, wait == 0)
-			if wait > 0 {
+			f.take(p, began, hold == 0)
+			if hold > 0 {
 				after = p.Rev
 			}
 		}
@@ -248,12 +249,7 @@
 		if err != nil {
 			rest = max(pause, errorPause)
 		}
-		t := time.NewTimer(rest)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		wait.For(ctx, rest)
 	}
 }
 
--- a/internal/peer/member/group.go
+++ b/internal/peer/member/group.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/peer/link"
 	"bramleysail.example/bramleysail/internal/plat/store"
 )
@@ -238,7 +239,7 @@
 		p, err := g.o.Store.List(ctx, prefix, after, g.o.Wait)
 		if err != nil {
 			g.setAway(ctx)
-			sleep(ctx, g.o.Lease/10)
+			wait.For(ctx, g.o.Lease/10)
 			continue
 		}
 		after = p.Rev
@@ -305,7 +306,7 @@
 				g.beatTo(ctx, m)
 			})
 		}
-		sleep(ctx, g.o.Beat)
+		wait.For(ctx, g.o.Beat)
 	}
 }
 
@@ -396,12 +397,3 @@
 		g.o.Log.Info("lease not closed; it lapses by itself", "err", err.Error())
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bramleysail.example/bramleysail/internal/base/wait"
 )
 
 var (
@@ -76,7 +78,7 @@
 		case !errors.Is(err, ErrUnknown):
 			return err
 		}
-		if !pause(ctx, retryPause) {
+		if !wait.For(ctx, retryPause) {
 			return errors.Wrap(ErrUnknown, ctx.Err().Error())
 		}
 	}
@@ -101,19 +103,8 @@
 		case !errors.Is(err, ErrUnknown):
 			return err
 		}
-		if !pause(ctx, retryPause) {
+		if !wait.For(ctx, retryPause) {
 			return errors.Wrap(ErrUnknown, ctx.Err().Error())
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/proc/cli/admin.go
+++ b/internal/proc/cli/admin.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -213,9 +214,11 @@
 }
 
 func statusTable(w io.Writer, s node.Status) {
-	fmt.Fprintf(w, "node\t%s\nzone\t%s\nready\t%t\nsure\t%t\nview\t%d\nmembers\t%s\nconfiguration\t%d\nout\t%s\n",
-		s.Node, s.Zone, s.Ready, s.Sure, s.Epoch, strings.Join(s.Members, " "), s.Config, strings.Join(s.Out, " "))
-	for name, v := range s.Services {
+	fmt.Fprintf(w, "node\t%s\nzone\t%s\nready\t%t\nsure\t%t\nview\t%d\nmembers\t%s\nconfiguration\t%d\nout\t%s\nracks\t%s\nbuckets\t%s\n",
+		s.Node, s.Zone, s.Ready, s.Sure, s.Epoch, strings.Join(s.Members, " "), s.Config, strings.Join(s.Out, " "),
+		strings.Join(s.Racks, " "), strings.Join(s.Buckets, " "))
+	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
+		v := s.Services[name]
 		fmt.Fprintf(w, "\nservice %s\tqueued %d\n", name, v.Queued)
 		for _, t := range v.Targets {
 			fmt.Fprintf(w, "  %s\tslots %d\tin use %d\tuntracked %d\tleaving %t\tejected %t\n", t.Addr, t.Slots, t.Out, t.Ghosts, t.Leaving, t.Ejected)
--- a/internal/proc/node/admin.go
+++ b/internal/proc/node/admin.go
@@ -221,6 +221,8 @@
 	Members  []string                 `json:"members"`
 	Config   uint64                   `json:"config"` // number of the configuration in force here
 	Out      []string                 `json:"out"`
+	Racks    []string                 `json:"racks"`   // held here
+	Buckets  []string                 `json:"buckets"` // held here
 	Services map[string]ServiceStatus `json:"services"`
 }
 
@@ -234,6 +236,7 @@
 	view, c := n.group.View(), n.feed.Now()
 	s := Status{Node: n.id, Zone: n.s.Zone, Ready: n.Ready(), Sure: n.keeper.Sure(), Epoch: view.Epoch(),
 		Config: c.Num, Services: map[string]ServiceStatus{}}
+	s.Racks, s.Buckets = n.holder.Names()
 	for _, m := range view.Members() {
 		s.Members = append(s.Members, m.ID)
 	}
--- a/internal/proc/node/node.go
+++ b/internal/proc/node/node.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
@@ -16,6 +15,7 @@
 
 	"bramleysail.example/bramleysail/internal/base/conf"
 	"bramleysail.example/bramleysail/internal/base/telem"
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/batch/hold"
 	"bramleysail.example/bramleysail/internal/ctrl/shard"
 	"bramleysail.example/bramleysail/internal/ctrl/sheet"
@@ -201,7 +201,7 @@
 	}
 	n.log.Info("stopping", "linger", n.s.Stop.Linger, "grace", n.s.Stop.Grace)
 	n.group.SetState(member.StateLeaving)
-	sleep(ctx, n.s.Stop.Linger)
+	wait.For(ctx, n.s.Stop.Linger)
 	grace, cancel := context.WithTimeout(ctx, n.s.Stop.Grace)
 	defer cancel()
 	err := n.callers.Shutdown(grace)
@@ -240,12 +240,3 @@
 	n.wg.Wait()
 	n.end(context.Background())
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/proc/node/routes.go
+++ b/internal/proc/node/routes.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/ctrl/shard"
 	"bramleysail.example/bramleysail/internal/ctrl/sheet"
 	"bramleysail.example/bramleysail/internal/peer/member"
@@ -288,6 +289,6 @@
 			n.log.Info("host list is empty; the last one stays in use")
 		}
 		n.follow()
-		sleep(ctx, n.s.Hosts.Every)
+		wait.For(ctx, n.s.Hosts.Every)
 	}
 }
--- a/internal/proc/whole/batch_test.go
+++ b/internal/proc/whole/batch_test.go
@@ -196,3 +196,21 @@
 		return true
 	})
 }
+
+// An operator stops, with SIGTERM, a process that holds racks and buckets. Others must
+// take them over while everything runs on: no task is evicted or started again.
+func TestBatchStop(t *testing.T) {
+	s := smallBatch(t, 3, 6, 3)
+	s.submit("audits", 12, 4*time.Second)
+	eventually(t, "all started", func() bool { starts, _ := s.work(); return len(starts) == 12 })
+	p := s.entries[1]
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	<-p.done
+	s.doneOnce(s.entries[0], "audits", 12)
+	if starts, _ := s.work(); len(starts) != 12 {
+		t.Errorf("%d starts for 12 tasks", len(starts))
+	}
+	if p.err != nil {
+		t.Errorf("it ended with %v", p.err)
+	}
+}
--- a/internal/proc/whole/bench_test.go
+++ b/internal/proc/whole/bench_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -275,3 +276,53 @@
 		})
 	}
 }
+
+// BenchmarkTakeover measures the time from the death of a rack's holder to the next
+// start of a task on that rack, as a multiple of the process's lease.
+func BenchmarkTakeover(b *testing.B) {
+	const lease = 2 * time.Second
+	for range b.N {
+		s := &system{t: b, dir: b.TempDir()}
+		s.boot()
+		s.addWorkers(6, 3)
+		for range 3 {
+			s.addEntry()
+		}
+		s.putSheet()
+		s.run(0, "job", "submit", "--admin", s.entries[0].admin, "--kind", "audit", "--n", "5000", "--cpu", "1000", "--mem", "100", "--run", "100ms", "bench")
+		var victim *entryProc
+		eventually(b, "tasks on a rack of another process", func() bool {
+			for _, e := range s.entries[1:] {
+				if slices.Contains(e.status().Racks, "rack0") && s.startsOn(0) > 20 {
+					victim = e
+				}
+			}
+			return victim != nil || slices.Contains(s.entries[0].status().Racks, "rack0") && s.startsOn(0) > 20
+		})
+		if victim == nil {
+			victim = s.entries[0]
+		}
+		_ = victim.cmd.Process.Kill()
+		<-victim.done
+		died := time.Now()
+		before := s.startsOn(0)
+		eventually(b, "a start on the rack", func() bool { return s.startsOn(0) > before })
+		b.ReportMetric(time.Since(died).Seconds()/lease.Seconds(), "leases")
+		for _, p := range s.procs {
+			p.kill()
+		}
+	}
+}
+
+// startsOn returns how many tasks were started on the workers of a rack.
+func (s *system) startsOn(rack int) int {
+	n := 0
+	for i, addr := range s.workers {
+		if i%3 == rack {
+			var st workerStats
+			s.send(http.MethodGet, "http://"+addr+"/stats", nil, &st)
+			n += len(st.Starts)
+		}
+	}
+	return n
+}
--- a/internal/route/broker/claim.go
+++ b/internal/route/broker/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/ctrl/shard"
 	"bramleysail.example/bramleysail/internal/peer/link"
 	"bramleysail.example/bramleysail/internal/peer/member"
@@ -62,12 +63,7 @@
 			b.own(addr, row.Ep, slots, held, ghosts)
 			return
 		}
-		t := time.NewTimer(claimEvery)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		wait.For(ctx, claimEvery)
 	}
 }
 
--- a/internal/route/once/home.go
+++ b/internal/route/once/home.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/peer/link"
 	"bramleysail.example/bramleysail/internal/peer/member"
 )
@@ -141,14 +142,10 @@
 }
 
 func pause(ctx context.Context) error {
-	t := time.NewTimer(retryEvery)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
+	if !wait.For(ctx, retryEvery) {
 		return errors.Wrap(ErrUnsure, ctx.Err().Error())
-	case <-t.C:
-		return nil
 	}
+	return nil
 }
 
 func (h *Homes) alive(id string) bool {
--- a/internal/route/pool/pool_test.go
+++ b/internal/route/pool/pool_test.go
@@ -26,20 +26,20 @@
 		const cores, targets, slots = 4, 8, 3
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), cores, targets, slots, 20*time.Millisecond, 500*time.Microsecond)
 		w.hang = rapid.SampledFrom([]float64{0, 0.002, 0.01}).Draw(t, "hang")
-		begin := w.now
+		begin := w.Now()
 		w.load(rapid.Float64Range(100, 1400).Draw(t, "rate"), begin.Add(5*time.Second), 5*time.Second)
 		for range rapid.IntRange(0, 12).Draw(t, "moves") {
 			at := time.Duration(rapid.IntRange(0, 5000).Draw(t, "at")) * time.Millisecond
 			addr := fmt.Sprintf("t%02d", rapid.IntRange(0, targets-1).Draw(t, "target"))
 			to := fmt.Sprintf("e%d", rapid.IntRange(0, cores-1).Draw(t, "to"))
-			w.after(at, func() { w.move(addr, to) })
+			w.After(at, func() { w.move(addr, to) })
 		}
 		for range rapid.IntRange(0, 2).Draw(t, "kills") {
 			at := time.Duration(rapid.IntRange(500, 3000).Draw(t, "kill at")) * time.Millisecond
 			id := fmt.Sprintf("e%d", rapid.IntRange(1, cores-1).Draw(t, "dead"))
-			w.after(at, func() { w.kill(id) })
+			w.After(at, func() { w.kill(id) })
 		}
-		w.run(begin.Add(time.Minute))
+		w.Run(begin.Add(time.Minute))
 		if w.over > 0 {
 			t.Fatalf("%d requests reached a target whose slots were all busy", w.over)
 		}
@@ -64,7 +64,7 @@
 		if c.Queued() > 0 {
 			t.Fatalf("%s: %d calls still wait", id, c.Queued())
 		}
-		for _, o := range c.Targets(w.now) {
+		for _, o := range c.Targets(w.Now()) {
 			if o.Out+o.Ghosts > 0 {
 				t.Fatalf("%s: %+v isn't free after the load", id, o)
 			}
@@ -81,9 +81,9 @@
 	const span = 20 * time.Second
 	answered := func(load float64) (*world, int) {
 		w := newWorld(7, cores, targets, slots, 50*time.Millisecond, 500*time.Microsecond)
-		begin := w.now
+		begin := w.Now()
 		w.load(load*targets*slots/0.05, begin.Add(span), 2*time.Second)
-		w.run(begin.Add(span + 5*time.Second))
+		w.Run(begin.Add(span + 5*time.Second))
 		return w, len(w.sent)
 	}
 	_, best := answered(0.98)
--- a/internal/route/pool/virtual_test.go
+++ b/internal/route/pool/virtual_test.go
@@ -1,21 +1,20 @@
 package pool
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bramleysail.example/bramleysail/internal/fake/event"
 )
 
 // world drives several cores in virtual time: events in a heap, a fixed delay for
 // each message, targets that count what they are sent.
 type world struct {
-	now    time.Time
-	queue  events
-	seq    int
+	event.Queue
 	rand   *rand.Rand
 	hop    time.Duration
 	mean   time.Duration
@@ -43,26 +42,6 @@
 	until      time.Time
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	x := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return x
-}
-
 // zone returns the failure domain of a core or target; they alternate among three.
 func zone(name string) int {
 	n := 0
@@ -81,20 +60,6 @@
 // nearer is how many times shorter the way within a failure domain is.
 const nearer = 10
 
-func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now.Add(d), w.seq, do})
-}
-
-func (w *world) run(until time.Time) {
-	for len(w.queue) > 0 && !w.queue[0].at.After(until) {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
-	}
-	w.now = until
-}
-
 const (
 	maxTrack = int64(time.Minute)
 	tickStep = 5 * time.Millisecond
@@ -103,12 +68,12 @@
 
 func newWorld(seed uint64, cores, targets, slots int, mean, hop time.Duration) *world {
 	w := &world{
-		now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 2)), hop: hop, mean: mean, slots: slots,
+		Queue: event.New(time.Unix(1000, 0)), rand: rand.New(rand.NewPCG(seed, 2)), hop: hop, mean: mean, slots: slots,
 		cores: map[string]*Core{}, dead: map[string]bool{}, busy: map[string]int{}, slow: map[string]float64{},
 		ended: map[uint64]int{}, sent: map[uint64]int{}, owner: map[string]string{}, using: map[Key]use{},
 		hist: hdrhistogram.New(1, maxTrack, 3), waits: hdrhistogram.New(1, maxTrack, 3),
 	}
-	w.from = w.now
+	w.from = w.Now()
 	for i := range cores {
 		id := fmt.Sprintf("e%d", i)
 		w.cores[id] = New(Options{Self: id, Seed: seed + uint64(i), Wait: 2 * time.Second})
@@ -117,7 +82,7 @@
 		// Cores and targets alternate among three zones, so the owner is near.
 		id, addr := fmt.Sprintf("e%d", i%cores), fmt.Sprintf("t%02d", i)
 		w.owner[addr] = id
-		w.do(id, w.cores[id].Own(w.now, addr, slots, nil, 0))
+		w.do(id, w.cores[id].Own(w.Now(), addr, slots, nil, 0))
 	}
 	for id, c := range w.cores {
 		for other := range w.cores {
@@ -134,24 +99,24 @@
 }
 
 func (w *world) tick(id string) {
-	w.after(tickStep, func() {
+	w.After(tickStep, func() {
 		if !w.dead[id] {
-			w.do(id, w.cores[id].Tick(w.now))
+			w.do(id, w.cores[id].Tick(w.Now()))
 			w.tick(id)
 		}
 	})
 }
 
 func (w *world) beat(id string) {
-	w.after(beatStep, func() {
+	w.After(beatStep, func() {
 		if w.dead[id] {
 			return
 		}
-		free, want, wait := w.cores[id].Load(w.now)
+		free, want, wait := w.cores[id].Load(w.Now())
 		for i := range len(w.cores) {
 			other := fmt.Sprintf("e%d", i)
 			if other != id {
-				w.to(id, other, func(c *Core) []Action { return c.Heard(w.now, id, free, want, wait) })
+				w.to(id, other, func(c *Core) []Action { return c.Heard(w.Now(), id, free, want, wait) })
 			}
 		}
 		w.beat(id)
@@ -160,7 +125,7 @@
 
 // to delivers a message to a core after one hop.
 func (w *world) to(from, id string, f func(*Core) []Action) {
-	w.after(w.way(from, id), func() {
+	w.After(w.way(from, id), func() {
 		if !w.dead[id] {
 			w.do(id, f(w.cores[id]))
 		}
@@ -168,7 +133,7 @@
 }
 
 func (w *world) free(id string) int {
-	n, _, _ := w.cores[id].Load(w.now)
+	n, _, _ := w.cores[id].Load(w.Now())
 	return n
 }
 
@@ -180,29 +145,29 @@
 		case Refuse:
 			w.refuse++
 			w.ended[a.Call.ID]++
-			if w.now.After(a.Call.Until) {
+			if w.Now().After(a.Call.Until) {
 				w.late++
 			}
 		case Ask:
 			w.ask(id, a)
 		case Give:
-			w.to(id, a.Peer, func(c *Core) []Action { return c.Granted(w.now, id, 0, a.Permits, w.free(id)) })
+			w.to(id, a.Peer, func(c *Core) []Action { return c.Granted(w.Now(), id, 0, a.Permits, w.free(id)) })
 		case Free:
-			w.to(id, a.Peer, func(c *Core) []Action { return c.Freed(w.now, a.Key, a.Target, a.Result) })
+			w.to(id, a.Peer, func(c *Core) []Action { return c.Freed(w.Now(), a.Key, a.Target, a.Result) })
 		}
 	}
 }
 
 func (w *world) ask(id string, a Ask) {
-	w.after(w.way(id, a.Peer), func() {
+	w.After(w.way(id, a.Peer), func() {
 		if w.dead[a.Peer] {
-			w.to(a.Peer, id, func(c *Core) []Action { return c.AskFailed(w.now, a.Peer, a.N) })
+			w.to(a.Peer, id, func(c *Core) []Action { return c.AskFailed(w.Now(), a.Peer, a.N) })
 			return
 		}
-		got, more := w.cores[a.Peer].Asked(w.now, id, a.N, a.Wait)
+		got, more := w.cores[a.Peer].Asked(w.Now(), id, a.N, a.Wait)
 		free := w.free(a.Peer)
 		w.do(a.Peer, more)
-		w.to(a.Peer, id, func(c *Core) []Action { return c.Granted(w.now, a.Peer, a.N, got, free) })
+		w.to(a.Peer, id, func(c *Core) []Action { return c.Granted(w.Now(), a.Peer, a.N, got, free) })
 	})
 }
 
@@ -216,24 +181,24 @@
 
 func (w *world) send(id string, a Send) {
 	w.sent[a.Call.ID]++
-	if w.now.After(w.from) {
-		_ = w.waits.RecordValue(max(1, int64(w.now.Sub(a.Call.Came))))
+	if w.Now().After(w.from) {
+		_ = w.waits.RecordValue(max(1, int64(w.Now().Sub(a.Call.Came))))
 	}
-	begun := w.now
+	begun := w.Now()
 	addr := a.Permit.Target
 	w.using[a.Permit.Key] = use{id, addr, a.Permit.Until}
 	if w.rand.Float64() < w.hang {
 		w.lose(id, a)
 		return
 	}
-	w.after(w.way(id, addr), func() {
+	w.After(w.way(id, addr), func() {
 		if w.busy[addr] >= w.slots {
 			w.over++
 		}
 		w.busy[addr]++
-		w.after(w.service(addr), func() {
+		w.After(w.service(addr), func() {
 			w.busy[addr]--
-			w.after(w.way(addr, id), func() { w.done(id, a, begun) })
+			w.After(w.way(addr, id), func() { w.done(id, a, begun) })
 		})
 	})
 }
@@ -242,20 +207,20 @@
 // than its sender does.
 func (w *world) lose(id string, a Send) {
 	addr := a.Permit.Target
-	w.after(w.way(id, addr), func() {
+	w.After(w.way(id, addr), func() {
 		if w.busy[addr] >= w.slots {
 			w.over++
 		}
 		w.busy[addr]++
-		w.after(hangFor, func() { w.busy[addr]-- })
+		w.After(hangFor, func() { w.busy[addr]-- })
 	})
-	w.after(time.Second, func() {
+	w.After(time.Second, func() {
 		delete(w.using, a.Permit.Key)
 		if w.dead[id] {
 			return
 		}
 		w.ended[a.Call.ID]++
-		w.do(id, w.cores[id].Done(w.now, a.Permit, Result{Outcome: OutcomeLost, Load: -1}))
+		w.do(id, w.cores[id].Done(w.Now(), a.Permit, Result{Outcome: OutcomeLost, Load: -1}))
 	})
 }
 
@@ -268,25 +233,25 @@
 	}
 	w.ended[a.Call.ID]++
 	if a.Call.Came.After(w.from) {
-		_ = w.hist.RecordValue(int64(w.now.Sub(a.Call.Came)))
+		_ = w.hist.RecordValue(int64(w.Now().Sub(a.Call.Came)))
 	}
-	w.do(id, w.cores[id].Done(w.now, a.Permit, Result{Outcome: OutcomeOK, Took: w.now.Sub(begun), Load: -1}))
+	w.do(id, w.cores[id].Done(w.Now(), a.Permit, Result{Outcome: OutcomeOK, Took: w.Now().Sub(begun), Load: -1}))
 }
 
 // load makes calls arrive at random cores at the rate until the time.
 func (w *world) load(rate float64, until time.Time, patience time.Duration) {
 	var next func(id uint64)
 	next = func(id uint64) {
-		w.after(time.Duration(w.rand.ExpFloat64()/rate*float64(time.Second)), func() {
-			if w.now.After(until) {
+		w.After(time.Duration(w.rand.ExpFloat64()/rate*float64(time.Second)), func() {
+			if w.Now().After(until) {
 				return
 			}
 			core := fmt.Sprintf("e%d", w.rand.IntN(len(w.cores)))
 			for w.dead[core] {
 				core = fmt.Sprintf("e%d", w.rand.IntN(len(w.cores)))
 			}
-			call := Call{ID: id, Team: "t", Came: w.now, Until: w.now.Add(patience)}
-			w.do(core, w.cores[core].Arrive(w.now, call))
+			call := Call{ID: id, Team: "t", Came: w.Now(), Until: w.Now().Add(patience)}
+			w.do(core, w.cores[core].Arrive(w.Now(), call))
 			next(id + 1)
 		})
 	}
@@ -302,7 +267,7 @@
 			w.cores[other].Gone(id)
 		}
 	}
-	w.after(leaseTime, func() {
+	w.After(leaseTime, func() {
 		at := 0
 		for n := range w.slotsOf(id) {
 			for w.dead[fmt.Sprintf("e%d", at%len(w.cores))] {
@@ -312,7 +277,7 @@
 			at++
 			addr := fmt.Sprintf("t%02d", n)
 			w.owner[addr] = to
-			w.do(to, w.cores[to].Own(w.now, addr, w.slots, w.held(addr), w.slots))
+			w.do(to, w.cores[to].Own(w.Now(), addr, w.slots, w.held(addr), w.slots))
 			w.probe(to, addr)
 		}
 	})
@@ -325,7 +290,7 @@
 	var out []Held
 	for k, u := range w.using {
 		if u.target == addr && !w.dead[u.by] {
-			out = append(out, Held{k, u.by, u.until.Sub(w.now)})
+			out = append(out, Held{k, u.by, u.until.Sub(w.Now())})
 		}
 	}
 	return out
@@ -333,11 +298,11 @@
 
 // probe asks a target for its load now and again while its owner has untracked requests there.
 func (w *world) probe(id, addr string) {
-	w.after(50*time.Millisecond, func() {
+	w.After(50*time.Millisecond, func() {
 		if w.dead[id] || w.owner[addr] != id {
 			return
 		}
-		w.do(id, w.cores[id].Probed(w.now, addr, true, w.busy[addr], false))
+		w.do(id, w.cores[id].Probed(w.Now(), addr, true, w.busy[addr], false))
 		w.probe(id, addr)
 	})
 }
@@ -349,8 +314,8 @@
 		return // a claim waits until the holder before has taken the target over itself
 	}
 	w.owner[addr] = to
-	held, ghosts := w.cores[from].Disown(w.now, addr, to)
-	w.to(from, to, func(c *Core) []Action { return c.Own(w.now, addr, w.slots, held, ghosts) })
+	held, ghosts := w.cores[from].Disown(w.Now(), addr, to)
+	w.to(from, to, func(c *Core) []Action { return c.Own(w.Now(), addr, w.slots, held, ghosts) })
 }
 
 // slotsOf yields the numbers of the targets that a core owns, in order.
@@ -380,8 +345,8 @@
 		s := free[at]
 		free[at] = free[len(free)-1]
 		free = free[:len(free)-1]
-		w.after(w.service(s.target), func() {
-			_ = w.hist.RecordValue(int64(w.now.Sub(came) + 2*w.way("e0", s.target)))
+		w.After(w.service(s.target), func() {
+			_ = w.hist.RecordValue(int64(w.Now().Sub(came) + 2*w.way("e0", s.target)))
 			free = append(free, s)
 			if len(waiting) > 0 {
 				next := waiting[0]
@@ -392,10 +357,10 @@
 	}
 	w.arrivals(rate, span, func() {
 		if len(free) == 0 {
-			waiting = append(waiting, w.now)
+			waiting = append(waiting, w.Now())
 			return
 		}
-		start(w.now)
+		start(w.Now())
 	})
 	return w.hist
 }
@@ -418,13 +383,13 @@
 		for i := range mine {
 			clear(mine[i])
 		}
-		w.after(beatStep, report)
+		w.After(beatStep, report)
 	}
 	report()
 	var start func(t int, came time.Time)
 	start = func(t int, came time.Time) {
-		w.after(w.service(fmt.Sprintf("t%02d", t)), func() {
-			_ = w.hist.RecordValue(int64(w.now.Sub(came) + w.way("e0", fmt.Sprintf("t%02d", t))))
+		w.After(w.service(fmt.Sprintf("t%02d", t)), func() {
+			_ = w.hist.RecordValue(int64(w.Now().Sub(came) + w.way("e0", fmt.Sprintf("t%02d", t))))
 			load[t]--
 			if len(lines[t]) > 0 {
 				next := lines[t][0]
@@ -434,13 +399,13 @@
 		})
 	}
 	w.arrivals(rate, span, func() {
-		core, came := w.rand.IntN(cores), w.now
+		core, came := w.rand.IntN(cores), w.Now()
 		a, b := w.rand.IntN(targets), w.rand.IntN(targets)
 		if known[b]+mine[core][b] < known[a]+mine[core][a] {
 			a = b
 		}
 		mine[core][a]++
-		w.after(w.way("e0", fmt.Sprintf("t%02d", a)), func() {
+		w.After(w.way("e0", fmt.Sprintf("t%02d", a)), func() {
 			load[a]++
 			if load[a] > slots {
 				lines[a] = append(lines[a], came)
@@ -453,18 +418,18 @@
 }
 
 func (w *world) arrivals(rate float64, span time.Duration, do func()) {
-	end := w.now.Add(span)
+	end := w.Now().Add(span)
 	var next func()
 	next = func() {
-		w.after(time.Duration(w.rand.ExpFloat64()/rate*float64(time.Second)), func() {
-			if w.now.Before(end) {
+		w.After(time.Duration(w.rand.ExpFloat64()/rate*float64(time.Second)), func() {
+			if w.Now().Before(end) {
 				do()
 				next()
 			}
 		})
 	}
 	next()
-	w.run(end.Add(time.Second))
+	w.Run(end.Add(time.Second))
 }
 
 // BenchmarkTail measures answer times against one ideal queue and two random choices
@@ -506,11 +471,11 @@
 				}
 				w := newWorld(1, cores, targets, slots, tc.mean, tc.hop)
 				w.slow = slow
-				w.load(rate, w.now.Add(span), 10*time.Second)
+				w.load(rate, w.Now().Add(span), 10*time.Second)
 				if tc.kill {
-					w.after(span/2, func() { w.kill("e4") })
+					w.After(span/2, func() { w.kill("e4") })
 				}
-				w.run(w.now.Add(span + time.Second))
+				w.Run(w.Now().Add(span + time.Second))
 				q := ideal(1, targets, slots, rate, tc.mean, tc.hop, span, slow)
 				p := twoChoices(1, cores, targets, slots, rate, tc.mean, tc.hop, span, slow)
 				for _, at := range []float64{50, 99, 99.9} {
