route/pool: refusals on arrival, not after waiting

The drain rate wavers, and what just fits is shed later. Change: a call is admitted if three times its estimated wait fits.

--- a/internal/route/pool/core.go
+++ b/internal/route/pool/core.go
@@ -146,8 +146,11 @@
 	c.shed(now)
 }
 
+// fits reports whether the call can be served in time, with some to spare: the drain
+// rate wavers, and a call that just fits now is often refused after it has waited.
 func (c *Core) fits(now time.Time, call Call) bool {
-	return now.Add(c.estimate(c.queue.ahead(call.Prio, call.Team))).Before(c.latest(call))
+	wait := c.estimate(c.queue.ahead(call.Prio, call.Team))
+	return now.Add(wait + 2*wait).Before(c.latest(call))
 }
 
 // latest returns when the call has to leave the queue to be answered in time.
--- a/internal/route/pool/pool_test.go
+++ b/internal/route/pool/pool_test.go
@@ -94,6 +94,9 @@
 	if w.late > 0 || w.refuse == 0 {
 		t.Errorf("%d of %d refusals came after the deadline", w.late, w.refuse)
 	}
+	if 100*w.atOnce < 95*w.refuse {
+		t.Errorf("only %d of %d refusals were given on arrival", w.atOnce, w.refuse)
+	}
 	t.Logf("answered at 0.98 and 2 of capacity: %d and %d; refused %d", best, n, w.refuse)
 }
 
--- a/internal/route/pool/virtual_test.go
+++ b/internal/route/pool/virtual_test.go
@@ -28,6 +28,7 @@
 	sent   map[uint64]int
 	late   int // refusals given after the call's deadline
 	refuse int
+	atOnce int // refusals given on arrival
 	hist   *hdrhistogram.Histogram
 	waits  *hdrhistogram.Histogram
 	from   time.Time
@@ -144,6 +145,9 @@
 			w.send(id, a)
 		case Refuse:
 			w.refuse++
+			if w.Now().Equal(a.Call.Came) {
+				w.atOnce++
+			}
 			w.ended[a.Call.ID]++
 			if w.Now().After(a.Call.Until) {
 				w.late++
