batch/rack: one pass over the runs for the ledger of a round

Ruled out: the sorting of what waits (once a round). Change: the ledger is worked out once a round and kept up while it lasts.

--- a/internal/batch/rack/core.go
+++ b/internal/batch/rack/core.go
@@ -306,10 +306,12 @@
 			c.command(r, end)
 		}
 	}
+	list := c.ledger()
 	for _, w := range c.waiting() {
-		target := c.choose(now, w.task.Spec.Size)
-		if target != nil {
-			c.command(c.newRun(target, w.task), end)
+		if a := choose(now, list, w.task.Spec.Size); a != nil {
+			a.free = a.free.Minus(w.task.Spec.Size)
+			a.runs++
+			c.command(c.newRun(a.worker, w.task), end)
 		} else if now.Sub(w.since) > giveUp {
 			c.giveBack(w.task.Place, w.task.From)
 		}
@@ -349,43 +351,60 @@
 	c.out = append(c.out, Start{r.worker, r.place, wire.Start{Epoch: c.o.Ep, NotAfter: w.at(end), Task: r.task}})
 }
 
-// free returns what a worker has left by the ledger.
-func (c *Core) free(w *worker) wire.Size {
-	f := w.size
-	for _, r := range c.runs {
-		if r.worker == w.addr && r.holds() {
-			f = f.Minus(r.size)
-		}
-	}
-	return f
+// account is what the ledger says of one worker.
+type account struct {
+	worker *worker
+	free   wire.Size
+	runs   int // tasks known there, whether they occupy resources or not
 }
 
-// choose returns the worker where the task leaves least, nil when it fits nowhere.
-func (c *Core) choose(now time.Time, s wire.Size) *worker {
-	var best *worker
-	var rest wire.Size
+// ledger returns the accounts of the workers in order of address. It is worked out from
+// the runs in one pass, so that there is no second copy of them to fall out of step.
+func (c *Core) ledger() []account {
+	list := make([]account, 0, len(c.workers))
+	at := make(map[string]int, len(c.workers))
 	for _, addr := range slices.Sorted(maps.Keys(c.workers)) {
 		w := c.workers[addr]
-		if !c.takes(now, w) {
+		at[addr] = len(list)
+		list = append(list, account{worker: w, free: w.size})
+	}
+	for _, r := range c.runs {
+		i, ok := at[r.worker]
+		if !ok {
 			continue
 		}
-		f := c.free(w)
-		if !f.Covers(s) {
+		list[i].runs++
+		if r.holds() {
+			list[i].free = list[i].free.Minus(r.size)
+		}
+	}
+	return list
+}
+
+// choose returns the account of the worker where the task leaves least, nil when it
+// fits nowhere.
+func choose(now time.Time, list []account, s wire.Size) *account {
+	var best *account
+	var rest wire.Size
+	for i := range list {
+		a := &list[i]
+		if !a.takes(now) || !a.free.Covers(s) {
 			continue
 		}
-		if f = f.Minus(s); best == nil || tighter(f, rest) {
-			best, rest = w, f
+		if f := a.free.Minus(s); best == nil || tighter(f, rest) {
+			best, rest = a, f
 		}
 	}
 	return best
 }
 
 // takes reports whether the worker gets new tasks: one at a time after a rest.
-func (c *Core) takes(now time.Time, w *worker) bool {
+func (a *account) takes(now time.Time) bool {
+	w := a.worker
 	if !w.fenced || now.Before(w.rests) {
 		return false
 	}
-	return w.poor < poorLimit || !c.used(w.addr)
+	return w.poor < poorLimit || a.runs == 0
 }
 
 func tighter(a, b wire.Size) bool {
--- a/internal/batch/rack/event.go
+++ b/internal/batch/rack/event.go
@@ -1,8 +1,6 @@
 package rack
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"bramleysail.example/bramleysail/internal/batch/jobs"
@@ -273,11 +271,11 @@
 func (c *Core) offer(free bool) jobs.Offer {
 	var o jobs.Offer
 	var left []wire.Size
-	for _, addr := range slices.Sorted(maps.Keys(c.workers)) {
-		w := c.workers[addr]
-		o.Max = wire.Size{CPU: max(o.Max.CPU, w.size.CPU), Mem: max(o.Max.Mem, w.size.Mem), Accel: max(o.Max.Accel, w.size.Accel)}
-		if c.takes(c.now, w) {
-			left = append(left, c.free(w))
+	for _, a := range c.ledger() {
+		size := a.worker.size
+		o.Max = wire.Size{CPU: max(o.Max.CPU, size.CPU), Mem: max(o.Max.Mem, size.Mem), Accel: max(o.Max.Accel, size.Accel)}
+		if a.takes(c.now) {
+			left = append(left, a.free)
 		}
 	}
 	if !free {
