batch/rack: tests that deliver one held-up message by hand

Now it has: TestFencedStart, TestLateRenewal, TestSilentWorker, and TestStaleConfiguration for the freshness of the configuration.

--- /dev/null
+++ b/internal/batch/rack/guard_test.go
@@ -0,0 +1,157 @@
+package rack
+
+import (
+	"testing"
+	"time"
+
+	fakeworker "bramleysail.example/bramleysail/internal/fake/worker"
+
+	"bramleysail.example/bramleysail/internal/batch/jobs"
+	"bramleysail.example/bramleysail/internal/batch/wire"
+)
+
+// bench is one worker and a clock, for tests that deliver each message by hand.
+type bench struct {
+	now    time.Time
+	begin  time.Time
+	worker *fakeworker.Worker
+}
+
+func newBench() *bench {
+	b := &bench{now: time.Unix(1000, 0), begin: time.Unix(1000, 0)}
+	b.worker = fakeworker.NewAt(workerSize, 0, func() wire.Clock { return wire.Clock(b.now.Sub(b.begin)) })
+	return b
+}
+
+// holder returns a core that has fenced and renewed the worker and heard its bucket.
+func (b *bench) holder(ep uint64) *Core {
+	c := New(b.now, Options{Rack: "r", Zone: "z", Ep: ep, Lease: leaseOf, Fresh: freshOf, Bucket: func(string) string { return "b" }})
+	c.SetWorkers([]string{"w"})
+	b.deliver(c, b.tick(c))
+	b.deliver(c, b.tick(c))
+	c.Take(b.now, "b", jobs.Answer{OK: true})
+	return c
+}
+
+func (b *bench) tick(c *Core) []Action {
+	return c.Tick(b.now, Config{Usable: true, Confirmed: b.now})
+}
+
+// deliver carries the actions out and hands the results back.
+func (b *bench) deliver(c *Core, actions []Action) (refused []wire.Refusal) {
+	for _, a := range actions {
+		var no wire.Refusal
+		var rep wire.Report
+		switch a := a.(type) {
+		case Fence:
+			rep, no = b.worker.Fence(a.Msg)
+			c.Fenced(b.now, a.Addr, Result{Report: rep, Refusal: no})
+		case Renew:
+			rep, no = b.worker.Renew(a.Msg)
+			c.Renewed(b.now, a.Addr, Result{Report: rep, Refusal: no})
+		case Start:
+			rep, no = b.worker.Start(a.Msg)
+			c.Started(b.now, a.Place, Result{Report: rep, Refusal: no})
+		case Act:
+			rep, no = b.worker.Act(a.Msg)
+			c.Acted(b.now, a.Place, a.Msg.Verb, Result{Report: rep, Refusal: no})
+		}
+		if no != "" {
+			refused = append(refused, no)
+		}
+	}
+	return refused
+}
+
+// want makes the bucket want one task here.
+func (b *bench) want(c *Core) jobs.Place {
+	p := jobs.Place{Job: "audit", Index: 0, No: 1}
+	c.Take(b.now, "b", jobs.Answer{OK: true, Run: []jobs.Task{{Place: p,
+		Spec: jobs.Spec{ID: "audit", N: 1, Size: wire.Size{CPU: 1000, Mem: 1000}, Run: time.Hour}}}})
+	return p
+}
+
+// A holder is paused between deciding a start and sending it, loses the rack, and wakes
+// up within the start's time. A user would see the audit run twice: there, and where
+// the new holder has had it placed since. The worker must refuse the older epoch.
+func TestFencedStart(t *testing.T) {
+	b := newBench()
+	old := b.holder(1)
+	b.want(old)
+	late := b.tick(old)
+	b.holder(2)
+	if refused := b.deliver(old, late); len(refused) != 1 || refused[0] != wire.RefusalEpoch || len(b.worker.Running()) > 0 {
+		t.Errorf("a former holder's start: refused %v, runs %v", refused, b.worker.Running())
+	}
+}
+
+// A renewal is held up on its way for longer than the lease. The holder has given the
+// worker up by then and its task runs elsewhere; the renewal must not revive it.
+func TestLateRenewal(t *testing.T) {
+	b := newBench()
+	c := b.holder(1)
+	b.want(c)
+	b.deliver(c, b.tick(c))
+	if len(b.worker.Running()) != 1 {
+		t.Fatal("the task doesn't run")
+	}
+	b.now = b.now.Add(leaseOf / 2)
+	var late []Renew
+	for _, a := range b.tick(c) {
+		if r, ok := a.(Renew); ok {
+			late = append(late, r)
+		}
+	}
+	if len(late) != 1 {
+		t.Fatalf("%d renewals", len(late))
+	}
+	b.now = b.now.Add(leaseOf - time.Millisecond) // the last moment at which it counts
+	if _, no := b.worker.Renew(late[0].Msg); no != "" {
+		t.Fatal(no)
+	}
+	b.now = b.now.Add(2 * time.Millisecond)
+	if len(b.worker.Running()) > 0 {
+		t.Error("a late renewal keeps the task running after its lease, as the holder reckons it")
+	}
+}
+
+// A worker falls silent while it runs a task. The task must not go back to its bucket,
+// from where it would be placed elsewhere, before the worker has certainly stopped it.
+func TestSilentWorker(t *testing.T) {
+	b := newBench()
+	c := b.holder(1)
+	p := b.want(c)
+	b.deliver(c, b.tick(c))
+	for range 100 {
+		b.now = b.now.Add(100 * time.Millisecond)
+		b.tick(c) // nothing is delivered
+		_, back := c.Report("b", false).Back[p]
+		if back && len(b.worker.Running()) > 0 {
+			t.Fatalf("given back after %s while it runs", b.now.Sub(b.begin))
+		}
+		if back {
+			return
+		}
+	}
+	t.Error("it's never given back")
+}
+
+// The store has been silent: operators may have taken the domain out since. Nothing new
+// may start, and a start that was decided in time but arrives late must be refused.
+func TestStaleConfiguration(t *testing.T) {
+	b := newBench()
+	c := b.holder(1)
+	b.want(c)
+	confirmed := b.now
+	b.now = b.now.Add(freshOf)
+	for _, a := range c.Tick(b.now, Config{Usable: true, Confirmed: confirmed}) {
+		if _, ok := a.(Start); ok {
+			t.Error("a task is started by a configuration that isn't confirmed any more")
+		}
+	}
+	late := b.tick(c)
+	b.now = b.now.Add(freshOf + time.Millisecond)
+	if refused := b.deliver(c, late); len(refused) != 1 || refused[0] != wire.RefusalLate {
+		t.Errorf("a start that arrives too late: refused %v", refused)
+	}
+}
