--- a/internal/batch/rack/guard_test.go
+++ b/internal/batch/rack/guard_test.go
@@ -144,11 +144,13 @@
 	b.want(c)
 	confirmed := b.now
 	b.now = b.now.Add(freshOf)
-	for _, a := range c.Tick(b.now, Config{Usable: true, Confirmed: confirmed}) {
+	actions := c.Tick(b.now, Config{Usable: true, Confirmed: confirmed})
+	for _, a := range actions {
 		if _, ok := a.(Start); ok {
 			t.Error("a task is started by a configuration that isn't confirmed any more")
 		}
 	}
+	b.deliver(c, actions)
 	late := b.tick(c)
 	b.now = b.now.Add(freshOf + time.Millisecond)
 	if refused := b.deliver(c, late); len(refused) != 1 || refused[0] != wire.RefusalLate {
