batch/jobs: tests of each rule of a bucket; the late renewal's test mended

The trial without absolute renewals wasn't seen by TestLateRenewal: the lease before had ended already. With a lease in force it fails as it should (tried here). The trial without the holder's own first write wasn't seen by 3,000 random schedules; the new TestSilentUntilWritten fails without it.

--- /dev/null
+++ b/internal/batch/jobs/jobs_test.go
@@ -0,0 +1,183 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bramleysail.example/bramleysail/internal/batch/wire"
+)
+
+var (
+	now  = time.Unix(1000, 0)
+	unit = wire.Size{CPU: 1000, Mem: 1000}
+)
+
+func all(string) bool { return true }
+
+func write(t *testing.T, c *Core) {
+	t.Helper()
+	if _, err := c.Begin("id"); err != nil {
+		t.Fatal(err)
+	}
+	c.Ended(true)
+}
+
+// offer is a report of a rack with room for n tasks.
+func offer(rack string, n int) Report {
+	r := Report{Rack: rack, Ep: 1, Usable: true, Offer: Offer{Max: unit}, Back: map[Place]time.Duration{}}
+	for range n {
+		r.Offer.Free = append(r.Offer.Free, unit)
+	}
+	return r
+}
+
+// held returns a written bucket with a job of n tasks placed on rack a.
+func held(t *testing.T, n int) (*Core, []Task) {
+	t.Helper()
+	c := New(Bucket{}, 1)
+	write(t, c)
+	if err := c.Submit(now, Spec{ID: "job", Kind: "audit", N: n, Size: unit, Run: time.Second}); err != nil {
+		t.Fatal(err)
+	}
+	write(t, c)
+	if a := c.Hear(now, offer("a", n), all); len(a.Run) > 0 {
+		t.Fatalf("named before the store holds it: %v", a.Run)
+	}
+	write(t, c)
+	return c, c.Hear(now, offer("a", 0), all).Run
+}
+
+// A bucket's holder dies with a write on its way. The next one reads the record before
+// that write takes effect; what it would tell a rack then is out of date, and a task
+// that the write moves would run in both places.
+func TestSilentUntilWritten(t *testing.T) {
+	c, _ := held(t, 1)
+	next := New(c.kept, 2)
+	if a := next.Hear(now, offer("a", 1), all); a.OK {
+		t.Errorf("it answers before its own write: %+v", a)
+	}
+	write(t, next)
+	if a := next.Hear(now, offer("a", 0), all); !a.OK || len(a.Run) != 1 {
+		t.Errorf("after its own write: %+v", a)
+	}
+}
+
+// A former holder of a rack reports late that it doesn't run a task which the present
+// one has started. Believed, the task would be placed elsewhere and run twice.
+func TestFormerRackHolder(t *testing.T) {
+	c, run := held(t, 1)
+	present := offer("a", 0)
+	present.Ep = 2
+	c.Hear(now, present, all)
+	late := offer("a", 0)
+	late.Back[run[0].Place] = 0
+	if a := c.Hear(now, late, all); a.OK || c.Waiting() > 0 {
+		t.Errorf("a former holder's report is taken in: %+v", a)
+	}
+}
+
+// A task is given up for lost and placed again; then the first placement turns out to
+// have finished. Two photo books would go out if it counted.
+func TestFormerPlacement(t *testing.T) {
+	c, run := held(t, 1)
+	lost := offer("a", 0)
+	lost.Back[run[0].Place] = 0
+	c.Hear(now, lost, all)
+	write(t, c)
+	c.Hear(now, offer("b", 1), all)
+	write(t, c)
+	ghost := offer("a", 0)
+	ghost.Finished = []Place{run[0].Place}
+	a := c.Hear(now, ghost, all)
+	if j, _ := c.Kept("job"); len(a.Counts) > 0 || j.Done.Count() > 0 || len(a.Recorded) != 1 {
+		t.Errorf("a former placement counts: %+v", a)
+	}
+}
+
+// A cancellation races the last task's end. The first one decides, and stays.
+func TestCancelRacesFinish(t *testing.T) {
+	for _, cancelFirst := range []bool{true, false} {
+		c, run := held(t, 1)
+		end := offer("a", 0)
+		end.Finished = []Place{run[0].Place}
+		cancel := func() { _ = c.Cancel(now, "job") }
+		finish := func() { c.Hear(now, end, all) }
+		want := StateDone
+		if cancelFirst {
+			want = StateCancelled
+			cancel()
+			finish()
+		} else {
+			finish()
+			cancel()
+		}
+		write(t, c)
+		if j, _ := c.Kept("job"); j.State != want {
+			t.Errorf("cancelled first %t: %s", cancelFirst, j.State)
+		}
+	}
+}
+
+// A job is too large for every worker that it may use. It must be parked with the
+// reason, not before every rack has spoken, and block nobody.
+func TestNeverRunnable(t *testing.T) {
+	c := New(Bucket{}, 1)
+	write(t, c)
+	big := Spec{ID: "big", Kind: "audit", N: 1, Size: wire.Size{CPU: 99000, Mem: 1}, Run: time.Second, Rank: RankUrgent}
+	small := Spec{ID: "small", Kind: "audit", N: 1, Size: unit, Run: time.Second}
+	for _, s := range []Spec{big, small} {
+		if err := c.Submit(now, s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	anywhere := func(string, string) bool { return true }
+	c.Hear(now, offer("a", 1), all)
+	c.Review(now, []string{"a", "b"}, anywhere)
+	write(t, c)
+	if j, _ := c.Kept("big"); j.State != StateOpen {
+		t.Errorf("parked while a rack is silent: %s", j.State)
+	}
+	if run := c.Hear(now, offer("a", 0), all).Run; len(run) != 1 || run[0].Place.Job != "small" {
+		t.Errorf("it blocks another: %v", run)
+	}
+	c.Hear(now, offer("b", 0), all)
+	c.Review(now, []string{"a", "b"}, anywhere)
+	write(t, c)
+	if j, _ := c.Kept("big"); j.State != StateParked || j.Why == "" {
+		t.Errorf("never parked: %s %q", j.State, j.Why)
+	}
+}
+
+// A submission is repeated, because its answer was lost; another job takes the same id.
+func TestSubmit(t *testing.T) {
+	c := New(Bucket{}, 1)
+	s := Spec{ID: "job", Kind: "audit", N: 1, Size: unit, Run: time.Second}
+	for range 2 {
+		if err := c.Submit(now, s); err != nil {
+			t.Error(err)
+		}
+	}
+	s.N = 2
+	if err := c.Submit(now, s); !errors.Is(err, ErrExists) {
+		t.Errorf("another job with the id: %v", err)
+	}
+	for _, bad := range []Spec{{}, {ID: "a/b", Kind: "k", N: 1, Size: unit, Run: 1}, {ID: "x", Kind: "k", N: MaxTasks + 1, Size: unit, Run: 1}, {ID: "x", Kind: "k", N: 1, Size: unit, Run: 1, Rank: "top"}} {
+		if err := c.Submit(now, bad); !errors.Is(err, ErrSpec) {
+			t.Errorf("%+v: %v", bad, err)
+		}
+	}
+}
+
+func FuzzParsePlace(f *testing.F) {
+	f.Add("audit-7/3@12")
+	f.Add("/@")
+	f.Fuzz(func(t *testing.T, s string) {
+		if p, ok := ParsePlace(s); ok {
+			if again, ok := ParsePlace(p.String()); !ok || again != p {
+				t.Errorf("%q is read as %+v and that as %+v", s, p, again)
+			}
+		}
+	})
+}
--- a/internal/batch/rack/guard_test.go
+++ b/internal/batch/rack/guard_test.go
@@ -96,6 +96,9 @@
 		t.Fatal("the task doesn't run")
 	}
 	b.now = b.now.Add(leaseOf / 2)
+	b.deliver(c, b.tick(c))
+	renewed := b.now
+	b.now = b.now.Add(leaseOf / 6)
 	var late []Renew
 	for _, a := range b.tick(c) {
 		if r, ok := a.(Renew); ok {
@@ -105,11 +108,12 @@
 	if len(late) != 1 {
 		t.Fatalf("%d renewals", len(late))
 	}
-	b.now = b.now.Add(leaseOf - time.Millisecond) // the last moment at which it counts
+	decided := b.now
+	b.now = renewed.Add(leaseOf - time.Millisecond) // the lease before is about to end
 	if _, no := b.worker.Renew(late[0].Msg); no != "" {
 		t.Fatal(no)
 	}
-	b.now = b.now.Add(2 * time.Millisecond)
+	b.now = decided.Add(leaseOf + time.Millisecond)
 	if len(b.worker.Running()) > 0 {
 		t.Error("a late renewal keeps the task running after its lease, as the holder reckons it")
 	}
