batch/hold: a process reports for all its racks in one call

Cause: working out CAPACITY: one call a rack to each process is 3,500 x 90 x 5 a second at the two-year size. Change: the calls go with the pairs of processes. Run: go test ./internal/proc/whole -run 'Batch|Domain' passes; its effect at today's 7 racks wasn't measured.

--- a/internal/batch/hold/hold.go
+++ b/internal/batch/hold/hold.go
@@ -61,13 +61,14 @@
 	buckets map[string]*bucket
 	racks   map[string]*rackHolding
 	claims  map[string]bool // under way, by table and item
+	calls   map[string]bool // reports under way, by process
 	wg      sync.WaitGroup
 }
 
 // New returns a holder of nothing.
 func New(o Options) *Holder {
 	return &Holder{o: o, workers: newWorkers(o.Timeout), buckets: map[string]*bucket{},
-		racks: map[string]*rackHolding{}, claims: map[string]bool{}}
+		racks: map[string]*rackHolding{}, claims: map[string]bool{}, calls: map[string]bool{}}
 }
 
 // BucketName returns the name of the n-th bucket.
--- a/internal/batch/hold/rack.go
+++ b/internal/batch/hold/rack.go
@@ -23,14 +23,13 @@
 	core    *rack.Core
 	waiting map[string]int // tasks without a rack, by bucket, as last heard
 	turn    int
-	busy    map[string]bool // holders with a call under way
 	polled  map[string]bool // workers with a report under way
 }
 
 // takeRack holds a rack from now on; its workers are fenced one by one.
 func (h *Holder) takeRack(_ context.Context, name string, row shard.Row) {
 	zone := h.rackZones()[name]
-	r := &rackHolding{name: name, ep: row.Ep, waiting: map[string]int{}, busy: map[string]bool{}, polled: map[string]bool{},
+	r := &rackHolding{name: name, ep: row.Ep, waiting: map[string]int{}, polled: map[string]bool{},
 		core: rack.New(time.Now(), rack.Options{Rack: name, Zone: zone, Ep: row.Ep, Lease: h.o.Lease, Fresh: h.o.Fresh, Bucket: h.Bucket})}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -143,17 +142,18 @@
 	}
 }
 
-// SyncArgs carries the reports of one rack to a process, by bucket.
+// SyncArgs carries the reports of all racks that a process holds to another, by bucket.
+// One call for all keeps the number of calls with the processes, not with the racks.
 type SyncArgs struct {
-	Reports map[string]jobs.Report
+	Reports map[string][]jobs.Report
 }
 
-// SyncReply carries the answers.
+// SyncReply carries the answers, in the order of the reports.
 type SyncReply struct {
-	Answers map[string]jobs.Answer
+	Answers map[string][]jobs.Answer
 }
 
-// round lets each rack report to the holders of all buckets.
+// round lets the racks report to the holders of all buckets.
 func (h *Holder) round(ctx context.Context) {
 	if !h.o.Keeper.Sure() {
 		return
@@ -165,34 +165,37 @@
 			byHolder[id] = append(byHolder[id], name)
 		}
 	}
-	for _, r := range h.heldRacks() {
-		offered := r.next(h.o.Buckets)
-		for id, names := range byHolder {
-			if !r.begin(id) {
-				continue
-			}
-			h.wg.Go(func() {
-				defer r.finish(id)
-				h.sync(ctx, r, id, names, offered)
-			})
+	racks := h.heldRacks()
+	offered := make([]string, len(racks))
+	for i, r := range racks {
+		offered[i] = r.next(h.o.Buckets)
+	}
+	for id, names := range byHolder {
+		if len(racks) == 0 || !h.begun(id) {
+			continue
 		}
+		h.wg.Go(func() {
+			defer h.finished(id)
+			h.sync(ctx, racks, id, names, offered)
+		})
 	}
 }
 
-func (r *rackHolding) begin(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.busy[id] {
+// begun notes a call to a process and reports whether none is under way.
+func (h *Holder) begun(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.calls[id] {
 		return false
 	}
-	r.busy[id] = true
+	h.calls[id] = true
 	return true
 }
 
-func (r *rackHolding) finish(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.busy, id)
+func (h *Holder) finished(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.calls, id)
 }
 
 // next names the bucket that is offered what is free in this round: in turn those with
@@ -209,23 +212,29 @@
 	return ""
 }
 
-func (h *Holder) sync(ctx context.Context, r *rackHolding, id string, names []string, offered string) {
-	in := SyncArgs{map[string]jobs.Report{}}
-	r.mu.Lock()
-	for _, name := range names {
-		in.Reports[name] = r.core.Report(name, name == offered)
+func (h *Holder) sync(ctx context.Context, racks []*rackHolding, id string, names, offered []string) {
+	in := SyncArgs{map[string][]jobs.Report{}}
+	for i, r := range racks {
+		r.mu.Lock()
+		for _, name := range names {
+			in.Reports[name] = append(in.Reports[name], r.core.Report(name, name == offered[i]))
+		}
+		r.mu.Unlock()
 	}
-	r.mu.Unlock()
 	rep, ok := h.exchange(ctx, id, in)
 	if !ok {
 		return
 	}
-	r.tell(func(now time.Time) {
-		for name, a := range rep.Answers {
-			r.core.Take(now, name, a)
-			r.waiting[name] = a.Waiting
-		}
-	})
+	for i, r := range racks {
+		r.tell(func(now time.Time) {
+			for name, answers := range rep.Answers {
+				if i < len(answers) {
+					r.core.Take(now, name, answers[i])
+					r.waiting[name] = answers[i].Waiting
+				}
+			}
+		})
+	}
 }
 
 // exchange sends reports to a bucket holder. An answer that takes longer than the
@@ -246,10 +255,14 @@
 
 // Sync answers a rack's reports for the buckets that are held here.
 func (h *Holder) Sync(in SyncArgs) SyncReply {
-	out := SyncReply{map[string]jobs.Answer{}}
-	for name, rep := range in.Reports {
-		if b := h.getBucket(name); b != nil {
-			out.Answers[name] = b.hear(rep)
+	out := SyncReply{map[string][]jobs.Answer{}}
+	for name, reports := range in.Reports {
+		b := h.getBucket(name)
+		if b == nil {
+			continue
+		}
+		for _, rep := range reports {
+			out.Answers[name] = append(out.Answers[name], b.hear(rep))
 		}
 	}
 	return out
