--- a/internal/proc/whole/fault_test.go
+++ b/internal/proc/whole/fault_test.go
@@ -123,6 +123,7 @@
 	p := s.entries[2]
 	_ = p.cmd.Process.Signal(syscall.SIGTERM)
 	eventually(t, "not ready", func() bool { return !p.ready() })
+	l.more(30) // the balancer is slow to notice
 	l.drop(p.caller)
 	<-p.done
 	l.more(200)
