--- a/internal/route/broker/broker.go
+++ b/internal/route/broker/broker.go
@@ -156,7 +156,7 @@
 			b.end(d.permit, pool.Result{Outcome: pool.OutcomeNever, Load: -1})
 		}
 	default:
-		b.do(b.core.Cancel(time.Now(), c.ID))
+		b.core.Cancel(c.ID)
 	}
 	return pool.Permit{}, errors.Wrap(ctx.Err(), "broker")
 }
@@ -232,34 +232,36 @@
 		return
 	}
 	sent := time.Now()
-	var once sync.Once
-	n := 0
-	settle := func(count int) { once.Do(func() { n = count }) }
-	patience := time.AfterFunc(askPatience, func() {
-		settle(0)
+	// An ask that its owner holds back counts as answered with nothing, so that others
+	// are asked; what it brings in the end is on top.
+	early := time.AfterFunc(askPatience, func() {
 		b.granted(func(now time.Time) []pool.Action { return b.core.Granted(now, a.Peer, a.N, nil, 0) })
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), parkFor+b.o.Timeout)
 	defer cancel()
 	rep, err := link.Call[AskArgs, AskReply](ctx, b.o.Links.To(m.Addr), "Peer.Ask",
 		AskArgs{b.o.Service, b.core.Self(), a.N, a.Wait})
-	if patience.Stop() {
-		settle(a.N)
-	} else {
-		settle(0)
-	}
-	permits := make([]pool.Permit, 0, len(rep.Permits))
-	for _, g := range rep.Permits {
-		permits = append(permits, pool.Permit{Key: pool.Key{Owner: a.Peer, No: g.No}, Target: g.Target, Until: sent.Add(g.Life)})
+	n := 0
+	if early.Stop() {
+		n = a.N
 	}
 	b.granted(func(now time.Time) []pool.Action {
 		if err != nil {
 			return b.core.AskFailed(now, a.Peer, n)
 		}
-		return b.core.Granted(now, a.Peer, n, permits, rep.Free)
+		return b.core.Granted(now, a.Peer, n, permits(a.Peer, sent, rep), rep.Free)
 	})
 }
 
+// permits reads the grants of an answer to an ask that was sent at a time.
+func permits(owner string, sent time.Time, rep AskReply) []pool.Permit {
+	list := make([]pool.Permit, 0, len(rep.Permits))
+	for _, g := range rep.Permits {
+		list = append(list, pool.Permit{Key: pool.Key{Owner: owner, No: g.No}, Target: g.Target, Until: sent.Add(g.Life)})
+	}
+	return list
+}
+
 func (b *Broker) granted(f func(time.Time) []pool.Action) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/route/pool/core.go
+++ b/internal/route/pool/core.go
@@ -113,7 +113,7 @@
 func (c *Core) Arrive(now time.Time, call Call) []Action {
 	if c.queue.size == 0 {
 		if t := c.own(now, call.Avoid); t != nil {
-			c.send(now, call, c.issue(now, t, c.o.Self))
+			c.send(call, c.issue(now, t, c.o.Self))
 			return c.take()
 		}
 	}
@@ -211,9 +211,8 @@
 }
 
 // Cancel takes out a waiting call whose caller has gone.
-func (c *Core) Cancel(now time.Time, id uint64) []Action {
+func (c *Core) Cancel(id uint64) {
 	c.queue.remove(id)
-	return c.take()
 }
 
 // issue makes a permit for one of the target's slots.
@@ -224,7 +223,7 @@
 	return p
 }
 
-func (c *Core) send(now time.Time, call Call, p Permit) {
+func (c *Core) send(call Call, p Permit) {
 	c.sent++
 	c.emit(Send{call, p})
 }
@@ -253,7 +252,7 @@
 			if c.late(now, call) {
 				continue
 			}
-			c.send(now, call, c.issue(now, t, c.o.Self))
+			c.send(call, c.issue(now, t, c.o.Self))
 			continue
 		}
 		theirs.want--
@@ -316,7 +315,7 @@
 	if c.late(now, call) {
 		return false
 	}
-	c.send(now, call, p)
+	c.send(call, p)
 	return true
 }
 
--- a/internal/route/pool/queue.go
+++ b/internal/route/pool/queue.go
@@ -130,22 +130,8 @@
 }
 
 // remove takes out the call with the id, wherever it stands.
-func (q *queue) remove(id uint64) (Call, bool) {
-	for i := range q.levels {
-		l := &q.levels[i]
-		for _, t := range l.teams {
-			at := slices.IndexFunc(t.calls, func(c Call) bool { return c.ID == id })
-			if at < 0 {
-				continue
-			}
-			c := t.calls[at]
-			t.calls = slices.Delete(t.calls, at, at+1)
-			q.size--
-			l.tidy(t)
-			return c, true
-		}
-	}
-	return Call{}, false
+func (q *queue) remove(id uint64) {
+	q.pick(func(c Call) bool { return c.ID == id })
 }
 
 // pick takes out the calls for which f holds, in order of priority and team.
--- a/internal/route/pool/share.go
+++ b/internal/route/pool/share.go
@@ -113,7 +113,7 @@
 		if c.late(now, call) {
 			continue
 		}
-		c.send(now, call, p)
+		c.send(call, p)
 		return
 	}
 	c.emit(Free{p.Key.Owner, p.Key, p.Target, Result{Outcome: OutcomeNever, Load: -1}})
--- a/internal/route/pool/target.go
+++ b/internal/route/pool/target.go
@@ -119,13 +119,12 @@
 func (c *Core) pick(now time.Time, avoid, by string) *target {
 	var best *target
 	var bestFree int
-	limit := c.slowLimit()
 	for _, t := range c.order {
 		n := t.free(now)
 		if n == 0 || c.o.Most > 0 && by != c.o.Self && t.lentTo(by) >= c.o.Most {
 			continue
 		}
-		if best == nil || better(t, best, n, bestFree, limit, avoid) {
+		if best == nil || better(t, best, n, bestFree, c.slow, avoid) {
 			best, bestFree = t, n
 		}
 	}
@@ -142,12 +141,8 @@
 	return tFree > uFree
 }
 
-// slowLimit returns the duration above which a target counts as slow, from the
-// median over this process's own targets.
-func (c *Core) slowLimit() time.Duration {
-	return c.slow
-}
-
+// learnSlow sets the duration above which a target counts as slow, from the median
+// over this process's own targets.
 func (c *Core) learnSlow() {
 	took := make([]time.Duration, 0, len(c.order))
 	for _, t := range c.order {
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"sync"
@@ -151,7 +150,6 @@
 			t.conn.Store(&i.Conn)
 			t.sent.Store(true)
 		},
-		Got1xxResponse: func(int, textproto.MIMEHeader) error { return nil },
 	}
 }
 
@@ -221,11 +219,8 @@
 
 // read takes the whole answer, or says why it can't be used.
 func (r *Relay) read(resp *http.Response, id string) (Answer, error) {
-	a := Answer{Status: resp.StatusCode, Header: resp.Header, Load: -1}
-	a.Leaving = strings.EqualFold(resp.Header.Get(HeaderState), stateLeaving)
-	if n, err := strconv.Atoi(resp.Header.Get(HeaderLoad)); err == nil && n >= 0 {
-		a.Load = n
-	}
+	a := Answer{Status: resp.StatusCode, Header: resp.Header}
+	a.Load, a.Leaving = self(resp.Header)
 	if got := resp.Header.Get(HeaderID); got != id {
 		// A late or crossed answer: it belongs to another request, whose caller must
 		// not see it here either.
@@ -266,9 +261,15 @@
 		return false, -1, false
 	}
 	defer resp.Body.Close()
-	load = -1
-	if n, err := strconv.Atoi(resp.Header.Get(HeaderLoad)); err == nil && n >= 0 {
-		load = n
+	load, leaving = self(resp.Header)
+	return resp.StatusCode == http.StatusOK, load, leaving
+}
+
+// self reads what a target says of itself: its load, or -1, and whether it is leaving.
+func self(h http.Header) (load int, leaving bool) {
+	load, err := strconv.Atoi(h.Get(HeaderLoad))
+	if err != nil || load < 0 {
+		load = -1
 	}
-	return resp.StatusCode == http.StatusOK, load, strings.EqualFold(resp.Header.Get(HeaderState), stateLeaving)
+	return load, strings.EqualFold(h.Get(HeaderState), stateLeaving)
 }
