route/entry: the hops of a check-in are spans below the entry's, not below once.begin

Cause (the demo's test reads the spans now): the context of the span once.begin was kept for the rest of the request.

--- a/internal/proc/whole/procs_test.go
+++ b/internal/proc/whole/procs_test.go
@@ -150,6 +150,7 @@
 	targets []string
 	slots   int
 	example bool   // the default leases and rounds
+	token   string // of the administration API
 	env     string // added to the environment of entry processes
 	workers []string
 	entries []*entryProc
@@ -254,6 +255,9 @@
 	n := len(s.entries)
 	file := filepath.Join(s.dir, fmt.Sprintf("e%d.toml", n))
 	text := fmt.Sprintf(settings, n, zones[n%3], s.store, s.hosts)
+	if s.token != "" {
+		text += fmt.Sprintf("[admin]\ntoken = %q\n", s.token)
+	}
 	if s.example {
 		text = strings.NewReplacer("500ms", "1s", "2s", "6s", "50ms", "200ms", "buckets = 4", "buckets = 16").Replace(text)
 	}
--- a/internal/route/entry/entry.go
+++ b/internal/route/entry/entry.go
@@ -138,8 +138,8 @@
 // atMostOnce runs a non-idempotent request unless its key is known.
 func (e *Entry) atMostOnce(ctx context.Context, w http.ResponseWriter, s Service, q request) Code {
 	print := q.print(s.Name)
-	ctx, span := telem.Tracer().Start(ctx, "once.begin")
-	v, rec, err := e.o.Homes.Begin(ctx, q.Key, print)
+	bctx, span := telem.Tracer().Start(ctx, "once.begin")
+	v, rec, err := e.o.Homes.Begin(bctx, q.Key, print)
 	span.End()
 	if err != nil {
 		return fail(w, &Failure{Code: CodeUnsure, Text: "the request was not begun: " + err.Error(), After: time.Second})
