--- a/internal/batch/jobs/jobs_test.go
+++ b/internal/batch/jobs/jobs_test.go
@@ -182,3 +182,26 @@
 		}
 	})
 }
+
+// Room is scarce while many tasks wait. The condition watch must be placed first, then
+// what is urgent, whatever came before.
+func TestStandingFirst(t *testing.T) {
+	c := New(Bucket{}, 1)
+	write(t, c)
+	for i, s := range []Spec{{ID: "low", Rank: RankLow}, {ID: "normal"}, {ID: "urgent", Rank: RankUrgent}, {ID: "watch", Standing: true}} {
+		s.Kind, s.N, s.Size, s.Run = "audit", 1, unit, time.Second
+		if err := c.Submit(now.Add(time.Duration(i)*time.Second), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(t, c)
+	c.Hear(now, offer("a", 2), all)
+	write(t, c)
+	run := c.Hear(now, offer("a", 0), all).Run
+	if len(run) != 2 || run[0].Place.Job != "watch" || run[1].Place.Job != "urgent" {
+		t.Errorf("placed first: %v", run)
+	}
+	if n, urgent := c.Waiting(); n != 2 || urgent != 0 {
+		t.Errorf("%d wait, %d of them urgent", n, urgent)
+	}
+}
--- a/internal/proc/whole/batch_test.go
+++ b/internal/proc/whole/batch_test.go
@@ -214,3 +214,28 @@
 		t.Errorf("it ended with %v", p.err)
 	}
 }
+
+// The store answers slowly for a long while. Requests and batch work must go on as
+// before, if slower to begin.
+func TestStoreSlow(t *testing.T) {
+	s := newSystem(t)
+	s.addTargets(3, 3, 2*time.Millisecond)
+	s.addWorkers(6, 3)
+	for range 3 {
+		s.addEntry()
+	}
+	s.putSheet()
+	s.settle()
+	s.send(http.MethodPost, "http://"+s.store+"/fault", struct{ Delay string }{"250ms"}, nil)
+	l := startLoad(s, 6)
+	s.submit("audits", 12, 300*time.Millisecond)
+	l.more(200)
+	s.doneOnce(s.entries[1], "audits", 12)
+	l.end()
+	l.check(t)
+	for key, a := range l.answers {
+		if a.status != http.StatusOK {
+			t.Errorf("%s: %+v", key, a)
+		}
+	}
+}
--- a/internal/proc/whole/fault_test.go
+++ b/internal/proc/whole/fault_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
 	"bramleysail.example/bramleysail/internal/fake/target"
 	"bramleysail.example/bramleysail/internal/plat/hosts"
 )
@@ -327,3 +329,50 @@
 	}
 	t.Logf("%d of 40 check-ins met the faulty target before it was ejected", lost)
 }
+
+// Two entry processes die at once, and with them both memories of some check-ins.
+// Repeats of these must be told that nobody knows; none may run twice, and a first try
+// with a key that tells that it was made since must be served.
+func TestTwoDeathsAtOnce(t *testing.T) {
+	const n = 60
+	s := small(t, 4, 4, 4, 2*time.Millisecond)
+	for i := range n {
+		key := fmt.Sprint("case-", i)
+		if a := post(s.entries[i%2].caller, key, key); a.status != http.StatusOK {
+			t.Fatalf("%s: %+v", key, a)
+		}
+	}
+	for _, dead := range s.entries[:2] {
+		_ = dead.cmd.Process.Kill()
+	}
+	for _, dead := range s.entries[:2] {
+		<-dead.done
+	}
+	s.settle()
+	codes := map[string]int{}
+	for i := range n {
+		key := fmt.Sprint("case-", i)
+		eventually(t, "an answer to the repeat of "+key, func() bool {
+			a := post(s.entries[2+i%2].caller, key, key)
+			if a.code() == "home-unsure" {
+				return false
+			}
+			if a.status != http.StatusOK && a.code() != "outcome-unknown" {
+				t.Fatalf("%s: %+v", key, a)
+			}
+			codes[a.code()]++
+			return true
+		})
+	}
+	if st := s.stats(); st.Total != n {
+		t.Errorf("%d check-ins ran %d times", n, st.Total)
+	}
+	t.Logf("answered again %d, unknown %d", codes[""], codes["outcome-unknown"])
+	eventually(t, "a new key served", func() bool {
+		id, err := uuid.NewV7()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return post(s.entries[2].caller, id.String(), "new").status == http.StatusOK
+	})
+}
