--- a/internal/proc/cli/admin.go
+++ b/internal/proc/cli/admin.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"slices"
 	"strings"
@@ -52,7 +54,7 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return out, exit{errors.Wrap(err, "cli: no answer; a change may be in force"), ExitUnknown}
+		return out, unanswered(method, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -63,6 +65,16 @@
 	return out, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "cli")
 }
 
+// unanswered says what a call without an answer means: a change may be in force unless
+// the process couldn't even be reached.
+func unanswered(method string, err error) error {
+	var op *net.OpError
+	if method == http.MethodGet || errors.As(err, &op) && op.Op == "dial" {
+		return exit{errors.Wrap(err, "cli: not reached; nothing was changed"), ExitFailed}
+	}
+	return exit{errors.Wrap(err, "cli: no answer; a change may be in force, read back"), ExitUnknown}
+}
+
 func problemExit(code node.AdminCode) int {
 	switch code {
 	case node.AdminInvalid, node.AdminZone, node.AdminAbsent:
@@ -170,7 +182,11 @@
 }
 
 func readSheet(c *cli.Command) (string, error) {
-	data, err := os.ReadFile(c.Args().First())
+	name, err := argument(c, "FILE")
+	if err != nil {
+		return "", err
+	}
+	data, err := os.ReadFile(name)
 	if err != nil {
 		return "", exit{errors.Wrap(err, "cli"), ExitInvalid}
 	}
@@ -186,7 +202,11 @@
 			Name: verb, Usage: usage, ArgsUsage: "NAME", Flags: adminFlags(),
 			Description: "Example: bramleysail domain " + verb + " heredia",
 			Action: func(ctx context.Context, c *cli.Command) error {
-				v, err := call[config](ctx, c, http.MethodPost, "/v1/zones/"+c.Args().First()+"/"+verb, nil)
+				zone, err := argument(c, "NAME")
+				if err != nil {
+					return err
+				}
+				v, err := call[config](ctx, c, http.MethodPost, "/v1/zones/"+url.PathEscape(zone)+"/"+verb, nil)
 				if err != nil {
 					return err
 				}
--- a/internal/proc/cli/cli.go
+++ b/internal/proc/cli/cli.go
@@ -71,6 +71,14 @@
 	return ExitFailed
 }
 
+// argument returns the command's one argument.
+func argument(c *cli.Command, what string) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", exit{errors.Errorf("cli: %s takes one %s, see --help", c.Name, what), ExitInvalid}
+	}
+	return c.Args().First(), nil
+}
+
 func serveCommand(errOut io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:        "serve",
@@ -133,9 +141,13 @@
 		Description: "Examples: bramleysail check examples/association.toml\n          bramleysail check --sheet examples/association.sheet.toml",
 		Flags:       []cli.Flag{&cli.BoolFlag{Name: "sheet", Usage: "the file is a sheet"}},
 		Action: func(_ context.Context, c *cli.Command) error {
-			data, err := os.ReadFile(c.Args().First())
+			name, err := argument(c, "FILE")
+			if err != nil {
+				return err
+			}
+			data, err := os.ReadFile(name)
 			if err != nil {
-				return errors.Wrap(err, "cli")
+				return exit{errors.Wrap(err, "cli"), ExitInvalid}
 			}
 			if c.Bool("sheet") {
 				_, err = sheet.Parse(string(data))
@@ -145,7 +157,7 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(out, "%s: ok\n", c.Args().First())
+			fmt.Fprintf(out, "%s: ok\n", name)
 			return nil
 		},
 	}
--- a/internal/proc/cli/job.go
+++ b/internal/proc/cli/job.go
@@ -8,7 +8,6 @@
 	"net/url"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"bramleysail.example/bramleysail/internal/batch/jobs"
@@ -29,9 +28,9 @@
 			Name: name, Usage: usage, ArgsUsage: "ID", Flags: adminFlags(),
 			Description: "Example: bramleysail job " + name + " audit-7",
 			Action: func(ctx context.Context, c *cli.Command) error {
-				id := c.Args().First()
-				if id == "" {
-					return exit{errors.New("cli: the job's id is missing"), ExitInvalid}
+				id, err := argument(c, "ID")
+				if err != nil {
+					return err
 				}
 				v, err := call[node.JobView](ctx, c, method, "/v1/jobs/"+url.PathEscape(id)+suffix, nil)
 				if err != nil {
@@ -68,8 +67,12 @@
 			&cli.BoolFlag{Name: "standing", Usage: "the tasks never finish and are restarted first"},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error {
+			id, err := argument(c, "ID")
+			if err != nil {
+				return err
+			}
 			s := jobs.Spec{
-				ID: c.Args().First(), Kind: c.String("kind"), Team: c.String("team"), Rank: jobs.Rank(c.String("rank")),
+				ID: id, Kind: c.String("kind"), Team: c.String("team"), Rank: jobs.Rank(c.String("rank")),
 				N: c.Int("n"), Size: wire.Size{CPU: c.Int("cpu"), Mem: c.Int("mem"), Accel: c.Int("accel")},
 				Run: c.Duration("run"), Standing: c.Bool("standing"),
 			}
