--- a/internal/batch/jobs/hear.go
+++ b/internal/batch/jobs/hear.go
@@ -45,12 +45,19 @@
 // a task's place, would be wrong. After this holding's own write it can't.
 func (c *Core) Ready() bool { return c.kept.Ep == c.ep }
 
-// placed returns the job of a placement that is in force on the rack, or nil.
-func (c *Core) placed(rack string, p Place) *Job {
+// unplace ends a placement that is in force on the rack and returns its job while that
+// is open, or nil. What is said of any other placement, or after its job has ended,
+// changes nothing more.
+func (c *Core) unplace(rack string, p Place) *Job {
 	j := c.work.Jobs[p.Job]
 	if j == nil || j.Place[p.Index] != (At{rack, p.No}) {
 		return nil
 	}
+	delete(j.Place, p.Index)
+	c.dirty = true
+	if j.State != StateOpen {
+		return nil
+	}
 	return j
 }
 
@@ -58,15 +65,10 @@
 // was given up for lost, placed again and then turns out to have finished first
 // doesn't finish twice. One that ends after its job was cancelled changes nothing.
 func (c *Core) finished(now time.Time, rack string, p Place) {
-	j := c.placed(rack, p)
+	j := c.unplace(rack, p)
 	if j == nil {
 		return
 	}
-	delete(j.Place, p.Index)
-	c.dirty = true
-	if j.State != StateOpen {
-		return
-	}
 	j.Done.Set(uint(p.Index))
 	j.Won[p.Index] = p.No
 	delete(j.Kept, p.Index)
@@ -84,15 +86,10 @@
 }
 
 func (c *Core) failed(now time.Time, rack string, p Place) {
-	j := c.placed(rack, p)
+	j := c.unplace(rack, p)
 	if j == nil {
 		return
 	}
-	delete(j.Place, p.Index)
-	c.dirty = true
-	if j.State != StateOpen {
-		return
-	}
 	j.Fails[p.Index]++
 	if j.Fails[p.Index] >= failsToEnd && !j.Spec.Standing {
 		c.end(now, j, StateParked, fmt.Sprintf("task %d failed %d times", p.Index, failsToEnd))
@@ -100,13 +97,7 @@
 }
 
 func (c *Core) back(rack string, p Place, kept time.Duration) {
-	j := c.placed(rack, p)
-	if j == nil {
-		return
-	}
-	delete(j.Place, p.Index)
-	c.dirty = true
-	if j.State == StateOpen && kept > j.Kept[p.Index] {
+	if j := c.unplace(rack, p); j != nil && kept > j.Kept[p.Index] {
 		j.Kept[p.Index] = kept
 	}
 }
--- a/internal/proc/whole/batch_test.go
+++ b/internal/proc/whole/batch_test.go
@@ -92,29 +92,17 @@
 	eventually(t, "tasks in every domain", func() bool { return running(0) > 0 && running(1) > 0 && running(2) > 0 })
 	s.run(0, "domain", "out", "--admin", s.entries[2].admin, zones[1])
 	eventually(t, "none left there", func() bool { return running(1) == 0 })
-	before, _ := s.work()
-	count := func(starts map[string]int, zone int) int {
-		n := 0
-		for i, addr := range s.workers {
-			if i%3 == zone {
-				var st workerStats
-				s.send(http.MethodGet, "http://"+addr+"/stats", nil, &st)
-				n += len(st.Starts)
-			}
-		}
-		return n
-	}
-	there := count(before, 1)
+	there := s.startsOn(1)
 	s.submit("more", 12, 300*time.Millisecond)
 	s.doneOnce(s.entries[1], "more", 12)
 	s.doneOnce(s.entries[1], "audits", 24)
-	if n := count(nil, 1); n != there {
+	if n := s.startsOn(1); n != there {
 		t.Errorf("%d tasks were started in a domain that is out", n-there)
 	}
 	s.run(0, "domain", "back", "--admin", s.entries[0].admin, zones[1])
 	s.submit("again", 60, 300*time.Millisecond)
 	s.doneOnce(s.entries[2], "again", 60)
-	if count(nil, 1) == there {
+	if s.startsOn(1) == there {
 		t.Error("nothing was started in the domain after it was back")
 	}
 }
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -66,3 +67,33 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// What is left of the caller's patience, the try's id and the caller's key go on to the
+// target; headers that end at a connection don't.
+func TestHeaders(t *testing.T) {
+	got := make(chan http.Header, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got <- r.Header
+		w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+		w.Header().Set(HeaderLoad, "3")
+		w.Header().Set(HeaderState, "leaving")
+	}))
+	defer srv.Close()
+	r := New(1 << 20)
+	defer r.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	a, err := r.Do(ctx, srv.Listener.Addr().String(), RoleOwner, 1, Request{ID: "try-1", Key: "bottle", Method: http.MethodPut, Path: "/x",
+		Header: http.Header{"Te": {"trailers"}, "Idempotency-Key": {"bottle"}, "X-Mine": {"kept"}}})
+	if err != nil || a.Load != 3 || !a.Leaving {
+		t.Errorf("%+v, %v", a, err)
+	}
+	h := <-got
+	left, err := time.ParseDuration(h.Get(HeaderTimeout))
+	if err != nil || left <= 0 || left > time.Minute {
+		t.Errorf("%s: %q", HeaderTimeout, h.Get(HeaderTimeout))
+	}
+	if h.Get(HeaderID) != "try-1" || h.Get(HeaderKey) != "bottle" || h.Get("X-Mine") != "kept" || h.Get("Te")+h.Get("Idempotency-Key") != "" {
+		t.Errorf("headers at the target: %v", h)
+	}
+}
