--- a/internal/proc/whole/batch_test.go
+++ b/internal/proc/whole/batch_test.go
@@ -227,3 +227,24 @@
 		}
 	}
 }
+
+// The store takes many writes without answering them, while jobs are submitted and run
+// and an operator takes a domain out. Each write must be found to have taken effect:
+// nothing is done twice and nobody is told of a conflict that there wasn't.
+func TestStoreLosesAnswers(t *testing.T) {
+	s := smallBatch(t, 3, 6, 3)
+	lose := func(n int) {
+		s.send(http.MethodPost, "http://"+s.store+"/fault", struct{ Lose int }{n}, nil)
+	}
+	lose(3)
+	s.run(0, "domain", "out", "--admin", s.entries[1].admin, zones[2])
+	for i := range 4 {
+		lose(8)
+		id := fmt.Sprint("audit-", i)
+		s.submit(id, 10, 200*time.Millisecond)
+		s.doneOnce(s.entries[2], id, 10)
+	}
+	if c := s.entries[0].status().Config; c != 2 {
+		t.Errorf("configuration %d after one sheet and one move", c)
+	}
+}
