--- a/internal/proc/whole/bench_test.go
+++ b/internal/proc/whole/bench_test.go
@@ -326,3 +326,43 @@
 	}
 	return n
 }
+
+// BenchmarkMemory measures an entry process's resident memory when idle, and per
+// remembered key of a request.
+func BenchmarkMemory(b *testing.B) {
+	const keys = 40000
+	for range b.N {
+		s := &system{t: b, dir: b.TempDir()}
+		s.boot()
+		s.addTargets(10, benchSlots, 0)
+		s.addEntry()
+		s.putSheet()
+		s.settle()
+		before := s.entries[0].resident()
+		var next atomic.Int64
+		var wg sync.WaitGroup
+		for range 32 {
+			wg.Go(func() {
+				for n := next.Add(1); n <= keys; n = next.Add(1) {
+					post(s.entries[0].caller, fmt.Sprintf("case-%08d", n), "bottle")
+				}
+			})
+		}
+		wg.Wait()
+		b.ReportMetric(before/(1<<20), "idle-MiB")
+		b.ReportMetric((s.entries[0].resident()-before)/keys, "B/key")
+		for _, p := range s.procs {
+			p.kill()
+		}
+	}
+}
+
+// resident returns a process's resident memory in bytes.
+func (e *entryProc) resident() float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", e.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	pages, _ := strconv.ParseFloat(strings.Fields(string(data))[1], 64)
+	return pages * float64(os.Getpagesize())
+}
--- a/internal/route/entry/entry.go
+++ b/internal/route/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -133,6 +134,8 @@
 	_, _ = w.Write(body)
 }
 
+const headerType = "Content-Type"
+
 const maxKept = 4 << 10 // bytes of an answer that are kept for repeats
 
 // atMostOnce runs a non-idempotent request unless its key is known.
@@ -166,8 +169,9 @@
 func kept(a relay.Answer) once.Answer {
 	k := once.Answer{Status: a.Status, Whole: len(a.Body) <= maxKept}
 	if k.Whole {
-		k.Body = a.Body
-		k.Header = http.Header{"Content-Type": a.Header["Content-Type"]}
+		// A copy, as the body as read has room to spare.
+		k.Body = bytes.Clone(a.Body)
+		k.Type = a.Header.Get(headerType)
 	}
 	return k
 }
@@ -185,7 +189,7 @@
 				Text: fmt.Sprintf("the request ran and was answered with status %d; the answer was too large to be kept", rec.Answer.Status)})
 		}
 		w.Header().Set("Sail-Replayed", "yes")
-		write(w, rec.Answer.Status, rec.Answer.Header, rec.Answer.Body)
+		write(w, rec.Answer.Status, http.Header{headerType: {rec.Answer.Type}}, rec.Answer.Body)
 		return CodeOK
 	}
 	return fail(w, &Failure{Code: CodeUnknown, Text: "the request may have run before; it was not run again"})
--- a/internal/route/once/table.go
+++ b/internal/route/once/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/maphash"
-	"net/http"
 	"sync"
 	"time"
 
@@ -34,7 +33,7 @@
 // Answer is what a repeat is told of a finished request.
 type Answer struct {
 	Status int
-	Header http.Header
+	Type   string // of the body's content
 	Body   []byte
 	Whole  bool // false when the body was too large to be kept
 }
