proc: the test of leaving targets made stricter

Cause: with a target's own word ignored (trial) TestLeaving passed: requests one after the other never need more than the first target, so that nothing reached the leaving one anyway. Now as many at once as all slots take, first shown to reach the target, then not any more; it fails in both trials (own word ignored; list and operator ignored). Measured beside it: BenchmarkLeave.

--- a/internal/proc/whole/bench_test.go
+++ b/internal/proc/whole/bench_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bramleysail.example/bramleysail/internal/plat/hosts"
 )
 
 const (
@@ -366,3 +368,48 @@
 	pages, _ := strconv.ParseFloat(strings.Fields(string(data))[1], 64)
 	return pages * float64(os.Getpagesize())
 }
+
+// BenchmarkLeave measures, with the example settings, how long a target that leaves
+// goes on getting new requests, by each way in which it becomes known.
+func BenchmarkLeave(b *testing.B) {
+	for range b.N {
+		s := &system{t: b, dir: b.TempDir(), example: true}
+		s.boot()
+		s.addTargets(3, benchSlots, time.Millisecond)
+		for range 3 {
+			s.addEntry()
+		}
+		s.putSheet()
+		s.settle()
+		l := startLoad(s, 6)
+		for _, way := range []struct {
+			name   string
+			target int
+			leave  func(addr string)
+		}{
+			{"host-list", 0, func(addr string) {
+				s.setHost(hosts.Host{Addr: addr, Kind: hosts.KindTarget, Zone: zones[0], Service: "registro", State: hosts.StateLeaving})
+			}},
+			{"own-word", 1, func(addr string) {
+				s.send(http.MethodPost, "http://"+addr+"/fault", struct{ Leaving bool }{true}, nil)
+			}},
+		} {
+			l.more(300)
+			way.leave(s.targets[way.target])
+			left := time.Now()
+			last, total := left, -1
+			for time.Since(last) < time.Second {
+				var st targetStats
+				s.send(http.MethodGet, "http://"+s.targets[way.target]+"/stats", nil, &st)
+				if st.Total != total {
+					last, total = time.Now(), st.Total
+				}
+			}
+			b.ReportMetric(last.Sub(left).Seconds(), way.name+"-s")
+		}
+		l.end()
+		for _, p := range s.procs {
+			p.kill()
+		}
+	}
+}
--- a/internal/proc/whole/fault_test.go
+++ b/internal/proc/whole/fault_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -185,36 +186,52 @@
 // A target leaves: by its own word, by the host list, or because an operator takes its
 // failure domain out. Soon it must get nothing new, while the others answer on.
 func TestLeaving(t *testing.T) {
-	s := small(t, 2, 3, 3, 2*time.Millisecond)
-	e := s.entries[0]
+	s := small(t, 2, 4, 3, 10*time.Millisecond)
 	total := func(i int) int {
 		var st targetStats
 		s.send(http.MethodGet, "http://"+s.targets[i]+"/stats", nil, &st)
 		return st.Total
 	}
 	n := 0
-	// quiet sends requests through both processes until 30 in a row don't reach target i.
-	quiet := func(i int) {
-		t.Helper()
-		eventually(t, "nothing new at the target", func() bool {
-			before := total(i)
-			for range 30 {
-				n++
-				key := fmt.Sprint("q", n)
-				if a := post(s.entries[n%2].caller, key, key); a.status != http.StatusOK {
+	// burst sends as many requests at once as all slots take, and reports whether some
+	// reached target i.
+	burst := func(i int) bool {
+		before := total(i)
+		var wg sync.WaitGroup
+		for range 12 {
+			n++
+			key, e := fmt.Sprint("q", n), s.entries[n%2]
+			wg.Go(func() {
+				if a := post(e.caller, key, key); a.status != http.StatusOK {
 					t.Errorf("%s: %+v", key, a)
 				}
-			}
-			return total(i) == before
-		})
+			})
+		}
+		wg.Wait()
+		return total(i) > before
+	}
+	for _, way := range []struct {
+		name   string
+		target int
+		leave  func(addr string)
+	}{
+		{"its own word", 0, func(addr string) {
+			s.send(http.MethodPost, "http://"+addr+"/fault", struct {
+				Leaving bool
+				Work    string
+			}{true, "10ms"}, nil)
+		}},
+		{"the host list", 1, func(addr string) {
+			s.setHost(hosts.Host{Addr: addr, Kind: hosts.KindTarget, Zone: zones[1], Service: "registro", State: hosts.StateLeaving})
+		}},
+		{"an operator", 2, func(string) {
+			s.run(0, "domain", "out", "--admin", s.entries[0].admin, zones[2])
+		}},
+	} {
+		eventually(t, "requests at the target", func() bool { return burst(way.target) })
+		way.leave(s.targets[way.target])
+		eventually(t, "nothing new after "+way.name, func() bool { return !burst(way.target) && !burst(way.target) })
 	}
-	s.send(http.MethodPost, "http://"+s.targets[0]+"/fault", struct{ Leaving bool }{true}, nil)
-	quiet(0)
-	s.setHost(hosts.Host{Addr: s.targets[1], Kind: hosts.KindTarget, Zone: zones[1], Service: "registro", State: hosts.StateLeaving})
-	quiet(1)
-	s.send(http.MethodPost, "http://"+s.targets[0]+"/fault", struct{ Leaving bool }{false}, nil)
-	s.run(0, "domain", "out", "--admin", e.admin, zones[2])
-	quiet(2)
 }
 
 // A caller repeats its check-ins through another entry process after the one that took
