--- a/cmd/bramleysail/main.go
+++ b/cmd/bramleysail/main.go
@@ -5,9 +5,9 @@
 	"context"
 	"os"
 
-	"bramleysail.example/bramleysail/internal/proc/cli"
+	"bramleysail.example/bramleysail/internal/proc/tool"
 )
 
 func main() {
-	os.Exit(cli.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
+	os.Exit(tool.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
 }
--- a/internal/proc/cli/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package cli is the command line.
-package cli
--- a/internal/proc/cli/admin.go
+++ b/internal/proc/tool/admin.go
@@ -1,4 +1,4 @@
-package cli
+package tool
 
 import (
 	"bytes"
@@ -43,11 +43,11 @@
 	defer cancel()
 	data, err := json.Marshal(body)
 	if err != nil {
-		return out, errors.Wrap(err, "cli")
+		return out, errors.Wrap(err, "bramleysail")
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.String("admin")+path, bytes.NewReader(data))
 	if err != nil {
-		return out, errors.Wrap(err, "cli")
+		return out, errors.Wrap(err, "bramleysail")
 	}
 	if t := c.String("token"); t != "" {
 		req.Header.Set("Authorization", "Bearer "+t)
@@ -60,9 +60,9 @@
 	if resp.StatusCode != http.StatusOK {
 		var p node.Problem
 		_ = json.NewDecoder(resp.Body).Decode(&p)
-		return out, exit{errors.Errorf("cli: %s: %s", p.Code, p.Text), problemExit(p.Code)}
+		return out, exit{errors.Errorf("bramleysail: %s: %s", p.Code, p.Text), problemExit(p.Code)}
 	}
-	return out, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "cli")
+	return out, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "bramleysail")
 }
 
 // unanswered says what a call without an answer means: a change may be in force unless
@@ -70,9 +70,9 @@
 func unanswered(method string, err error) error {
 	var op *net.OpError
 	if method == http.MethodGet || errors.As(err, &op) && op.Op == "dial" {
-		return exit{errors.Wrap(err, "cli: not reached; nothing was changed"), ExitFailed}
+		return exit{errors.Wrap(err, "bramleysail: not reached; nothing was changed"), ExitFailed}
 	}
-	return exit{errors.Wrap(err, "cli: no answer; a change may be in force, read back"), ExitUnknown}
+	return exit{errors.Wrap(err, "bramleysail: no answer; a change may be in force, read back"), ExitUnknown}
 }
 
 func problemExit(code node.AdminCode) int {
@@ -99,7 +99,7 @@
 		table(w, v)
 		return w.Flush()
 	}
-	return exit{errors.Errorf("cli: --output: %q is neither table nor json", c.String("output")), ExitInvalid}
+	return exit{errors.Errorf("bramleysail: --output: %q is neither table nor json", c.String("output")), ExitInvalid}
 }
 
 // config is the administration API's answer about the configuration.
@@ -188,7 +188,7 @@
 	}
 	data, err := os.ReadFile(name)
 	if err != nil {
-		return "", exit{errors.Wrap(err, "cli"), ExitInvalid}
+		return "", exit{errors.Wrap(err, "bramleysail"), ExitInvalid}
 	}
 	if _, err := sheet.Parse(string(data)); err != nil {
 		return "", err
--- a/internal/proc/cli/cli.go
+++ b/internal/proc/tool/cli.go
@@ -1,4 +1,4 @@
-package cli
+package tool
 
 import (
 	"context"
@@ -74,7 +74,7 @@
 // argument returns the command's one argument.
 func argument(c *cli.Command, what string) (string, error) {
 	if c.Args().Len() != 1 {
-		return "", exit{errors.Errorf("cli: %s takes one %s, see --help", c.Name, what), ExitInvalid}
+		return "", exit{errors.Errorf("bramleysail: %s takes one %s, see --help", c.Name, what), ExitInvalid}
 	}
 	return c.Args().First(), nil
 }
@@ -106,7 +106,7 @@
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			broken, err := demo.Run(ctx, out)
 			if err == nil && len(broken) > 0 {
-				err = exit{errors.Errorf("cli: %d promises were broken", len(broken)), ExitBroken}
+				err = exit{errors.Errorf("bramleysail: %d promises were broken", len(broken)), ExitBroken}
 			}
 			return err
 		},
@@ -123,7 +123,7 @@
 	select {
 	case <-ctx.Done():
 	case <-n.Lost():
-		err = errors.New("cli: a listener was lost")
+		err = errors.New("bramleysail: a listener was lost")
 	}
 	// A second signal ends the process at once.
 	stop()
@@ -147,7 +147,7 @@
 			}
 			data, err := os.ReadFile(name)
 			if err != nil {
-				return exit{errors.Wrap(err, "cli"), ExitInvalid}
+				return exit{errors.Wrap(err, "bramleysail"), ExitInvalid}
 			}
 			if c.Bool("sheet") {
 				_, err = sheet.Parse(string(data))
--- /dev/null
+++ b/internal/proc/tool/doc.go
@@ -0,0 +1,2 @@
+// Package tool is the command line.
+package tool
--- a/internal/proc/cli/job.go
+++ b/internal/proc/tool/job.go
@@ -1,4 +1,4 @@
-package cli
+package tool
 
 import (
 	"context"
--- a/internal/proc/cli/standin.go
+++ b/internal/proc/tool/standin.go
@@ -1,4 +1,4 @@
-package cli
+package tool
 
 import (
 	"context"
@@ -64,7 +64,7 @@
 	defer stop()
 	l, err := net.Listen("tcp", c.String("listen"))
 	if err != nil {
-		return errors.Wrap(err, "cli")
+		return errors.Wrap(err, "bramleysail")
 	}
 	fmt.Fprintf(out, "listening %s\n", l.Addr())
 	go func() {
@@ -72,7 +72,7 @@
 		_ = s.Close()
 	}()
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "cli")
+		return errors.Wrap(err, "bramleysail")
 	}
 	return nil
 }
