batch/rack: a worker that died is given up

Cause (found reading the core as a newcomer): each renewal may have reached a silent worker and moves the end of its lease; renewals went on, so the end never came, and the tasks of a dead worker were never run elsewhere. The random schedules cut workers off but always mend them; TestSilentWorker left the first renewal's answer out for good and so stopped the renewals; the model has no liveness. Ruled out: the lapse itself. Change: a worker that has answered nothing for half a lease isn't renewed any more.

--- a/internal/batch/rack/core.go
+++ b/internal/batch/rack/core.go
@@ -160,6 +160,12 @@
 	if w.busy || now.Sub(w.tried) < c.o.Lease/6 {
 		return
 	}
+	if w.fenced && now.Sub(w.seen) > c.o.Lease/2 {
+		// It's silent. Each renewal may have reached it and prolongs the wait for the end
+		// of its lease; with renewals going on the wait would never end, and the tasks of
+		// a worker that died would never be run elsewhere.
+		return
+	}
 	w.busy, w.tried = true, now
 	if !w.fenced {
 		c.out = append(c.out, Fence{w.addr, wire.Fence{Epoch: c.o.Ep}})
--- a/internal/batch/rack/event.go
+++ b/internal/batch/rack/event.go
@@ -104,6 +104,7 @@
 // doesn't show may have.
 func (c *Core) Reported(addr string, rep wire.Report) {
 	if w := c.workers[addr]; w != nil && w.fenced {
+		w.seen = c.now
 		c.inventory(w, rep)
 	}
 }
--- a/internal/batch/rack/guard_test.go
+++ b/internal/batch/rack/guard_test.go
@@ -119,25 +119,40 @@
 	}
 }
 
-// A worker falls silent while it runs a task. The task must not go back to its bucket,
-// from where it would be placed elsewhere, before the worker has certainly stopped it.
+// A worker falls silent while it runs a task: for good, or so that commands reach it and
+// only the answers are lost. The task must go back to its bucket, or it would never be
+// finished, but not before the worker has certainly stopped it.
 func TestSilentWorker(t *testing.T) {
-	b := newBench()
-	c := b.holder(1)
-	p := b.want(c)
-	b.deliver(c, b.tick(c))
-	for range 100 {
-		b.now = b.now.Add(100 * time.Millisecond)
-		b.tick(c) // nothing is delivered
-		_, back := c.Report("b", false).Back[p]
-		if back && len(b.worker.Running()) > 0 {
-			t.Fatalf("given back after %s while it runs", b.now.Sub(b.begin))
+	for _, reached := range []bool{false, true} {
+		b := newBench()
+		c := b.holder(1)
+		p := b.want(c)
+		b.deliver(c, b.tick(c))
+		back := false
+		for range 300 {
+			b.now = b.now.Add(100 * time.Millisecond)
+			for _, a := range b.tick(c) {
+				switch a := a.(type) {
+				case Renew:
+					if reached {
+						_, _ = b.worker.Renew(a.Msg)
+					}
+					c.Renewed(b.now, a.Addr, Result{Lost: true})
+				case Fence:
+					c.Fenced(b.now, a.Addr, Result{Lost: true})
+				}
+			}
+			if _, back = c.Report("b", false).Back[p]; back {
+				break
+			}
+		}
+		if !back {
+			t.Errorf("reached %t: never given back", reached)
 		}
-		if back {
-			return
+		if back && len(b.worker.Running()) > 0 {
+			t.Errorf("reached %t: given back after %s while it runs", reached, b.now.Sub(b.begin))
 		}
 	}
-	t.Error("it's never given back")
 }
 
 // The store has been silent: operators may have taken the domain out since. Nothing new
--- a/internal/batch/rack/worker.go
+++ b/internal/batch/rack/worker.go
@@ -16,6 +16,8 @@
 	// clock was the worker's own time when an answer came in at heard.
 	clock wire.Clock
 	heard time.Time
+	// seen is when it last answered anything, a lagging report included.
+	seen time.Time
 	// over is when its tasks have certainly stopped unless it is renewed again.
 	over time.Time
 	// poor counts failures in a row, of different jobs; from tired on it rests.
@@ -33,7 +35,7 @@
 }
 
 func (w *worker) hear(now time.Time, r wire.Report) {
-	w.clock, w.heard, w.size = r.Now, now, r.Size
+	w.clock, w.heard, w.seen, w.size = r.Now, now, now, r.Size
 }
 
 const (
--- a/internal/proc/whole/batch_test.go
+++ b/internal/proc/whole/batch_test.go
@@ -248,3 +248,26 @@
 		t.Errorf("configuration %d after one sheet and one move", c)
 	}
 }
+
+// A worker's host dies with audits on it, as some do every day. They must be run on
+// other workers, and the job finish.
+func TestWorkerDeath(t *testing.T) {
+	s := smallBatch(t, 3, 6, 3)
+	s.submit("audits", 18, 2*time.Second)
+	eventually(t, "most started", func() bool { starts, _ := s.work(); return len(starts) > 12 })
+	dead := s.workers[0]
+	for _, p := range s.procs {
+		if strings.Contains(p.text(), dead) && strings.Contains(p.cmd.String(), "standin worker") {
+			_ = p.cmd.Process.Kill()
+			<-p.done
+		}
+	}
+	s.workers = s.workers[1:]
+	eventually(t, "the job done", func() bool { return s.job(s.entries[1], "audits").State == jobs.StateDone })
+	_, accepts := s.work()
+	for task, n := range accepts {
+		if n != 1 {
+			t.Errorf("the result of %s went out %d times", task, n)
+		}
+	}
+}
