batch, once: what nothing reads is gone

Read once more: the sum of sizes, the number of remembered keys, a rack core's epoch accessor and the epoch in a home's answer had no reader.

--- a/internal/batch/rack/core.go
+++ b/internal/batch/rack/core.go
@@ -88,9 +88,6 @@
 		released: map[jobs.Place]bool{}}
 }
 
-// Ep returns the holding's epoch.
-func (c *Core) Ep() uint64 { return c.o.Ep }
-
 // Zone returns the rack's failure domain.
 func (c *Core) Zone() string { return c.o.Zone }
 
--- a/internal/batch/wire/wire.go
+++ b/internal/batch/wire/wire.go
@@ -19,11 +19,6 @@
 	return Size{s.CPU - t.CPU, s.Mem - t.Mem, s.Accel - t.Accel}
 }
 
-// Plus returns the sum of s and t.
-func (s Size) Plus(t Size) Size {
-	return Size{s.CPU + t.CPU, s.Mem + t.Mem, s.Accel + t.Accel}
-}
-
 // TaskState is a task's state on its worker.
 type TaskState string
 
--- a/internal/route/once/home.go
+++ b/internal/route/once/home.go
@@ -25,10 +25,9 @@
 	By    string
 }
 
-// BeginReply is a home's answer. Epoch is the home's view; Ready is false when the
-// two views differ or the home has yet to learn what others know.
+// BeginReply is a home's answer. Ready is false when the two views differ or the home
+// has yet to learn what others know.
 type BeginReply struct {
-	Epoch   uint64
 	Ready   bool
 	Verdict Verdict
 	Record  Record
@@ -165,7 +164,7 @@
 // a view only after every member of it has moved to that view and passed on its records.
 func (h *Homes) Serve(in BeginArgs) BeginReply {
 	view := h.group.View()
-	rep := BeginReply{Epoch: view.Epoch()}
+	var rep BeginReply
 	if in.Epoch != view.Epoch() || !h.group.Lawful() {
 		return rep
 	}
--- a/internal/route/once/table.go
+++ b/internal/route/once/table.go
@@ -172,18 +172,6 @@
 	return rows
 }
 
-// Len returns the number of records.
-func (t *Table) Len() int {
-	n := 0
-	for i := range t.shards {
-		s := &t.shards[i]
-		s.mu.Lock()
-		n += len(s.rows)
-		s.mu.Unlock()
-	}
-	return n
-}
-
 // SetBlank notes that records made up to now may be lost, because more processes
 // were lost at once than hold a record.
 func (t *Table) SetBlank(now time.Time) {
