--- a/internal/base/conf/conf.go
+++ b/internal/base/conf/conf.go
@@ -204,10 +204,13 @@
 	if s.Worker.Buckets < 1 || s.Worker.Buckets > maxBuckets {
 		f = append(f, fmt.Sprintf("worker.buckets: must be 1 to %d, is %d", maxBuckets, s.Worker.Buckets))
 	}
-	switch s.Log.Level {
+	return append(f, s.Log.check()...)
+}
+
+func (l Log) check() Faults {
+	switch l.Level {
 	case "debug", "info", "warn", "error":
-	default:
-		f = append(f, fmt.Sprintf("log.level: %q is none of debug, info, warn, error", s.Log.Level))
+		return nil
 	}
-	return f
+	return Faults{fmt.Sprintf("log.level: %q is none of debug, info, warn, error", l.Level)}
 }
--- /dev/null
+++ b/internal/base/telem/lines.go
@@ -0,0 +1,61 @@
+package telem
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// Lines is a writer of log lines that never blocks its callers: lines wait in a queue of
+// bounded length, and those that find it full are dropped, counted, and told about later.
+type Lines struct {
+	queue   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// lineQueue is how many lines may wait: a second's worth on a busy day.
+const lineQueue = 2000
+
+// NewLines returns a writer to w; Close writes what waits.
+func NewLines(w io.Writer) *Lines {
+	l := &Lines{queue: make(chan []byte, lineQueue), done: make(chan struct{})}
+	go l.run(w)
+	return l
+}
+
+// Write takes one line; it always succeeds.
+func (l *Lines) Write(p []byte) (int, error) {
+	line := append([]byte(nil), p...)
+	select {
+	case l.queue <- line:
+	default:
+		l.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Close writes the lines that wait and ends the writer. Nothing may be written after it.
+func (l *Lines) Close() error {
+	l.once.Do(func() { close(l.queue) })
+	<-l.done
+	return nil
+}
+
+func (l *Lines) run(w io.Writer) {
+	defer close(l.done)
+	b := bufio.NewWriter(w)
+	for line := range l.queue {
+		if n := l.dropped.Swap(0); n > 0 {
+			fmt.Fprintf(b, "level=WARN msg=\"log lines dropped\" count=%d\n", n)
+		}
+		_, _ = b.Write(line) // there is nowhere to tell of a log that can't be written
+		if len(l.queue) == 0 {
+			_ = b.Flush()
+		}
+	}
+	_ = b.Flush()
+}
--- /dev/null
+++ b/internal/batch/drive/answer.go
@@ -0,0 +1,225 @@
+package drive
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/plat/store"
+
+	"github.com/pkg/errors"
+)
+
+// Verb is what a caller asks for.
+type Verb string
+
+// What callers ask for.
+const (
+	VerbSubmit Verb = "submit"
+	VerbState  Verb = "state" // of a job, or how many wait in a queue
+	VerbCancel Verb = "cancel"
+)
+
+// Ask is a caller's request on its way to the holder.
+type Ask struct {
+	Verb Verb
+	Host string
+	Path string
+	Job  []byte // of a submission: the job, as JSON of sched.Job
+}
+
+// Result is how an Ask ended.
+type Result string
+
+// The results of an Ask.
+const (
+	ResultDone    Result = "done"
+	ResultState   Result = "state"
+	ResultCount   Result = "count"
+	ResultNoQueue Result = "noqueue" // there is no such queue
+	ResultNoJob   Result = "nojob"   // there is no such job
+	ResultBad     Result = "bad"     // it can't be understood
+	ResultRefused Result = "refused" // not carried out; come back after Reply.After
+	ResultUnknown Result = "unknown" // it may have been carried out, or may be
+)
+
+// Reply is the answer to an Ask.
+type Reply struct {
+	Result  Result
+	State   sched.State
+	Pending int
+	After   time.Duration // when to come back
+	Why     string
+	Version int64 // of the configuration that decided it
+}
+
+// Refuse returns the reply of a request that was not carried out.
+func Refuse(why string, after time.Duration) Reply {
+	return Reply{Result: ResultRefused, Why: why, After: after}
+}
+
+// Times to come back after.
+const (
+	// AfterChange fits a change of holder.
+	AfterChange = time.Second
+	// afterOutage fits a store that doesn't answer: it is tried ten times a second, so a
+	// second is soon enough.
+	afterOutage = time.Second
+)
+
+// Handle answers a caller.
+func (h *Holder) Handle(ctx context.Context, a Ask) Reply {
+	h.mu.Lock()
+	conf := h.core.Config()
+	known := h.intent
+	q, ok := conf.Match(a.Host, a.Path)
+	version := conf.Version
+	h.mu.Unlock()
+	if !known {
+		return Refuse("no configuration yet", AfterChange)
+	}
+	if !ok {
+		return Reply{Result: ResultNoQueue, Version: version}
+	}
+	rep := h.handle(ctx, a, q, strings.TrimPrefix(a.Path, q.Prefix))
+	rep.Version = version
+	return rep
+}
+
+func (h *Holder) handle(ctx context.Context, a Ask, q sched.Queue, id string) Reply {
+	switch {
+	case a.Verb == VerbState && id == "":
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return Reply{Result: ResultCount, Pending: h.core.Pending(q.Name)}
+	case id == "" || strings.Contains(id, "/") || strings.Contains(id, "."):
+		return Reply{Result: ResultBad, Why: "no job id"}
+	case a.Verb == VerbSubmit:
+		return h.submit(ctx, a, q, id)
+	case a.Verb == VerbCancel:
+		return h.cancel(ctx, id)
+	}
+	return h.state(ctx, id)
+}
+
+func (h *Holder) submit(ctx context.Context, a Ask, q sched.Queue, id string) Reply {
+	job := &sched.Job{}
+	if err := json.Unmarshal(a.Job, job); err != nil {
+		return Reply{Result: ResultBad, Why: err.Error()}
+	}
+	if err := job.Check(); err != nil {
+		return Reply{Result: ResultBad, Why: err.Error()}
+	}
+	job.ID, job.Queue, job.Service = id, q.Name, q.Service
+	job.Priority, job.Tries, job.Stretch, job.Aim = q.Priority, q.Tries, q.Stretch, q.Aim
+	job.At = time.Now()
+	data, err := json.Marshal(job)
+	if err != nil {
+		return Reply{Result: ResultBad, Why: err.Error()}
+	}
+	h.mu.Lock()
+	if h.core.Has(id) {
+		h.mu.Unlock()
+		return Reply{Result: ResultDone, Why: "known"}
+	}
+	s := h.byID[id]
+	if s == nil {
+		if !h.busy.IsZero() && time.Since(h.busy) > stuckAfter {
+			h.mu.Unlock()
+			return Refuse("store away", afterOutage)
+		}
+		s = &submission{job: job, data: data, done: make(chan struct{})}
+		h.byID[id] = s
+		h.subs = append(h.subs, s)
+	}
+	h.mu.Unlock()
+	kick(h.commit)
+	select {
+	case <-s.done:
+		h.log.Info("accepted", "job", id, "queue", q.Name, "tasks", tasks(job), "took", time.Since(job.At))
+		return Reply{Result: ResultDone}
+	case <-ctx.Done():
+	case <-h.ctx.Done():
+	}
+	return h.withdraw(s)
+}
+
+func tasks(j *sched.Job) int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Count
+	}
+	return n
+}
+
+// withdraw takes back a submission that isn't stored in time. One that is on its way to the
+// store may get there.
+func (h *Holder) withdraw(s *submission) Reply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.sent {
+		return Reply{Result: ResultUnknown, Why: "store answers late"}
+	}
+	for i, o := range h.subs {
+		if o == s {
+			h.subs = append(h.subs[:i:i], h.subs[i+1:]...)
+			delete(h.byID, s.job.ID)
+			break
+		}
+	}
+	return Refuse("store away", afterOutage)
+}
+
+func (h *Holder) cancel(ctx context.Context, id string) Reply {
+	h.mu.Lock()
+	was, known := h.core.State(id)
+	if !known {
+		h.mu.Unlock()
+		return h.absent(ctx, id)
+	}
+	if was.Final() {
+		h.mu.Unlock()
+		return Reply{Result: ResultDone}
+	}
+	h.core.Cancel(time.Now(), id)
+	done := make(chan struct{})
+	h.waiting[id] = append(h.waiting[id], done)
+	h.mu.Unlock()
+	kick(h.commit)
+	kick(h.plan)
+	select {
+	case <-done:
+		h.log.Info("cancelled", "job", id, "was", was)
+		return Reply{Result: ResultDone}
+	case <-ctx.Done():
+	case <-h.ctx.Done():
+	}
+	return Reply{Result: ResultUnknown, Why: "store answers late"}
+}
+
+func (h *Holder) state(ctx context.Context, id string) Reply {
+	h.mu.Lock()
+	s, known := h.core.State(id)
+	h.mu.Unlock()
+	if !known {
+		return h.absent(ctx, id)
+	}
+	return Reply{Result: ResultState, State: s}
+}
+
+// absent answers for a job that isn't known here. The store is asked: a holder that has been
+// replaced without knowing misses the jobs of its successor.
+func (h *Holder) absent(ctx context.Context, id string) Reply {
+	for _, key := range []string{keyJob + id, keyRun + id} {
+		_, err := h.opt.Store.Get(ctx, key)
+		if err == nil {
+			return Refuse("job of another holder", AfterChange)
+		}
+		if !errors.Is(err, store.ErrNotFound) {
+			return Refuse("store away", afterOutage)
+		}
+	}
+	return Reply{Result: ResultNoJob}
+}
--- /dev/null
+++ b/internal/batch/drive/drive.go
@@ -0,0 +1,389 @@
+package drive
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/ctrl/lead"
+	"bramleysail.example/bramleysail/internal/plat/store"
+)
+
+// Crew speaks to the workers.
+type Crew interface {
+	// Look asks a worker for its report; wait is bounded by the look's own.
+	Look(ctx context.Context, l sched.Look, fence int64) (sched.Report, sched.Outcome)
+	// Order gives an order.
+	Order(ctx context.Context, o sched.Order, fence int64) sched.Outcome
+}
+
+// Intent is what operators have written.
+type Intent struct {
+	Config sched.Config
+	Known  bool            // there is a configuration
+	Out    map[string]bool // failure domains that are taken out
+}
+
+// Codec reads what operators and workers have written in the store.
+type Codec struct {
+	IntentPrefix string
+	Intent       func([]store.Entry) (Intent, error)
+	RosterPrefix string
+	Roster       func([]store.Entry) []sched.Member
+}
+
+// Options of a Holder.
+type Options struct {
+	Store  store.Multi
+	Crew   Crew
+	Codec  Codec
+	Lease  time.Duration // granted to workers
+	Doubt  time.Duration // see sched.Options
+	Stop   time.Duration // longest time that a worker takes to stop a run
+	Keep   time.Duration // for which ended jobs are known
+	Log    logr.Logger
+	Tenure *lead.Tenure
+}
+
+// Keys in the store.
+const (
+	keyJob  = "job/" // a job as it was handed in, below its id
+	keyRun  = "run/" // its progress
+	keyCrew = "crew" // the workers that may hold runs
+)
+
+// Times of a Holder's own.
+const (
+	intentEvery = 700 * time.Millisecond  // plain reads of what operators wrote, within a second of a cut watch
+	rosterEvery = 1500 * time.Millisecond // plain reads of the directory
+	planEvery   = 100 * time.Millisecond  // plans without an event: lapses, rests and occurrences fall due
+	planPause   = 2 * time.Millisecond    // after a plan, so that events that come together share one
+	loadPause   = 100 * time.Millisecond
+	missPause   = 150 * time.Millisecond // after a look without an answer
+	ackWait     = 500 * time.Millisecond // for the ends of a look to be stored
+	forgetEvery = 10 * time.Second
+	// stuckAfter is how long a write may take before hand-ins are refused at once.
+	stuckAfter = 600 * time.Millisecond
+)
+
+// Holder does a tenure's work.
+type Holder struct {
+	opt    Options
+	log    logr.Logger
+	ctx    context.Context
+	plan   chan struct{}
+	commit chan struct{}
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	core    *sched.Core // nil until loaded
+	intent  bool        // a configuration is there
+	lookers map[string]bool
+	subs    []*submission
+	byID    map[string]*submission
+	waiting map[string][]chan struct{} // for a job's next record to be stored
+	stored  chan struct{}              // closed with each write
+	busy    time.Time                  // since when a write is under way
+	crew    []sched.Member             // as recorded
+}
+
+// submission is a job that waits to be stored.
+type submission struct {
+	job  *sched.Job
+	data []byte
+	done chan struct{}
+	sent bool
+}
+
+// Run does the work of a tenure until it is over.
+func Run(opt Options, ready func(*Holder)) error {
+	h := &Holder{
+		opt:     opt,
+		log:     opt.Log.WithValues("term", opt.Tenure.Term()),
+		ctx:     opt.Tenure.Context(),
+		plan:    make(chan struct{}, 1),
+		commit:  make(chan struct{}, 1),
+		lookers: map[string]bool{},
+		byID:    map[string]*submission{},
+		waiting: map[string][]chan struct{}{},
+		stored:  make(chan struct{}),
+	}
+	began := time.Now()
+	feeds, err := h.load(began)
+	if err != nil {
+		return err
+	}
+	h.log.Info("took over", "jobs", len(h.core.Jobs()), "workers", len(h.core.Crew()), "took", time.Since(began))
+	ready(h)
+	for _, f := range feeds {
+		h.wg.Go(func() { f.run(h.ctx) })
+	}
+	h.look()
+	h.wg.Go(h.commits)
+	h.wg.Go(h.forgets)
+	kick(h.commit)
+	h.plans()
+	h.wg.Wait()
+	return nil
+}
+
+func kick(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// load reads everything from the store, again until it succeeds or the tenure is over.
+func (h *Holder) load(began time.Time) ([]*feed, error) {
+	for {
+		feeds, err := h.tryLoad(began)
+		if err == nil {
+			return feeds, nil
+		}
+		h.log.Info("not loaded yet", "cause", err.Error())
+		if !wait.For(h.ctx, loadPause) {
+			return nil, errors.Wrap(err, "drive")
+		}
+	}
+}
+
+func (h *Holder) tryLoad(began time.Time) ([]*feed, error) {
+	core := sched.New(sched.Options{Lease: h.opt.Lease, Doubt: h.opt.Doubt, Stop: h.opt.Stop, Term: h.opt.Tenure.Term()}, began)
+	crew, err := h.readCrew()
+	if err != nil {
+		return nil, err
+	}
+	if err := h.readJobs(core, began); err != nil {
+		return nil, err
+	}
+	core.Inherit(began, crew)
+	h.mu.Lock()
+	h.core = core
+	h.crew = crew
+	h.mu.Unlock()
+	feeds := []*feed{
+		{store: h.opt.Store, prefix: h.opt.Codec.IntentPrefix, plain: intentEvery, apply: h.applyIntent},
+		{store: h.opt.Store, prefix: h.opt.Codec.RosterPrefix, plain: rosterEvery, apply: h.applyRoster},
+	}
+	for _, f := range feeds {
+		if err := f.load(h.ctx); err != nil {
+			return nil, err
+		}
+	}
+	return feeds, nil
+}
+
+func (h *Holder) readCrew() ([]sched.Member, error) {
+	e, err := h.opt.Store.Get(h.ctx, keyCrew)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var crew []sched.Member
+	err = json.Unmarshal(e.Value, &crew)
+	return crew, errors.Wrap(err, "drive: crew")
+}
+
+// readJobs restores every job. The progress is read first: a job that ends in between is
+// then still there or known to have ended, and none does, as the tenure's claim has ended
+// the former holder's writes.
+func (h *Holder) readJobs(core *sched.Core, now time.Time) error {
+	runs, err := h.opt.Store.Range(h.ctx, keyRun)
+	if err != nil {
+		return err
+	}
+	jobs, err := h.opt.Store.Range(h.ctx, keyJob)
+	if err != nil {
+		return err
+	}
+	progress := make(map[string][]byte, len(runs.Entries))
+	for _, e := range runs.Entries {
+		progress[e.Key[len(keyRun):]] = e.Value
+	}
+	for _, e := range jobs.Entries {
+		id := e.Key[len(keyJob):]
+		spec := &sched.Job{}
+		if err := json.Unmarshal(e.Value, spec); err != nil {
+			return errors.Wrapf(err, "drive: job %s", id)
+		}
+		if err := core.Restore(now, id, spec, progress[id]); err != nil {
+			return err
+		}
+		delete(progress, id)
+	}
+	for id, data := range progress {
+		if err := core.Restore(now, id, nil, data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *Holder) applyIntent(_ time.Time, entries []store.Entry) {
+	in, err := h.opt.Codec.Intent(entries)
+	if err != nil {
+		h.log.Error(err, "configuration not understood")
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if old := h.core.Config().Version; in.Known && in.Config.Version > old {
+		h.log.Info("configuration", "from", old, "to", in.Config.Version, "queues", len(in.Config.Queues))
+	}
+	if in.Known {
+		h.intent = true
+		h.core.Configure(in.Config)
+	}
+	h.core.Out(in.Out)
+	kick(h.plan)
+}
+
+func (h *Holder) applyRoster(at time.Time, entries []store.Entry) {
+	members := h.opt.Codec.Roster(entries)
+	h.mu.Lock()
+	h.core.Roster(at, members)
+	h.mu.Unlock()
+	h.look()
+	kick(h.plan)
+	kick(h.commit)
+}
+
+// plans orders what follows from the events until the tenure is over.
+func (h *Holder) plans() {
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-h.plan:
+		case <-tick.C:
+		}
+		h.mu.Lock()
+		orders := h.core.Plan(time.Now())
+		h.mu.Unlock()
+		for _, o := range orders {
+			h.wg.Go(func() { h.order(o) })
+		}
+		if !wait.For(h.ctx, planPause) {
+			return
+		}
+	}
+}
+
+func (h *Holder) order(o sched.Order) {
+	sent := time.Now()
+	out := h.opt.Crew.Order(h.ctx, o, h.opt.Tenure.Term())
+	if o.Verb != sched.VerbPace || out != sched.OutcomeDone {
+		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Life.ID, "outcome", out, "took", time.Since(sent))
+	}
+	if out == sched.OutcomeFence {
+		h.fenced(o.Life.ID)
+		return
+	}
+	h.mu.Lock()
+	h.core.Answer(time.Now(), o, out)
+	h.mu.Unlock()
+	if out != sched.OutcomeDone {
+		kick(h.plan)
+	}
+}
+
+// fenced ends the tenure: a worker knows a newer holder.
+func (h *Holder) fenced(worker string) {
+	h.log.Info("fenced by a newer holder", "worker", worker)
+	h.opt.Tenure.Over()
+}
+
+// look has a goroutine for each worker.
+func (h *Holder) look() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, m := range h.core.Crew() {
+		if !h.lookers[m.ID] {
+			h.lookers[m.ID] = true
+			h.wg.Go(func() { h.lookAt(m.ID) })
+		}
+	}
+}
+
+func (h *Holder) lookAt(id string) {
+	good := true
+	for h.ctx.Err() == nil {
+		h.mu.Lock()
+		sent := time.Now()
+		l, ok := h.core.Look(sent, id)
+		if !ok {
+			delete(h.lookers, id)
+		}
+		h.mu.Unlock()
+		if !ok {
+			return
+		}
+		rep, out := h.opt.Crew.Look(h.ctx, l, h.opt.Tenure.Term())
+		if h.ctx.Err() != nil {
+			return
+		}
+		if good != (out == sched.OutcomeDone) {
+			good = !good
+			h.log.Info("contact", "worker", id, "outcome", out, "took", time.Since(sent))
+		}
+		h.hear(sent, l, rep, out)
+	}
+}
+
+func (h *Holder) hear(sent time.Time, l sched.Look, rep sched.Report, out sched.Outcome) {
+	now := time.Now()
+	h.mu.Lock()
+	switch out {
+	case sched.OutcomeDone:
+		h.core.Hear(sent, now, l.ID, rep)
+	case sched.OutcomeGone:
+		h.core.Gone(now, l.ID, l.Born)
+	default:
+		h.core.Missed(now, l.ID, l.Born)
+	}
+	unstored := h.core.Unacked(l.ID)
+	stored := h.stored
+	h.mu.Unlock()
+	if out == sched.OutcomeFence {
+		h.fenced(l.ID)
+		return
+	}
+	h.logEnds(l.ID, rep, l.Acked)
+	kick(h.plan)
+	switch {
+	case unstored:
+		kick(h.commit)
+		h.await(stored, ackWait)
+	case out != sched.OutcomeDone:
+		wait.For(h.ctx, missPause)
+	}
+}
+
+func (h *Holder) logEnds(worker string, rep sched.Report, acked int64) {
+	for _, f := range rep.Finished {
+		if f.Seq > acked {
+			h.log.Info("end", "task", f.Task, "run", f.Run, "how", f.How, "worker", worker, "seq", f.Seq)
+		}
+	}
+}
+
+func (h *Holder) await(c <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-h.ctx.Done():
+	case <-c:
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/batch/sched/core.go
@@ -0,0 +1,341 @@
+package sched
+
+import (
+	"time"
+)
+
+// Options sets a Core's bounds.
+type Options struct {
+	Lease time.Duration // granted to workers with each look; every run there ends when it runs out
+	Doubt time.Duration // after taking over: how long a former holder's orders may live on workers not reached
+	Stop  time.Duration // longest time that a worker takes to stop a run
+	Term  int64         // of this holder, in the high part of every run number
+}
+
+// Core holds the jobs and workers of a holder's term.
+type Core struct {
+	opt   Options
+	conf  Config
+	began time.Time
+
+	jobs    map[string]*job
+	active  []*stage // with tasks that wait for a worker
+	resort  bool
+	dirty   map[string]*job
+	later   []*job // with occurrences to come
+	workers map[string]*worker
+	zones   map[string]bool // failure domains that are taken out
+	speeds  learner
+	noted   bool // acknowledgements changed without a job's record
+}
+
+// New returns the core of a term that began at now.
+func New(opt Options, now time.Time) *Core {
+	return &Core{
+		opt:     opt,
+		began:   now,
+		jobs:    map[string]*job{},
+		dirty:   map[string]*job{},
+		workers: map[string]*worker{},
+		zones:   map[string]bool{},
+	}
+}
+
+// job is a job with the progress of its occurrences.
+type job struct {
+	*Job
+	state    State
+	shown    State // what the store holds too; callers are told no final state before
+	rounds   []*round
+	restored bool // taken over from a former holder
+	begun    bool // a task of it has started
+	ended    time.Time
+	tries    map[TaskID]int
+	saves    map[TaskID]string
+}
+
+type round struct {
+	stages []*stage
+}
+
+// stage is a step of an occurrence.
+type stage struct {
+	job     *job
+	round   int
+	idx     int
+	spec    *Step
+	tasks   []*task
+	waiting int // tasks without a run that aren't done
+	left    int // tasks that aren't done
+	open    bool
+	listed  bool // in Core.active
+	at      time.Time
+	due     time.Time // to be on time
+}
+
+type task struct {
+	stage *stage
+	idx   int
+	done  bool
+	run   *run
+	n     int64 // runs ordered in this term
+	avoid string
+	after time.Time // not to start before
+}
+
+func (t *task) id() TaskID {
+	return TaskID{t.stage.job.ID, t.stage.round, t.stage.idx, t.idx}
+}
+
+// Configure takes a configuration; an older one than the present changes nothing.
+func (c *Core) Configure(conf Config) {
+	if conf.Version >= c.conf.Version {
+		c.conf = conf
+	}
+}
+
+// Config returns the configuration in force.
+func (c *Core) Config() *Config {
+	return &c.conf
+}
+
+// Has reports whether the job is known.
+func (c *Core) Has(id string) bool {
+	return c.jobs[id] != nil
+}
+
+// State returns a job's state as callers may be told.
+func (c *Core) State(id string) (State, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	switch {
+	case j.state.Final() && j.shown == j.state:
+		return j.state, true
+	case j.begun || j.state.Final():
+		return StateRunning, true
+	}
+	return StateQueued, true
+}
+
+// Pending returns how many jobs of a queue have not started.
+func (c *Core) Pending(queue string) int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.Queue == queue && j.Times == 0 && !j.begun && !j.state.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// Admit takes a job that the store holds. One that is known already changes nothing.
+func (c *Core) Admit(now time.Time, spec *Job) {
+	if c.jobs[spec.ID] != nil {
+		return
+	}
+	c.enter(now, &job{Job: spec, state: StateQueued, shown: StateQueued})
+}
+
+func (c *Core) enter(now time.Time, j *job) {
+	c.jobs[j.ID] = j
+	if j.state.Final() {
+		return
+	}
+	if j.Times > 0 {
+		c.later = append(c.later, j)
+		c.unfold(now, j)
+		return
+	}
+	c.addRound(now, j)
+}
+
+// unfold adds the occurrences that have become due and reports whether more are to come.
+func (c *Core) unfold(now time.Time, j *job) bool {
+	for len(j.rounds) < j.Times {
+		if now.Before(j.First.Add(time.Duration(len(j.rounds)) * j.Every)) {
+			return true
+		}
+		c.addRound(now, j)
+	}
+	return false
+}
+
+func (c *Core) addRound(now time.Time, j *job) *round {
+	r := &round{}
+	k := len(j.rounds)
+	at := j.At
+	if j.Times > 0 {
+		at = j.First.Add(time.Duration(k) * j.Every)
+	}
+	due := at.Add(j.Aim + time.Duration(j.Stretch*float64(c.chain(j.Job))))
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		st := &stage{job: j, round: k, idx: i, spec: s, waiting: s.Count, left: s.Count, at: at, due: due}
+		st.tasks = make([]*task, s.Count)
+		for n := range st.tasks {
+			st.tasks[n] = &task{stage: st, idx: n}
+		}
+		r.stages = append(r.stages, st)
+	}
+	j.rounds = append(j.rounds, r)
+	c.openStages(j, r)
+	return r
+}
+
+// chain returns the time of the longest chain of steps, as far as is known.
+func (c *Core) chain(j *Job) time.Duration {
+	end := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i, s := range j.Steps {
+		var from time.Duration
+		for _, a := range s.After {
+			from = max(from, end[a])
+		}
+		end[i] = from + c.speeds.expect(j.Queue, s.Estimate)
+		longest = max(longest, end[i])
+	}
+	return longest
+}
+
+// openStages lets the steps start whose earlier steps are done.
+func (c *Core) openStages(j *job, r *round) {
+	for _, s := range r.stages {
+		if s.open || s.left == 0 {
+			continue
+		}
+		ready := true
+		for _, a := range s.spec.After {
+			if r.stages[a].left > 0 {
+				ready = false
+			}
+		}
+		if ready {
+			s.open = true
+			c.list(s)
+		}
+	}
+}
+
+// list puts a stage among those with tasks to place.
+func (c *Core) list(s *stage) {
+	if s.listed || !s.open || s.waiting == 0 || s.job.state.Final() {
+		return
+	}
+	s.listed = true
+	c.active = append(c.active, s)
+	c.resort = true
+}
+
+// Cancel ends a job and reports whether it is known. A job that has ended keeps its state.
+func (c *Core) Cancel(now time.Time, id string) bool {
+	j := c.jobs[id]
+	if j == nil {
+		return false
+	}
+	if !j.state.Final() {
+		c.finish(now, j, StateCancelled)
+	}
+	c.dirty[id] = j // stored once more for whoever waits for it
+	return true
+}
+
+// finish gives a job its final state; what still runs of it is stopped.
+func (c *Core) finish(now time.Time, j *job, s State) {
+	j.state = s
+	j.ended = now
+	c.dirty[j.ID] = j
+	for _, r := range j.rounds {
+		for _, st := range r.stages {
+			for _, t := range st.tasks {
+				if t.run != nil {
+					c.stop(t.run)
+				}
+			}
+		}
+	}
+}
+
+// Forget drops jobs that ended longer than keep ago and returns the ids.
+func (c *Core) Forget(now time.Time, keep time.Duration) []string {
+	var gone []string
+	for id, j := range c.jobs {
+		if j.state.Final() && j.shown == j.state && now.Sub(j.ended) > keep && !j.runs() {
+			delete(c.jobs, id)
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+func (j *job) runs() bool {
+	for _, r := range j.rounds {
+		for _, s := range r.stages {
+			for _, t := range s.tasks {
+				if t.run != nil {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// complete finishes a job all of whose tasks are done.
+func (c *Core) complete(now time.Time, j *job) {
+	if j.state.Final() || len(j.rounds) < max(j.Times, 1) {
+		return
+	}
+	for _, r := range j.rounds {
+		for _, s := range r.stages {
+			if s.left > 0 {
+				return
+			}
+		}
+	}
+	c.finish(now, j, StateCompleted)
+}
+
+// free parts a task from its run, so that it can be placed again.
+func (c *Core) free(r *run) {
+	r.worker.drop(r)
+	t := r.task
+	if t == nil || t.run != r {
+		return
+	}
+	t.run = nil
+	if t.done {
+		return
+	}
+	t.stage.waiting++
+	c.list(t.stage)
+}
+
+// task returns the task of an id, or nil when there is none.
+func (c *Core) task(id TaskID) *task {
+	j := c.jobs[id.Job]
+	if j == nil || id.Round >= len(j.rounds) {
+		return nil
+	}
+	r := j.rounds[id.Round]
+	if id.Step >= len(r.stages) || id.Index >= len(r.stages[id.Step].tasks) {
+		return nil
+	}
+	return r.stages[id.Step].tasks[id.Index]
+}
+
+// Jobs returns the ids of all jobs known.
+func (c *Core) Jobs() []string {
+	ids := make([]string, 0, len(c.jobs))
+	for id := range c.jobs {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Unacked reports whether a worker has told ends that aren't stored yet.
+func (c *Core) Unacked(id string) bool {
+	w := c.workers[id]
+	return w != nil && w.heard > w.acked
+}
--- /dev/null
+++ b/internal/batch/sched/hear.go
@@ -0,0 +1,401 @@
+package sched
+
+import (
+	"time"
+)
+
+// slowest is how slow a worker's clock may be against ours.
+const slowest = 0.98
+
+// Roster takes the directory's list of workers. One that is missing gets nothing more; it
+// is looked at on until it is surely empty.
+func (c *Core) Roster(now time.Time, members []Member) {
+	for _, w := range c.workers {
+		w.listed = false
+	}
+	for _, m := range members {
+		c.join(now, m, true)
+	}
+	c.sweep(now)
+}
+
+// Inherit takes the workers that a former holder may have given work to.
+func (c *Core) Inherit(now time.Time, crew []Member) {
+	for _, m := range crew {
+		if c.workers[m.ID] == nil {
+			c.join(now, m, false)
+			c.workers[m.ID].stored = true
+		}
+	}
+}
+
+func (c *Core) join(now time.Time, m Member, listed bool) {
+	w := c.workers[m.ID]
+	if w != nil && w.Born != 0 && m.Born > w.Born {
+		c.rebirth(now, w, m.Born)
+	}
+	if w == nil {
+		w = &worker{runs: map[runKey]*run{}, lapse: c.began.Add(c.opt.Doubt)}
+		c.workers[m.ID] = w
+	}
+	if m.Born < w.Born {
+		m.Born = w.Born
+	}
+	w.Member = m
+	w.listed = listed
+	w.out = c.zones[m.Zone]
+}
+
+// rebirth notes that a worker has started anew under its id, so that nothing of its former
+// life runs. An order of then that was never answered may still come to life in the new
+// one, whose fence is unset; it stays in the ledger until a stop of it is acknowledged.
+func (c *Core) rebirth(now time.Time, w *worker, born int64) {
+	for _, r := range w.all() {
+		if r.state == RunSent || r.state == RunUnsure {
+			r.state = RunUnsure
+			continue
+		}
+		c.free(r)
+	}
+	w.Born = born
+	w.acked, w.heard = 0, 0
+	w.contact = ContactNone
+	w.stored = false
+	w.bad = health{}
+	w.calm = sharing{}
+}
+
+func (w *worker) all() []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+// Out takes the failure domains that operators have taken out.
+func (c *Core) Out(zones map[string]bool) {
+	c.zones = zones
+	for _, w := range c.workers {
+		w.out = zones[w.Zone]
+	}
+}
+
+// Gone tells that another life answers at a worker's address: this one has ended.
+func (c *Core) Gone(now time.Time, id string, born int64) {
+	w := c.workers[id]
+	if w == nil || w.Born != born {
+		return
+	}
+	for _, r := range w.all() {
+		c.free(r)
+	}
+	w.contact = ContactLost
+	w.lapse = now
+	c.sweep(now)
+}
+
+// Missed tells that a look at a worker was not answered.
+func (c *Core) Missed(now time.Time, id string, born int64) {
+	if w := c.workers[id]; w != nil && w.Born == born && w.contact == ContactGood {
+		w.contact = ContactLost
+	}
+}
+
+// sweep gives up the runs of workers whose lease has surely lapsed and drops workers that
+// are gone.
+func (c *Core) sweep(now time.Time) {
+	for id, w := range c.workers {
+		if w.contact == ContactGood || now.Before(w.lapse) {
+			continue
+		}
+		for _, r := range w.all() {
+			c.free(r)
+		}
+		w.void = true
+		if !w.listed {
+			delete(c.workers, id)
+		}
+	}
+}
+
+// Look is what to ask of a worker next.
+type Look struct {
+	Life
+	Addr  string
+	Acked int64         // ends up to here may be forgotten
+	Until time.Duration // lease to grant, on the worker's clock; 0: none
+	Wait  time.Duration // for an end
+}
+
+// clock is a reading of a worker's clock.
+type clock struct {
+	value time.Duration
+	at    time.Time // when the answer arrived
+}
+
+// Times between two looks at a worker; a look that waits is answered at once by an end.
+const (
+	// lookIdle is the longest wait that workers allow, less their answer's way: the lease
+	// must be renewed long before it runs out.
+	lookIdle = 1800 * time.Millisecond
+	// lookShared is for a worker where tasks that fill run beside one that serves: its tail
+	// is a figure of half a second, and pacing has to follow within a few of them.
+	lookShared = 700 * time.Millisecond
+	// lookUnsure is for a worker with runs whose fate has to be settled.
+	lookUnsure = 50 * time.Millisecond
+)
+
+// Look returns what to ask of the worker, and false when it isn't to be looked at any more.
+func (c *Core) Look(now time.Time, id string) (Look, bool) {
+	w := c.workers[id]
+	if w == nil {
+		return Look{}, false
+	}
+	l := Look{Life: w.Life, Addr: w.Addr, Acked: w.acked}
+	if w.contact != ContactGood {
+		return l, true
+	}
+	l.Wait = lookIdle
+	if w.shared() {
+		l.Wait = lookShared
+	}
+	for _, r := range w.runs {
+		if r.state == RunUnsure || r.state == RunStopped {
+			l.Wait = lookUnsure
+		}
+	}
+	if w.heard > w.acked {
+		l.Wait = 0
+	}
+	l.Until = w.lease(now, c.opt.Lease)
+	return l, true
+}
+
+// lease returns the moment on the worker's clock until which a lease of d holds from now
+// on, and notes when it will have lapsed for sure. A worker whose clock isn't known gets none.
+func (w *worker) lease(now time.Time, d time.Duration) time.Duration {
+	if w.contact != ContactGood {
+		return 0
+	}
+	k := w.calm.clock
+	until := k.value + now.Sub(k.at) + d
+	end := k.at.Add(time.Duration(float64(until-k.value)/slowest) + lapseSlack)
+	if end.After(w.lapse) {
+		w.lapse = end
+	}
+	return until.Truncate(time.Millisecond)
+}
+
+// lapseSlack is for the stopping of runs whose lease has run out.
+const lapseSlack = 500 * time.Millisecond
+
+// Hear takes a worker's answer to a look that was sent at sent.
+func (c *Core) Hear(sent, now time.Time, id string, rep Report) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	if rep.Born > w.Born && w.Born != 0 {
+		c.rebirth(now, w, rep.Born)
+	}
+	if w.Born == 0 {
+		w.Born = rep.Born
+	}
+	if rep.Born != 0 && rep.Born < w.Born {
+		return
+	}
+	w.contact = ContactGood
+	w.seen = sent
+	w.calm.clock = clock{rep.Clock, now}
+	for _, f := range rep.Finished {
+		if f.Seq <= w.heard {
+			continue
+		}
+		// What ended before a lapse was given up and placed anew; counting it now would
+		// count two runs of one task.
+		if !w.void {
+			c.end(now, w, f)
+		}
+		w.heard = f.Seq
+	}
+	w.void = false
+	if len(rep.Finished) < maxEnds {
+		c.inventory(sent, now, w, rep)
+	}
+	w.watch(now)
+}
+
+// maxEnds is the most ends in a report. After a full one, a run that isn't shown may have
+// ended with its end still to come; taking it for gone would run it twice.
+const maxEnds = 500
+
+// inventory compares what a worker runs with the ledger.
+func (c *Core) inventory(sent, now time.Time, w *worker, rep Report) {
+	shown := make(map[runKey]bool, len(rep.Running))
+	for _, row := range rep.Running {
+		id, err := ParseTask(row.Task)
+		if err != nil {
+			continue
+		}
+		key := runKey{id, row.Run}
+		shown[key] = true
+		r := w.runs[key]
+		if r == nil {
+			r = c.adopt(now, w, key)
+		}
+		r.see(now, row)
+		if r.task != nil && row.Save != "" && r.task.run == r {
+			c.keepSave(r.task, row.Save)
+		}
+	}
+	for key, r := range w.runs {
+		// A look that was sent before the start was answered may have overtaken it.
+		if shown[key] || !r.sure.Before(sent) {
+			continue
+		}
+		if r.state == RunLive || r.state == RunStopped {
+			// It ended, and its end was told and forgotten, or it never came and never will.
+			c.free(r)
+		}
+	}
+}
+
+func (r *run) see(now time.Time, row Running) {
+	if r.state == RunSent || r.state == RunUnsure {
+		r.state = RunLive
+		r.sure = now
+	}
+	r.pace, r.usage, r.tail = row.Pace, row.Usage, row.Tail
+}
+
+// adopt enters a run that a worker shows and the ledger doesn't: of a former holder, or of
+// an order given up for lost. It is kept if its task has no other run, and stopped otherwise.
+func (c *Core) adopt(now time.Time, w *worker, key runKey) *run {
+	r := &run{runKey: key, worker: w, state: RunLive, began: now, sent: now, sure: now, pace: fullPace}
+	t := c.task(key.task)
+	if t == nil || t.done || t.run != nil || t.stage.job.state.Final() {
+		r.state = RunStopping
+		w.add(r)
+		return r
+	}
+	r.task = t
+	t.run = r
+	t.stage.waiting--
+	t.stage.job.begun = true
+	w.add(r)
+	return r
+}
+
+func (c *Core) keepSave(t *task, save string) {
+	j := t.stage.job
+	if j.saves == nil {
+		j.saves = map[TaskID]string{}
+	}
+	j.saves[t.id()] = save
+}
+
+// end takes the end of a run.
+func (c *Core) end(now time.Time, w *worker, f Finished) {
+	id, err := ParseTask(f.Task)
+	if err != nil {
+		return
+	}
+	key := runKey{id, f.Run}
+	r := w.runs[key]
+	t := c.task(id)
+	if r != nil {
+		w.drop(r)
+	}
+	if t == nil || t.done {
+		if t != nil && t.run == r {
+			t.run = nil
+		}
+		return
+	}
+	j := t.stage.job
+	if f.Save != "" && (t.run == nil || t.run == r) {
+		c.keepSave(t, f.Save)
+		c.dirty[j.ID] = j
+	}
+	if f.How == EndDone && !t.stage.spec.Lasting {
+		c.taskDone(now, w, t, r)
+		return
+	}
+	if r != nil && t.run == r {
+		t.run = nil
+		t.stage.waiting++
+		c.list(t.stage)
+	}
+	if f.How == EndFailed {
+		c.taskFailed(now, w, t)
+	}
+}
+
+// taskDone notes a task's success, through whichever run.
+func (c *Core) taskDone(now time.Time, w *worker, t *task, r *run) {
+	w.bad.good()
+	if r != nil && t.run == r {
+		t.run = nil
+		c.speeds.note(t.stage.job.Queue, t.stage.spec.Estimate, now.Sub(r.began))
+	} else if t.run != nil {
+		c.stop(t.run)
+	} else {
+		t.stage.waiting--
+	}
+	t.done = true
+	t.stage.left--
+	j := t.stage.job
+	j.begun = true
+	delete(j.saves, t.id())
+	c.dirty[j.ID] = j
+	if t.stage.spec.Gang {
+		c.gangDone(t.stage)
+	}
+	if t.stage.left == 0 {
+		c.openStages(j, j.rounds[t.stage.round])
+		c.complete(now, j)
+	}
+}
+
+// gangDone notes that a gang is done: the end of one stands for all.
+func (c *Core) gangDone(s *stage) {
+	for _, t := range s.tasks {
+		if t.done {
+			continue
+		}
+		t.done = true
+		s.left--
+		if t.run == nil {
+			s.waiting--
+		}
+	}
+}
+
+func (c *Core) taskFailed(now time.Time, w *worker, t *task) {
+	w.bad.failed(now, t.stage.job.ID)
+	t.avoid = w.ID
+	j := t.stage.job
+	c.dirty[j.ID] = j
+	if t.stage.spec.Lasting {
+		return
+	}
+	if j.tries == nil {
+		j.tries = map[TaskID]int{}
+	}
+	key := t.id()
+	if t.stage.spec.Gang {
+		key.Index = 0
+	}
+	j.tries[key]++
+	if j.tries[key] >= max(j.Tries, 1) && !j.state.Final() {
+		c.finish(now, j, StateFailed)
+	}
+}
+
+// stop has a run ended.
+func (c *Core) stop(r *run) {
+	if r.state != RunStopped {
+		r.state = RunStopping
+	}
+}
--- /dev/null
+++ b/internal/batch/sched/plan.go
@@ -0,0 +1,408 @@
+package sched
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Verb is what an order asks of a worker.
+type Verb string
+
+// The verbs of an order.
+const (
+	VerbStart Verb = "start"
+	VerbStop  Verb = "stop"
+	VerbPace  Verb = "pace"
+)
+
+// Order is a command to a worker.
+type Order struct {
+	Verb  Verb
+	Life  Life
+	Addr  string
+	Task  TaskID
+	Run   int64
+	Spec  string        // of a start
+	Save  string        // of a start: the checkpoint to resume from
+	Until time.Duration // of a start: lease to grant, on the worker's clock
+	Pace  int           // of a pace, percent
+}
+
+// Outcome is how a worker took an order.
+type Outcome string
+
+// The outcomes of an order.
+const (
+	OutcomeDone    Outcome = "done"
+	OutcomeUnknown Outcome = "unknown" // no answer; it may be carried out, also later
+	OutcomeUnsent  Outcome = "unsent"  // it never left
+	OutcomeOld     Outcome = "old"     // that run ended there before
+	OutcomeLate    Outcome = "late"    // its time had passed
+	OutcomeRoom    Outcome = "room"    // it doesn't fit
+	OutcomeFence   Outcome = "fence"   // a newer holder has fenced the worker
+	OutcomeSick    Outcome = "sick"    // the worker takes nothing at present
+	OutcomeGone    Outcome = "gone"    // another life answers at that address
+	OutcomeBad     Outcome = "bad"     // the order makes no sense to the worker
+)
+
+const (
+	// runStride parts the run numbers of one holder's term from the next: no task is started
+	// so often within a term.
+	runStride = 1_000_000
+	// resendStop is the pause before a stop without an answer is sent again.
+	resendStop = 300 * time.Millisecond
+	// sickRest is how long a worker that refused a start gets none.
+	sickRest = time.Second
+	// roomRest is how long a worker gets no start after it had less room than the ledger says:
+	// a run that is being stopped still counts there.
+	roomRest = 100 * time.Millisecond
+	// baseLoad is the share of their declared processors that serving tasks use, from
+	// measurements of the users' workloads: about half, swinging by half of that.
+	baseLoad = 0.6
+	// fillShare is how much of a filling task's processors must be left for it to be placed.
+	fillShare = 0.9
+	// lateBy moves a job that can't be on time any more behind those that can.
+	lateBy = time.Hour
+)
+
+// Plan returns the orders that follow from what has been heard.
+func (c *Core) Plan(now time.Time) []Order {
+	c.sweep(now)
+	c.dueRounds(now)
+	orders := c.settle(now, nil)
+	return c.place(now, orders)
+}
+
+// dueRounds adds the occurrences that have become due.
+func (c *Core) dueRounds(now time.Time) {
+	rest := c.later[:0]
+	for _, j := range c.later {
+		if !j.state.Final() && c.unfold(now, j) {
+			rest = append(rest, j)
+		}
+	}
+	c.later = rest
+}
+
+// settle orders stops and paces.
+func (c *Core) settle(now time.Time, orders []Order) []Order {
+	for _, w := range c.workers {
+		if w.contact != ContactGood {
+			continue
+		}
+		for _, r := range w.runs {
+			switch {
+			case (r.state == RunStopping || r.state == RunUnsure) && now.Sub(r.sent) > resendStop:
+				r.sent = now
+				orders = append(orders, r.order(VerbStop))
+			case r.state == RunLive && r.task != nil && r.task.stage.spec.Fills && r.pace != w.calm.pace && now.Sub(r.sent) > paceEvery/2:
+				r.sent = now
+				o := r.order(VerbPace)
+				o.Pace = w.calm.pace
+				orders = append(orders, o)
+			}
+		}
+	}
+	return orders
+}
+
+func (r *run) order(v Verb) Order {
+	return Order{Verb: v, Life: r.worker.Life, Addr: r.worker.Addr, Task: r.runKey.task, Run: r.run}
+}
+
+// place starts what waits, as far as there is room.
+func (c *Core) place(now time.Time, orders []Order) []Order {
+	if c.inDoubt(now) {
+		orders = c.placeSome(now, orders, func(j *job) bool { return !j.restored })
+		return orders
+	}
+	return c.placeSome(now, orders, func(*job) bool { return true })
+}
+
+// inDoubt reports whether a former holder's orders may still live on workers that haven't
+// been reached: until then a task taken over may run there.
+func (c *Core) inDoubt(now time.Time) bool {
+	if !now.Before(c.began.Add(c.opt.Doubt)) {
+		return false
+	}
+	for _, w := range c.workers {
+		if w.contact == ContactNone {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) placeSome(now time.Time, orders []Order, may func(*job) bool) []Order {
+	c.sortActive(now)
+	full := map[shape]bool{}
+	rest := c.active[:0]
+	for _, s := range c.active {
+		if s.job.state.Final() || s.waiting == 0 {
+			s.listed = false
+			continue
+		}
+		rest = append(rest, s)
+		if !may(s.job) {
+			continue
+		}
+		orders = c.placeStage(now, s, full, orders)
+	}
+	c.active = rest
+	return orders
+}
+
+// shape is what decides whether a task fits somewhere; where one didn't, its like needn't be tried.
+type shape struct {
+	cpu, mem, accel int
+	fills           bool
+	label           string
+	service         string
+}
+
+func (s *stage) shape() shape {
+	z := s.spec.Size
+	return shape{z.CPU, z.Mem, z.Accel, s.spec.Fills, s.spec.Label, s.job.Service}
+}
+
+func (c *Core) sortActive(now time.Time) {
+	sort.SliceStable(c.active, func(i, k int) bool {
+		a, b := c.active[i], c.active[k]
+		if a.spec.Lasting != b.spec.Lasting {
+			return a.spec.Lasting
+		}
+		if a.job.Priority != b.job.Priority {
+			return a.job.Priority < b.job.Priority
+		}
+		return a.key(now).Before(b.key(now))
+	})
+}
+
+// key orders stages by when they are due; what is late already comes last.
+func (s *stage) key(now time.Time) time.Time {
+	if now.After(s.due) {
+		return s.due.Add(lateBy)
+	}
+	return s.due
+}
+
+func (c *Core) placeStage(now time.Time, s *stage, full map[shape]bool, orders []Order) []Order {
+	if full[s.shape()] {
+		return orders
+	}
+	if s.spec.Gang {
+		return c.placeGang(now, s, orders)
+	}
+	for _, t := range s.tasks {
+		if t.done || t.run != nil || now.Before(t.after) {
+			continue
+		}
+		w := c.pick(now, t, "")
+		if w == nil {
+			if s.spec.Apart == 0 {
+				full[s.shape()] = true
+			}
+			break
+		}
+		orders = append(orders, c.start(now, t, w, t.next(c.opt.Term)))
+	}
+	return orders
+}
+
+// placeGang starts all tasks of a gang or none, on one rack where that is faster.
+func (c *Core) placeGang(now time.Time, s *stage, orders []Order) []Order {
+	for _, t := range s.tasks {
+		if t.run != nil || now.Before(t.after) {
+			return orders // the rest of a former run has to end first
+		}
+	}
+	racks := []string{""}
+	if s.spec.Tight {
+		racks = append(c.racks(), "")
+	}
+	for _, rack := range racks {
+		if got, ok := c.tryGang(now, s, rack); ok {
+			return append(orders, got...)
+		}
+	}
+	return orders
+}
+
+func (c *Core) tryGang(now time.Time, s *stage, rack string) ([]Order, bool) {
+	var number int64
+	for _, t := range s.tasks {
+		number = max(number, t.next(c.opt.Term))
+	}
+	var orders []Order
+	for _, t := range s.tasks {
+		w := c.pick(now, t, rack)
+		if w == nil {
+			for _, u := range s.tasks {
+				if u.run != nil {
+					c.free(u.run)
+				}
+			}
+			return nil, false
+		}
+		orders = append(orders, c.start(now, t, w, number))
+	}
+	return orders, true
+}
+
+func (c *Core) racks() []string {
+	seen := map[string]bool{}
+	var all []string
+	for _, w := range c.workers {
+		if !seen[w.Rack] {
+			seen[w.Rack] = true
+			all = append(all, w.Rack)
+		}
+	}
+	sort.Strings(all)
+	return all
+}
+
+func (t *task) next(term int64) int64 {
+	return max(t.n, term*runStride) + 1
+}
+
+func (c *Core) start(now time.Time, t *task, w *worker, number int64) Order {
+	r := &run{runKey: runKey{t.id(), number}, task: t, worker: w, state: RunSent, sent: now, began: now, pace: fullPace}
+	t.run = r
+	t.n = number
+	s := t.stage
+	s.waiting--
+	s.job.begun = true
+	w.add(r)
+	o := r.order(VerbStart)
+	o.Spec = s.job.Spec
+	o.Save = s.job.saves[t.id()]
+	o.Until = w.lease(now, c.opt.Lease)
+	return o
+}
+
+// pick returns the worker that suits a task best, or nil.
+func (c *Core) pick(now time.Time, t *task, rack string) *worker {
+	s := t.stage
+	var best *worker
+	bestScore := math.Inf(-1)
+	for _, w := range c.workers {
+		if w.Service != s.job.Service || rack != "" && w.Rack != rack || !w.open(now) || !w.labelled(s.spec.Label) {
+			continue
+		}
+		score, ok := w.score(s)
+		if !ok || s.spec.Apart > 0 && w.holds(s) >= s.spec.Apart {
+			continue
+		}
+		if s.spec.Rack != "" && w.Rack != s.spec.Rack {
+			score -= 1
+		}
+		if w.ID == t.avoid {
+			score -= 10
+		}
+		if score > bestScore || score == bestScore && best != nil && w.ID < best.ID {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// score returns how well a stage's task suits a worker, higher being better, and whether it fits.
+func (w *worker) score(s *stage) (float64, bool) {
+	z := s.spec.Size
+	free := w.free()
+	if s.spec.Fills {
+		if z.Mem > free.Mem || z.Accel > free.Accel || w.calm.pace < fullPace*3/4 && w.shared() {
+			return 0, false
+		}
+		left := w.left()
+		return float64(left) / float64(max(w.Size.CPU, 1)), float64(left) >= fillShare*float64(z.CPU)
+	}
+	if !free.Covers(z) {
+		return 0, false
+	}
+	if s.spec.Lasting {
+		// Serving tasks apart: each shares its worker with as little as can be.
+		return float64(free.CPU) / float64(max(w.Size.CPU, 1)), true
+	}
+	return float64(w.left()) / float64(max(w.Size.CPU, 1)), true
+}
+
+// left returns the millicores that are likely to be unused.
+func (w *worker) left() int {
+	return w.Size.CPU - int(baseLoad*float64(w.base)) - (w.used.CPU - w.base) - w.fill
+}
+
+func (w *worker) holds(s *stage) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task != nil && r.task.stage == s {
+			n++
+		}
+	}
+	return n
+}
+
+// Answer takes the outcome of an order.
+func (c *Core) Answer(now time.Time, o Order, out Outcome) {
+	w := c.workers[o.Life.ID]
+	if w == nil {
+		return
+	}
+	if out == OutcomeGone {
+		c.Gone(now, o.Life.ID, o.Life.Born)
+		return
+	}
+	r := w.runs[runKey{o.Task, o.Run}]
+	if r == nil {
+		return
+	}
+	switch o.Verb {
+	case VerbStart:
+		c.started(now, w, r, out)
+	case VerbStop:
+		if out == OutcomeDone || out == OutcomeOld {
+			r.state = RunStopped
+			r.sure = now
+		}
+	case VerbPace:
+		if out == OutcomeDone {
+			r.pace = o.Pace
+		}
+	}
+}
+
+func (c *Core) started(now time.Time, w *worker, r *run, out Outcome) {
+	switch out {
+	case OutcomeDone:
+		if r.state == RunSent {
+			r.state = RunLive
+			r.sure = now
+		}
+	case OutcomeUnknown, OutcomeBad:
+		if r.state == RunSent {
+			r.state = RunUnsure
+			r.sent = now
+		}
+	case OutcomeOld:
+		// It did run there and has ended; the next look tells how.
+		r.state = RunStopped
+		r.sure = now
+	case OutcomeRoom:
+		w.bad.rest = later(w.bad.rest, now.Add(roomRest))
+		c.free(r)
+	case OutcomeSick:
+		w.bad.rest = later(w.bad.rest, now.Add(sickRest))
+		c.free(r)
+	default:
+		c.free(r)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/batch/sched/record.go
@@ -0,0 +1,200 @@
+package sched
+
+import (
+	"encoding/json"
+	"math/big"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// progress is what the store holds of a job beside the job itself.
+type progress struct {
+	State State             `json:"state"`
+	Queue string            `json:"queue,omitempty"`
+	Ended time.Time         `json:"ended,omitzero"`
+	Begun bool              `json:"begun,omitempty"`
+	Done  [][]string        `json:"done,omitempty"` // for each occurrence and step the tasks that are done, a bit each, in hexadecimal
+	Tries map[string]int    `json:"tries,omitempty"`
+	Saves map[string]string `json:"saves,omitempty"`
+}
+
+// Record is a job's progress to be stored under its id; Final says that the job itself
+// need not be kept any longer.
+type Record struct {
+	ID    string
+	Data  []byte
+	Final bool
+}
+
+// Batch is what has to be stored together, and what follows once it is.
+type Batch struct {
+	Records []Record
+	states  map[string]State
+	acks    map[*worker]int64
+}
+
+// Empty reports whether there is nothing to store and nothing to follow.
+func (b *Batch) Empty() bool {
+	return len(b.Records) == 0 && len(b.acks) == 0
+}
+
+// Collect returns up to most records of what has changed. Ends are acknowledged only with
+// the batch that holds the last change: an end that its worker may forget must be stored.
+func (c *Core) Collect(most int) (*Batch, error) {
+	b := &Batch{states: map[string]State{}}
+	for id, j := range c.dirty {
+		if len(b.Records) == most {
+			return b, nil
+		}
+		data, err := j.encode()
+		if err != nil {
+			return nil, err
+		}
+		b.Records = append(b.Records, Record{id, data, j.state.Final()})
+		b.states[id] = j.state
+		delete(c.dirty, id)
+	}
+	for _, w := range c.workers {
+		if w.heard > w.acked {
+			if b.acks == nil {
+				b.acks = map[*worker]int64{}
+			}
+			b.acks[w] = w.heard
+		}
+	}
+	return b, nil
+}
+
+// Committed tells that a batch is stored.
+func (c *Core) Committed(b *Batch) {
+	for id, s := range b.states {
+		if j := c.jobs[id]; j != nil {
+			j.shown = s
+		}
+	}
+	for w, seq := range b.acks {
+		w.acked = max(w.acked, seq)
+	}
+}
+
+func (j *job) encode() ([]byte, error) {
+	p := progress{State: j.state, Queue: j.Queue, Ended: j.ended, Begun: j.begun}
+	if !j.state.Final() {
+		p.Done = j.doneBits()
+		if len(j.tries) > 0 {
+			p.Tries = map[string]int{}
+			for t, n := range j.tries {
+				p.Tries[t.String()] = n
+			}
+		}
+		if len(j.saves) > 0 {
+			p.Saves = map[string]string{}
+			for t, s := range j.saves {
+				p.Saves[t.String()] = s
+			}
+		}
+	}
+	data, err := json.Marshal(p)
+	return data, errors.Wrap(err, "sched")
+}
+
+func (j *job) doneBits() [][]string {
+	var all [][]string
+	for _, r := range j.rounds {
+		var steps []string
+		for _, s := range r.stages {
+			var bits big.Int
+			for i, t := range s.tasks {
+				if t.done {
+					bits.SetBit(&bits, i, 1)
+				}
+			}
+			steps = append(steps, bits.Text(16))
+		}
+		all = append(all, steps)
+	}
+	return all
+}
+
+// Restore takes over a job as the store holds it; data is its progress, empty if there is
+// none yet. A nil spec stands for a job that has ended.
+func (c *Core) Restore(now time.Time, id string, spec *Job, data []byte) error {
+	p := progress{State: StateQueued}
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, &p); err != nil {
+			return errors.Wrapf(err, "sched: progress of %s", id)
+		}
+	}
+	if spec == nil || p.State.Final() {
+		c.jobs[id] = &job{Job: &Job{ID: id, Queue: p.Queue}, state: p.State, shown: p.State, ended: p.Ended, begun: true}
+		return nil
+	}
+	j := &job{Job: spec, state: p.State, shown: p.State, restored: true, begun: p.Begun}
+	c.enter(now, j)
+	for len(j.rounds) < len(p.Done) {
+		c.addRound(now, j)
+	}
+	for k, steps := range p.Done {
+		for i, text := range steps {
+			if err := j.rounds[k].restore(i, text); err != nil {
+				return errors.Wrapf(err, "sched: progress of %s", id)
+			}
+		}
+		c.openStages(j, j.rounds[k])
+	}
+	j.tries = map[TaskID]int{}
+	for name, n := range p.Tries {
+		t, err := ParseTask(name)
+		if err != nil {
+			return err
+		}
+		j.tries[t] = n
+	}
+	j.saves = map[TaskID]string{}
+	for name, s := range p.Saves {
+		t, err := ParseTask(name)
+		if err != nil {
+			return err
+		}
+		j.saves[t] = s
+	}
+	return nil
+}
+
+func (r *round) restore(step int, text string) error {
+	bits, ok := new(big.Int).SetString(text, 16)
+	if !ok || step >= len(r.stages) {
+		return errors.Errorf("sched: %q for step %d", text, step)
+	}
+	s := r.stages[step]
+	for i, t := range s.tasks {
+		if bits.Bit(i) == 1 && !t.done {
+			t.done = true
+			s.left--
+			s.waiting--
+		}
+	}
+	return nil
+}
+
+// Crew returns every worker that may hold runs, in the order of their ids: what a next
+// holder has to reach.
+func (c *Core) Crew() []Member {
+	var all []Member
+	for _, w := range c.workers {
+		all = append(all, w.Member)
+	}
+	sort.Slice(all, func(i, k int) bool { return all[i].ID < all[k].ID })
+	return all
+}
+
+// CrewStored tells that the members of crew stand in the store's record; tasks may be placed there.
+func (c *Core) CrewStored(crew []Member) {
+	for _, m := range crew {
+		if w := c.workers[m.ID]; w != nil && w.Life == m.Life {
+			w.stored = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/ctrl/lead/lead.go
@@ -0,0 +1,328 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/plat/store"
+)
+
+// ErrLost says that another process has become the holder.
+var ErrLost = errors.New("lead: another holder")
+
+// Keys in the store.
+const (
+	keyPrefix = "lead/"
+	keyHolder = keyPrefix + "holder" // who holds; bound to the holder's lease
+	keyTerm   = keyPrefix + "term"   // the newest term
+	keyChain  = "chain"              // the newest write of the holder
+)
+
+const (
+	// watchFor is how long a watch for a change of holder waits: one call for each.
+	watchFor = 10 * time.Second
+	// claimSpread parts the claims of processes that see the holder's key vanish together.
+	claimSpread = 80 * time.Millisecond
+	// retryPause is between calls that the store refused or didn't answer.
+	retryPause = 100 * time.Millisecond
+	// spareTries times retryPause is what a former holder at work has to put its key back.
+	spareTries = 6
+	// renewals is how many renewals are sent within a lease's time.
+	renewals = 4
+)
+
+// Holder is the process that holds, as the store names it.
+type Holder struct {
+	Name string `json:"name"`
+	Addr string `json:"addr"` // of its peer interface
+	Term int64  `json:"term"`
+	Once string `json:"once"` // of this claim, to know it again when its answer was lost
+}
+
+// Options of a Lead.
+type Options struct {
+	Store store.Multi
+	Name  string
+	Addr  string
+	Lease time.Duration // after which a holder that doesn't renew is replaced
+	Log   logr.Logger
+	// Alive asks the holder directly whether it is at work; it is consulted before its key,
+	// which may have vanished with the store's outage, is claimed.
+	Alive func(ctx context.Context, h Holder) bool
+}
+
+// Lead follows who the holder is and claims to be it where there is none.
+type Lead struct {
+	opt Options
+
+	mu      sync.Mutex
+	holder  Holder
+	former  Holder // before the key vanished
+	tenure  *Tenure
+	changed chan struct{}
+	resting time.Time // no claim before
+	heard   time.Time // the store's last answer
+}
+
+// New returns a Lead; Run has it work.
+func New(opt Options) *Lead {
+	return &Lead{opt: opt, changed: make(chan struct{})}
+}
+
+// Holder returns the holder as far as is known here, and a channel that is closed when that changes.
+func (l *Lead) Holder() (Holder, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder, l.changed
+}
+
+// Heard returns when the store last answered this process.
+func (l *Lead) Heard() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard
+}
+
+func (l *Lead) note(err error) {
+	if err == nil || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrLapsed) {
+		l.mu.Lock()
+		l.heard = time.Now()
+		l.mu.Unlock()
+	}
+}
+
+// set notes the holder's key as it was at a revision.
+func (l *Lead) set(h Holder, rev uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tenure != nil && rev < l.tenure.from {
+		return // of before this process's claim
+	}
+	if l.holder == h {
+		return
+	}
+	if h.Name == "" {
+		l.former = l.holder
+	}
+	l.holder = h
+	close(l.changed)
+	l.changed = make(chan struct{})
+	switch {
+	case l.tenure == nil:
+	case h.Name == "":
+		l.tenure.vanished()
+	case h.Once != l.tenure.claim.Once:
+		l.tenure.end()
+		l.tenure = nil
+	}
+}
+
+// Run follows the holder's key until ctx ends. While this process holds, serve runs; it
+// must return when the tenure is over.
+func (l *Lead) Run(ctx context.Context, serve func(*Tenure)) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for ctx.Err() == nil {
+		rev, err := l.read(ctx)
+		if err != nil {
+			wait.For(ctx, retryPause)
+			continue
+		}
+		for ctx.Err() == nil {
+			if l.vacant() {
+				l.claim(ctx, &wg, serve)
+			}
+			if rev, err = l.follow(ctx, rev); err != nil {
+				break
+			}
+		}
+	}
+}
+
+// read reads the holder's key and returns the revision to watch from.
+func (l *Lead) read(ctx context.Context) (uint64, error) {
+	p, err := l.opt.Store.Range(ctx, keyHolder)
+	l.note(err)
+	if err != nil {
+		return 0, err
+	}
+	if len(p.Entries) == 0 {
+		l.set(Holder{}, p.Rev)
+		return p.Rev, nil
+	}
+	return p.Rev, l.take(p.Entries[0])
+}
+
+func (l *Lead) take(e store.Entry) error {
+	var h Holder
+	if err := json.Unmarshal(e.Value, &h); err != nil {
+		l.opt.Log.Error(err, "holder's key not understood")
+		return errors.Wrap(err, "lead")
+	}
+	l.set(h, e.Rev)
+	return nil
+}
+
+func (l *Lead) follow(ctx context.Context, rev uint64) (uint64, error) {
+	wctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	changes, next, err := l.opt.Store.Watch(wctx, keyHolder, rev, watchFor)
+	l.note(err)
+	if err != nil {
+		return 0, err
+	}
+	for _, c := range changes {
+		if c.Deleted {
+			l.set(Holder{}, c.Rev)
+		} else if err := l.take(c.Entry); err != nil {
+			return 0, err
+		}
+	}
+	if len(changes) == 0 {
+		// A silent watch confirms nothing: the store may have cut it from its news.
+		return l.read(ctx)
+	}
+	return next, nil
+}
+
+func (l *Lead) vacant() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder.Name == "" && l.tenure == nil
+}
+
+// Rest keeps this process from claiming for a while.
+func (l *Lead) Rest(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resting = time.Now().Add(d)
+}
+
+// claim tries to become the holder.
+func (l *Lead) claim(ctx context.Context, wg *sync.WaitGroup, serve func(*Tenure)) {
+	l.mu.Lock()
+	rest := time.Until(l.resting)
+	l.mu.Unlock()
+	if !wait.For(ctx, max(rest, rand.N(claimSpread))) {
+		return
+	}
+	if _, err := l.read(ctx); err != nil || !l.vacant() || l.spare(ctx) {
+		return
+	}
+	t, err := l.try(ctx)
+	if err != nil {
+		if !errors.Is(err, store.ErrConflict) {
+			l.opt.Log.Info("claim failed", "cause", err.Error())
+			wait.For(ctx, retryPause)
+		}
+		if _, err := l.read(ctx); err != nil {
+			wait.For(ctx, retryPause)
+		}
+		return
+	}
+	l.mu.Lock()
+	l.tenure = t
+	l.mu.Unlock()
+	l.set(t.claim, t.rev)
+	l.opt.Log.Info("holder", "term", t.claim.Term)
+	wg.Go(func() {
+		serve(t)
+		l.mu.Lock()
+		if l.tenure == t {
+			l.tenure = nil
+		}
+		l.mu.Unlock()
+	})
+	wg.Go(func() { t.keep() })
+}
+
+// spare reports whether the former holder has its key back. It is at work and only its lease
+// has lapsed, as all do in some outages of the store: a change would cost more than the wait.
+func (l *Lead) spare(ctx context.Context) bool {
+	l.mu.Lock()
+	former := l.former
+	l.mu.Unlock()
+	for range spareTries {
+		if former.Name == "" || l.opt.Alive == nil || !l.opt.Alive(ctx, former) {
+			return false
+		}
+		if !wait.For(ctx, retryPause) {
+			return true
+		}
+		if _, err := l.read(ctx); err != nil || !l.vacant() {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Lead) try(ctx context.Context) (*Tenure, error) {
+	var term int64
+	e, err := l.opt.Store.Get(ctx, keyTerm)
+	switch {
+	case err == nil:
+		if err := json.Unmarshal(e.Value, &term); err != nil {
+			return nil, errors.Wrap(err, "lead: term")
+		}
+	case !errors.Is(err, store.ErrNotFound):
+		return nil, err
+	}
+	lease, err := l.opt.Store.Open(ctx, l.opt.Lease)
+	if err != nil {
+		return nil, err
+	}
+	h := Holder{l.opt.Name, l.opt.Addr, term + 1, uuid.NewString()}
+	value, err := json.Marshal(h)
+	if err != nil {
+		return nil, errors.Wrap(err, "lead")
+	}
+	next, err := json.Marshal(h.Term)
+	if err != nil {
+		return nil, errors.Wrap(err, "lead")
+	}
+	sent := time.Now()
+	rev, err := l.opt.Store.Commit(ctx, store.Txn{
+		If: []store.Cond{{Key: keyHolder}, {Key: keyTerm, Rev: e.Rev}},
+		Do: []store.Write{
+			{Key: keyHolder, Value: value, Lease: lease},
+			{Key: keyTerm, Value: next},
+			{Key: keyChain, Value: link{h.Once, 0}.bytes()},
+		},
+	})
+	if errors.Is(err, store.ErrUnknown) {
+		rev, err = l.settle(ctx, h)
+	}
+	if err != nil {
+		return nil, err
+	}
+	tctx, cancel := context.WithCancel(ctx)
+	return &Tenure{lead: l, claim: h, lease: lease, from: rev, rev: rev, ctx: tctx, end: cancel, sure: sent, gone: make(chan struct{}, 1)}, nil
+}
+
+// settle finds out whether a claim without an answer took effect.
+func (l *Lead) settle(ctx context.Context, h Holder) (uint64, error) {
+	for range renewals {
+		e, err := l.opt.Store.Get(ctx, keyChain)
+		switch {
+		case err == nil:
+			if parseLink(e.Value).Once == h.Once {
+				return e.Rev, nil
+			}
+			return 0, store.ErrConflict
+		case errors.Is(err, store.ErrNotFound):
+			return 0, store.ErrConflict
+		}
+		if !wait.For(ctx, retryPause) {
+			break
+		}
+	}
+	return 0, store.ErrUnknown
+}
--- /dev/null
+++ b/internal/proc/front/host.go
@@ -0,0 +1,195 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"bramleysail.example/bramleysail/internal/base/conf"
+	"bramleysail.example/bramleysail/internal/base/telem"
+	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/batch/drive"
+	"bramleysail.example/bramleysail/internal/ctrl/lead"
+	"bramleysail.example/bramleysail/internal/peer/link"
+	"bramleysail.example/bramleysail/internal/plat/store"
+)
+
+// Outside is how the platform is met: whatever has names and formats of its own.
+type Outside struct {
+	Store     store.Multi
+	Crew      drive.Crew
+	Codec     drive.Codec
+	Callers   func(*Desk) http.Handler
+	Readiness func(ready func() bool) http.Handler
+}
+
+// Host is one entry process; Start makes one and Stop ends it gracefully.
+type Host struct {
+	set  conf.Host
+	out  Outside
+	log  logr.Logger
+	lead *lead.Lead
+	desk *Desk
+
+	metrics  http.Handler
+	flush    io.Closer
+	peers    *link.Server
+	servers  []*http.Server
+	lost     chan struct{}
+	lostOnce sync.Once
+	stopping atomic.Bool
+	tenure   atomic.Pointer[lead.Tenure]
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+const (
+	// holderLease is how long the others wait for a holder that is gone. Shorter leases lose
+	// the holder when the store is slow; the store allows no less than a second.
+	holderLease = 1500 * time.Millisecond
+	// workerLease is granted to workers at each look: long enough to outlast the loss of all
+	// processes and a change of holder, some 4 s, and short enough for the work of a lost worker
+	// to be placed anew in time.
+	workerLease = 5500 * time.Millisecond
+	// unsureFor is how long a holder that the store doesn't confirm goes on renewing workers'
+	// leases; a successor waits for it.
+	unsureFor = 3 * time.Second
+	// clockSlow is how slow a worker's clock may be.
+	clockSlow = 0.98
+	// linger is how long requests are taken after SIGTERM: the balancer asks every second
+	// and needs two misses.
+	linger = 2500 * time.Millisecond
+	// aliveLimit bounds the question whether a former holder is at work.
+	aliveLimit = 200 * time.Millisecond
+	idleLimit  = time.Minute
+	headLimit  = 3 * time.Second
+)
+
+// Start listens and serves; the error names the listener that could not be had.
+func Start(set conf.Host, out Outside, log logr.Logger) (*Host, error) {
+	h := &Host{set: set, out: out, log: log, lost: make(chan struct{})}
+	var lis []net.Listener
+	for _, addr := range []string{set.Listen.Peer, set.Listen.Caller, set.Listen.Ready, set.Metrics} {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			for _, l := range lis {
+				_ = l.Close()
+			}
+			return nil, errors.Wrap(err, "front")
+		}
+		lis = append(lis, l)
+	}
+	h.desk = &Desk{log: log, name: set.Name}
+	h.lead = lead.New(lead.Options{
+		Store: out.Store, Name: set.Name, Addr: lis[0].Addr().String(),
+		Lease: max(holderLease, conf.Milliseconds(set.Store.Least)), Log: log, Alive: h.alive,
+	})
+	h.desk.lead = h.lead
+	var err error
+	if h.peers, err = link.NewServer("Peer", &Peer{h.desk}); err != nil {
+		return nil, err
+	}
+	_, h.metrics, h.flush = telem.NewMetrics()
+	h.wg.Go(func() { h.peers.Serve(lis[0]) })
+	h.serve(lis[1], h.closing(out.Callers(h.desk)))
+	h.serve(lis[2], out.Readiness(h.ready))
+	h.serve(lis[3], h.metrics)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.wg.Go(func() { h.lead.Run(ctx, h.hold) })
+	log.Info("start", "zone", set.Zone, "caller", lis[1].Addr(), "peer", lis[0].Addr())
+	return h, nil
+}
+
+func (h *Host) serve(l net.Listener, handler http.Handler) {
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: headLimit, IdleTimeout: idleLimit}
+	h.servers = append(h.servers, s)
+	h.wg.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			h.log.Error(err, "listener lost", "addr", l.Addr())
+			h.lostOnce.Do(func() { close(h.lost) })
+		}
+	})
+}
+
+// closing has connections closed with their next answer once the process is to end, so that
+// callers go elsewhere.
+func (h *Host) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (h *Host) ready() bool {
+	return !h.stopping.Load() && h.desk.Ready()
+}
+
+func (h *Host) alive(ctx context.Context, holder lead.Holder) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveLimit)
+	defer cancel()
+	yes, err := link.Call[int, bool](ctx, h.desk.links.To(holder.Addr), "Peer.Alive", 0)
+	return err == nil && yes
+}
+
+// hold is this process's time as the holder.
+func (h *Host) hold(t *lead.Tenure) {
+	h.tenure.Store(t)
+	defer h.tenure.CompareAndSwap(t, nil)
+	defer h.desk.setOwn(nil)
+	lease := min(workerLease, conf.Milliseconds(h.set.Bound.Hold)*9/10)
+	err := drive.Run(drive.Options{
+		Store: h.out.Store, Crew: h.out.Crew, Codec: h.out.Codec, Tenure: t, Log: h.log,
+		Lease: lease,
+		Doubt: unsureFor - holderLease + time.Duration(float64(lease)/clockSlow) + time.Second,
+		Stop:  conf.Milliseconds(h.set.Bound.Stop),
+		Keep:  2 * conf.Seconds(h.set.Bound.Keep),
+	}, h.desk.setOwn)
+	cause := ""
+	if err != nil {
+		cause = err.Error()
+	}
+	h.log.Info("no longer the holder", "term", t.Term(), "cause", cause)
+}
+
+// Lost is closed when a listener fails.
+func (h *Host) Lost() <-chan struct{} { return h.lost }
+
+// Stop hands over what this process holds, serves the requests that still come while the
+// balancer turns away, and ends.
+func (h *Host) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, conf.Seconds(h.set.Bound.Grace)*9/10)
+	defer cancel()
+	h.log.Info("stop")
+	h.stopping.Store(true)
+	h.lead.Rest(conf.Seconds(h.set.Bound.Grace))
+	if t := h.tenure.Load(); t != nil {
+		h.desk.setOwn(nil)
+		if err := t.Resign(ctx); err != nil {
+			h.log.Info("not resigned", "cause", err.Error())
+		}
+	}
+	wait.For(ctx, linger)
+	var first error
+	for _, s := range h.servers {
+		if err := s.Shutdown(ctx); err != nil && first == nil {
+			first = errors.Wrap(err, "front")
+		}
+	}
+	h.cancel()
+	h.peers.Close()
+	h.wg.Wait()
+	if err := h.flush.Close(); err != nil && first == nil {
+		first = errors.Wrap(err, "front")
+	}
+	return first
+}
