batch/sched: a failure is counted once, whoever hears of it

Change: the newest run that was counted stands in the record. Tests for this and for looks that overtake starts, unanswered starts, lapses, doubt after a takeover, cancels, rebirth.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -52,10 +52,17 @@
 	restored bool // taken over from a former holder
 	begun    bool // a task of it has started
 	ended    time.Time
-	tries    map[TaskID]int
+	tries    map[TaskID]tries
 	saves    map[TaskID]string
 }
 
+// tries counts a task's failures. Run is the newest that was counted: an end that was stored
+// and not acknowledged is told again, to the next holder too, and runs only rise.
+type tries struct {
+	N   int   `json:"n"`
+	Run int64 `json:"run"`
+}
+
 type round struct {
 	stages []*stage
 }
--- /dev/null
+++ b/internal/batch/sched/core_test.go
@@ -0,0 +1,343 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/batch/wire"
+)
+
+// bench plays a core against workers that the test speaks for.
+type bench struct {
+	t    *testing.T
+	core *sched.Core
+	now  time.Time
+}
+
+const (
+	lease = 5 * time.Second
+	doubt = 7 * time.Second
+)
+
+func start() time.Time { return time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC) }
+
+// newBench returns a core of a term with n workers of 16 cores that have been looked at.
+func newBench(t *testing.T, term int64, n int) *bench {
+	t.Helper()
+	b := &bench{t: t, now: start()}
+	b.core = sched.New(sched.Options{Lease: lease, Doubt: doubt, Term: term}, b.now)
+	b.core.Roster(b.now, members(n))
+	return b
+}
+
+func members(n int) []sched.Member {
+	var all []sched.Member
+	for i := range n {
+		all = append(all, sched.Member{
+			Life: sched.Life{ID: fmt.Sprintf("w%d", i), Born: 1}, Service: "s", Addr: fmt.Sprintf("h%d:1", i),
+			Zone: "z", Rack: "r", Size: wire.Size{CPU: 16000, Mem: 64000},
+		})
+	}
+	return all
+}
+
+// open looks at every worker twice, so that tasks may be placed there.
+func (b *bench) open() *bench {
+	b.core.CrewStored(b.core.Crew())
+	for _, m := range b.core.Crew() {
+		b.look(m.ID, sched.Report{})
+	}
+	return b
+}
+
+func (b *bench) after(d time.Duration) { b.now = b.now.Add(d) }
+
+// look has a worker answer a look at once.
+func (b *bench) look(id string, rep sched.Report) {
+	b.t.Helper()
+	b.core.Look(b.now, id)
+	if rep.Born == 0 {
+		rep.Born = 1
+	}
+	rep.Clock = b.now.Sub(start())
+	sent := b.now
+	b.after(time.Millisecond)
+	b.core.Hear(sent, b.now, id, rep)
+}
+
+// plan returns the orders of a kind, each taken by its worker.
+func (b *bench) plan(v sched.Verb) []sched.Order {
+	b.t.Helper()
+	b.after(time.Millisecond)
+	var got []sched.Order
+	for _, o := range b.core.Plan(b.now) {
+		if o.Verb == v {
+			got = append(got, o)
+		}
+		b.core.Answer(b.now, o, sched.OutcomeDone)
+	}
+	b.after(time.Millisecond)
+	return got
+}
+
+// store has everything stored and returns the records by job.
+func (b *bench) store() map[string][]byte {
+	b.t.Helper()
+	batch, err := b.core.Collect(1000)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.core.Committed(batch)
+	all := map[string][]byte{}
+	for _, r := range batch.Records {
+		all[r.ID] = r.Data
+	}
+	return all
+}
+
+func one(id string, change func(*sched.Job)) *sched.Job {
+	j := &sched.Job{ID: id, Queue: "q", Service: "s", Tries: 2, At: start(),
+		Steps: []sched.Step{{Count: 1, Size: wire.Size{CPU: 1000, Mem: 1000}, Estimate: time.Second}}}
+	if change != nil {
+		change(j)
+	}
+	return j
+}
+
+func (b *bench) state(id string, want sched.State) {
+	b.t.Helper()
+	if got, _ := b.core.State(id); got != want {
+		b.t.Errorf("job %s is %q, want %q", id, got, want)
+	}
+}
+
+func finished(seq int64, o sched.Order, how sched.End) sched.Finished {
+	return sched.Finished{Seq: seq, Task: o.Task.String(), Run: o.Run, How: how}
+}
+
+func running(o sched.Order) sched.Running {
+	return sched.Running{Task: o.Task.String(), Run: o.Run}
+}
+
+// A job's steps run one after the other, and it is shown as completed only once that is stored.
+func TestSteps(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.core.Admit(b.now, one("j", func(j *sched.Job) {
+		j.Steps = append(j.Steps, sched.Step{Count: 2, Size: wire.Size{CPU: 1000}, After: []int{0}})
+	}))
+	b.state("j", sched.StateQueued)
+	first := b.plan(sched.VerbStart)
+	if len(first) != 1 {
+		t.Fatalf("%d starts, want 1", len(first))
+	}
+	b.state("j", sched.StateRunning)
+	b.look(first[0].Life.ID, sched.Report{Finished: []sched.Finished{finished(1, first[0], sched.EndDone)}})
+	second := b.plan(sched.VerbStart)
+	if len(second) != 2 {
+		t.Fatalf("%d starts of the second step, want 2", len(second))
+	}
+	for i, o := range second {
+		b.look(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(int64(i+2), o, sched.EndDone)}})
+	}
+	b.state("j", sched.StateRunning)
+	b.store()
+	b.state("j", sched.StateCompleted)
+}
+
+// A caller sees a task run twice at the same time. A start is answered, and a look sent before
+// that answer has overtaken the start on another connection, so its report doesn't show the
+// run. Taking the run for ended places the task a second time.
+func TestLookOvertakesStart(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	b.core.Admit(b.now, one("j", nil))
+	orders := b.core.Plan(b.now)
+	if len(orders) != 1 {
+		t.Fatalf("%d orders, want 1", len(orders))
+	}
+	b.after(time.Millisecond)
+	sent := b.now
+	b.core.Look(sent, "w0")
+	b.after(time.Millisecond)
+	b.core.Answer(b.now, orders[0], sched.OutcomeDone)
+	b.after(time.Millisecond)
+	b.core.Hear(sent, b.now, "w0", sched.Report{Born: 1, Clock: b.now.Sub(start())})
+	if again := b.plan(sched.VerbStart); len(again) != 0 {
+		t.Errorf("started again: %v", again)
+	}
+}
+
+// A caller is told that a job has failed though its task failed once only. The holder has
+// stored the failure and ends before the worker is told to forget it; its successor hears
+// of the same end and counts it a second time.
+func TestFailureCountedOnce(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	job := one("j", nil)
+	b.core.Admit(b.now, job)
+	o := b.plan(sched.VerbStart)[0]
+	end := finished(1, o, sched.EndFailed)
+	b.look("w0", sched.Report{Finished: []sched.Finished{end}})
+	data := b.store()["j"]
+
+	next := newBench(t, 2, 1)
+	if err := next.core.Restore(next.now, "j", job, data); err != nil {
+		t.Fatal(err)
+	}
+	next.open()
+	next.look("w0", sched.Report{Finished: []sched.Finished{end}})
+	next.store()
+	if s, _ := next.core.State("j"); s.Final() {
+		t.Errorf("job is %s after one failure of two allowed", s)
+	}
+	retry := next.plan(sched.VerbStart)
+	if len(retry) != 1 || retry[0].Run <= o.Run {
+		t.Fatalf("retry %v after run %d", retry, o.Run)
+	}
+	next.look("w0", sched.Report{Finished: []sched.Finished{finished(2, retry[0], sched.EndFailed)}})
+	next.store()
+	next.state("j", sched.StateFailed)
+}
+
+// A start isn't answered and may come to life seconds later. Until a stop for it is
+// acknowledged and a later look doesn't show it, the task must not be placed again.
+func TestUnansweredStart(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.core.Admit(b.now, one("j", nil))
+	o := b.core.Plan(b.now)[0]
+	b.core.Answer(b.now, o, sched.OutcomeUnknown)
+	b.after(time.Millisecond)
+	b.look(o.Life.ID, sched.Report{})
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Fatalf("placed again before the stop: %v", got)
+	}
+	b.after(time.Second)
+	if got := b.plan(sched.VerbStop); len(got) != 1 {
+		t.Fatalf("%d stops, want 1", len(got))
+	}
+	b.look(o.Life.ID, sched.Report{})
+	if got := b.plan(sched.VerbStart); len(got) != 1 || got[0].Run <= o.Run {
+		t.Fatalf("after the stop: %v", got)
+	}
+}
+
+// A worker is cut off and runs on. Its tasks are placed anew only when its lease has surely
+// run out, also by a clock that is 2 % slow, and what it tells of them afterwards counts no more.
+func TestLapse(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.core.Admit(b.now, one("j", nil))
+	b.look("w0", sched.Report{})
+	b.look("w1", sched.Report{})
+	o := b.plan(sched.VerbStart)[0]
+	granted := b.now
+	other := map[string]string{"w0": "w1", "w1": "w0"}[o.Life.ID]
+	b.core.Missed(b.now, o.Life.ID, 1)
+	b.look(other, sched.Report{})
+	for b.now.Sub(granted) < lease*100/98 {
+		b.look(other, sched.Report{})
+		if got := b.plan(sched.VerbStart); len(got) != 0 {
+			t.Fatalf("placed again %s after the lease was granted for %s", b.now.Sub(granted), lease)
+		}
+		b.after(100 * time.Millisecond)
+	}
+	b.after(doubt - lease) // what a former holder may have granted has to end too
+	again := b.plan(sched.VerbStart)
+	if len(again) != 1 || again[0].Life.ID != other {
+		t.Fatalf("after the lapse: %v", again)
+	}
+	b.look(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
+	b.store()
+	b.state("j", sched.StateRunning)
+}
+
+// A holder takes over while a worker is out of reach. A task of before may run there, so it
+// waits until the worker is reached or every lease of then has ended; new jobs don't wait.
+func TestDoubt(t *testing.T) {
+	b := newBench(t, 2, 2)
+	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.CrewStored(b.core.Crew())
+	b.look("w0", sched.Report{})
+	b.core.Admit(b.now, one("new", nil))
+	got := b.plan(sched.VerbStart)
+	if len(got) != 1 || got[0].Task.Job != "new" {
+		t.Fatalf("started %v, want the new job only", got)
+	}
+	b.look("w1", sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}})
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Fatalf("started %v, though the task runs", got)
+	}
+	b.look("w1", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndDone}}})
+	b.store()
+	b.state("old", sched.StateCompleted)
+}
+
+// A cancelled job starts nothing and what runs of it is stopped; an order on its way then is
+// stopped too.
+func TestCancel(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.core.Admit(b.now, one("j", func(j *sched.Job) { j.Steps[0].Count = 3 }))
+	starts := b.plan(sched.VerbStart)
+	b.after(time.Second)
+	b.core.Cancel(b.now, "j")
+	if got := b.plan(sched.VerbStop); len(got) != len(starts) {
+		t.Errorf("%d stops, want %d", len(got), len(starts))
+	}
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v after the cancel", got)
+	}
+	b.store()
+	b.state("j", sched.StateCancelled)
+}
+
+// Tasks go nowhere where operators or the worker said no.
+func TestClosedWorkers(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		close func(b *bench, all []sched.Member)
+	}{
+		{"domain out", func(b *bench, _ []sched.Member) { b.core.Out(map[string]bool{"z": true}) }},
+		{"draining", func(b *bench, all []sched.Member) {
+			all[0].Draining = true
+			b.core.Roster(b.now, all)
+		}},
+		{"not listed", func(b *bench, _ []sched.Member) { b.core.Roster(b.now, nil) }},
+		{"other service", func(b *bench, all []sched.Member) {
+			all[0].Service = "other"
+			b.core.Roster(b.now, all)
+		}},
+		{"out of contact", func(b *bench, _ []sched.Member) { b.core.Missed(b.now, "w0", 1) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t, 1, 1).open()
+			tt.close(b, members(1))
+			b.core.Admit(b.now, one("j", nil))
+			if got := b.plan(sched.VerbStart); len(got) != 0 {
+				t.Errorf("started %v", got)
+			}
+		})
+	}
+}
+
+// A worker that has crashed and started again under its id runs nothing of before: its tasks
+// are placed anew at once, but for one whose order was never answered, which may come to
+// life in the new life.
+func TestRebirth(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	b.core.Admit(b.now, one("j", nil))
+	b.core.Admit(b.now, one("k", nil))
+	orders := b.core.Plan(b.now)
+	b.core.Answer(b.now, orders[0], sched.OutcomeDone)
+	b.core.Answer(b.now, orders[1], sched.OutcomeUnknown)
+	b.after(time.Second)
+	all := members(1)
+	all[0].Born = 2
+	b.core.Roster(b.now, all)
+	b.core.CrewStored(b.core.Crew())
+	b.look("w0", sched.Report{Born: 2})
+	again := b.plan(sched.VerbStart)
+	if len(again) != 1 || again[0].Task != orders[0].Task {
+		t.Fatalf("placed %v, want %v", again, orders[0].Task)
+	}
+}
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -346,7 +346,7 @@
 		c.list(t.stage)
 	}
 	if f.How == EndFailed {
-		c.taskFailed(now, w, t)
+		c.taskFailed(now, w, t, f.Run)
 	}
 }
 
@@ -390,7 +390,7 @@
 	}
 }
 
-func (c *Core) taskFailed(now time.Time, w *worker, t *task) {
+func (c *Core) taskFailed(now time.Time, w *worker, t *task, run int64) {
 	w.bad.failed(now, t.stage.job.ID)
 	t.avoid = w.ID
 	j := t.stage.job
@@ -399,14 +399,20 @@
 		return
 	}
 	if j.tries == nil {
-		j.tries = map[TaskID]int{}
+		j.tries = map[TaskID]tries{}
 	}
 	key := t.id()
 	if t.stage.spec.Gang {
 		key.Index = 0
 	}
-	j.tries[key]++
-	if j.tries[key] >= max(j.Tries, 1) && !j.state.Final() {
+	n := j.tries[key]
+	if run <= n.Run {
+		return
+	}
+	n.N++
+	n.Run = run
+	j.tries[key] = n
+	if n.N >= max(j.Tries, 1) && !j.state.Final() {
 		c.finish(now, j, StateFailed)
 	}
 }
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -16,7 +16,7 @@
 	Ended time.Time         `json:"ended,omitzero"`
 	Begun bool              `json:"begun,omitempty"`
 	Done  [][]string        `json:"done,omitempty"` // for each occurrence and step the tasks that are done, a bit each, in hexadecimal
-	Tries map[string]int    `json:"tries,omitempty"`
+	Tries map[string]tries  `json:"tries,omitempty"`
 	Saves map[string]string `json:"saves,omitempty"`
 }
 
@@ -84,7 +84,7 @@
 	if !j.state.Final() {
 		p.Done = j.doneBits()
 		if len(j.tries) > 0 {
-			p.Tries = map[string]int{}
+			p.Tries = map[string]tries{}
 			for t, n := range j.tries {
 				p.Tries[t.String()] = n
 			}
@@ -144,7 +144,7 @@
 		}
 		c.openStages(j, j.rounds[k])
 	}
-	j.tries = map[TaskID]int{}
+	j.tries = map[TaskID]tries{}
 	for name, n := range p.Tries {
 		t, err := ParseTask(name)
 		if err != nil {
