--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -352,8 +352,6 @@
 	default:
 		h.core.Missed(now, l.ID, l.Born)
 	}
-	unstored := h.core.Unacked(l.ID)
-	stored := h.stored
 	h.mu.Unlock()
 	if out == sched.OutcomeFence {
 		h.fenced(l.ID)
@@ -361,12 +359,34 @@
 	}
 	h.logEnds(l.ID, rep, l.Acked)
 	kick(h.plan)
-	switch {
-	case unstored:
-		kick(h.commit)
-		h.await(stored, ackWait)
-	case out != sched.OutcomeDone:
+	if out != sched.OutcomeDone {
 		wait.For(h.ctx, missPause)
+		return
+	}
+	h.awaitStored(l.ID)
+}
+
+// awaitStored waits until a worker's ends are stored, for a while: the next look tells the
+// worker to forget them and would be answered at once with the same ends before.
+func (h *Holder) awaitStored(id string) {
+	t := time.NewTimer(ackWait)
+	defer t.Stop()
+	for {
+		h.mu.Lock()
+		unstored := h.core.Unacked(id)
+		stored := h.stored
+		h.mu.Unlock()
+		if !unstored {
+			return
+		}
+		kick(h.commit)
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-stored:
+		case <-t.C:
+			return
+		}
 	}
 }
 
@@ -377,13 +397,3 @@
 		}
 	}
 }
-
-func (h *Holder) await(c <-chan struct{}, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-h.ctx.Done():
-	case <-c:
-	case <-t.C:
-	}
-}
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -19,8 +19,9 @@
 	began time.Time
 
 	jobs    map[string]*job
-	active  []*stage // with tasks that wait for a worker
-	resort  bool
+	active  []*stage  // with tasks that wait for a worker
+	resort  bool      // active has a newcomer
+	sorted  time.Time // when active was last sorted
 	dirty   map[string]*job
 	later   []*job // with occurrences to come
 	workers map[string]*worker
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/wire"
 )
 
 // Verb is what an order asks of a worker.
@@ -138,7 +141,7 @@
 
 func (c *Core) placeSome(now time.Time, orders []Order, may func(*job) bool) []Order {
 	c.sortActive(now)
-	full := map[shape]bool{}
+	full := misfits{}
 	rest := c.active[:0]
 	for _, s := range c.active {
 		if s.job.state.Final() || s.waiting == 0 {
@@ -155,34 +158,56 @@
 	return orders
 }
 
-// shape is what decides whether a task fits somewhere; where one didn't, its like needn't be tried.
-type shape struct {
-	cpu, mem, accel int
-	fills           bool
-	image           string
-	label           string
-	service         string
+// kind is what, besides its size, decides whether a task fits somewhere.
+type kind struct {
+	fills   bool
+	image   string // of a task that fills: what it disturbs depends on it
+	label   string
+	service string
 }
 
-func (s *stage) shape() shape {
-	z := s.spec.Size
-	k := shape{z.CPU, z.Mem, z.Accel, s.spec.Fills, "", s.spec.Label, s.job.Service}
-	if s.spec.Fills {
+func (s *stage) kind() kind {
+	k := kind{fills: s.spec.Fills, label: s.spec.Label, service: s.job.Service}
+	if k.fills {
 		k.image = s.spec.Image
 	}
 	return k
 }
 
-func (c *Core) sortActive(now time.Time) {
-	sort.SliceStable(c.active, func(i, k int) bool {
-		a, b := c.active[i], c.active[k]
-		if a.spec.Lasting != b.spec.Lasting {
-			return a.spec.Lasting
+// misfits holds for each kind the sizes for which there was no room: a task of the kind that
+// is as large in everything needn't be tried. With hundreds of steps waiting, this is what
+// keeps planning cheap.
+type misfits map[kind][]wire.Size
+
+func (m misfits) has(k kind, z wire.Size) bool {
+	for _, f := range m[k] {
+		if z.Covers(f) {
+			return true
 		}
-		if a.job.Priority != b.job.Priority {
-			return a.job.Priority < b.job.Priority
+	}
+	return false
+}
+
+// resortEvery is how often the order of what waits is made anew without a newcomer: what
+// becomes late meanwhile moves behind the rest.
+const resortEvery = 200 * time.Millisecond
+
+func (c *Core) sortActive(now time.Time) {
+	if !c.resort && now.Sub(c.sorted) < resortEvery {
+		return
+	}
+	c.resort, c.sorted = false, now
+	slices.SortStableFunc(c.active, func(a, b *stage) int {
+		switch {
+		case a.spec.Lasting != b.spec.Lasting:
+			if a.spec.Lasting {
+				return -1
+			}
+			return 1
+		case a.job.Priority != b.job.Priority:
+			return a.job.Priority - b.job.Priority
 		}
-		return a.key(now).Before(b.key(now))
+		return a.key(now).Compare(b.key(now))
 	})
 }
 
@@ -194,8 +219,9 @@
 	return s.due
 }
 
-func (c *Core) placeStage(now time.Time, s *stage, full map[shape]bool, orders []Order) []Order {
-	if full[s.shape()] {
+func (c *Core) placeStage(now time.Time, s *stage, full misfits, orders []Order) []Order {
+	k := s.kind()
+	if full.has(k, s.spec.Size) {
 		return orders
 	}
 	if s.spec.Gang {
@@ -208,7 +234,7 @@
 		w := c.pick(now, t, "")
 		if w == nil {
 			if s.spec.Apart == 0 {
-				full[s.shape()] = true
+				full[k] = append(full[k], s.spec.Size)
 			}
 			break
 		}
@@ -319,15 +345,15 @@
 func (c *Core) score(w *worker, s *stage) (float64, bool) {
 	z := s.spec.Size
 	free := w.free()
-	left := float64(w.left())
+	left := float64(c.look(w).left)
 	whole := float64(max(w.Size.CPU, 1))
 	switch {
 	case s.spec.Fills:
 		if z.Mem > free.Mem || z.Accel > free.Accel || left < fillShare*float64(z.CPU) {
 			return 0, false
 		}
-		strain := c.strain(w, s.spec)
-		return strain + leftWeight*left/whole, strain >= 0
+		harm := c.harm(w, s.spec)
+		return leftWeight*left/whole - harm, harm <= mostHarm
 	case !free.Covers(z):
 		return 0, false
 	case s.spec.Lasting:
@@ -357,11 +383,6 @@
 	return float64(same-other) / float64(max(w.Size.CPU, 1))
 }
 
-// left returns the millicores that are likely to be unused.
-func (w *worker) left() int {
-	return w.Size.CPU - int(baseLoad*float64(w.base)) - (w.used.CPU - w.base) - w.fill
-}
-
 func (w *worker) holds(s *stage) int {
 	n := 0
 	for _, r := range w.runs {
--- a/internal/batch/sched/press.go
+++ b/internal/batch/sched/press.go
@@ -60,6 +60,15 @@
 	return 1 - float64(least)/float64(tail)
 }
 
+// sum returns the pressure of filling images with the shares that they use.
+func (p *pressure) sum(serve string, use map[string]float64) float64 {
+	sum := 0.0
+	for image, u := range use {
+		sum += p.factor(pair{serve, image}) * u
+	}
+	return sum
+}
+
 // limit returns the pressure at which the tail is share of its target.
 func (p *pressure) limit(s *Step, share float64) float64 {
 	return p.of(s.Image, time.Duration(share*float64(s.Target)))
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -15,18 +15,29 @@
 	fullPace = 100
 	// aimShare is the share of a serving task's target at which filling tasks are held:
 	// readings are rough and half a second old.
-	aimShare = 0.7
-	// placeShare is the share of a target that a new filling task may bring a serving task to.
-	placeShare = 0.6
+	aimShare = 0.9
+	// mostHarm is how many serving tasks a filling task may bring over their target. A second
+	// of a serving task is worth some three seconds of a filling one to the users.
+	mostHarm = 0.15
+	// loadSwing is how far a serving task's pressure may be from what is expected while a
+	// filling task runs.
+	loadSwing = 0.15
 	// paceStep is the most that a pace is raised at a time, in percent; it is lowered at once.
 	paceStep = 25
 	// readEvery is the least time between two readings that are used: each covers half a second.
 	readEvery = 450 * time.Millisecond
-	// overSoon and overLong are how long a serving task may be over its target before all
-	// filling tasks beside it are slowed and, then, stand still, whatever the model says.
+	// overSoon and overLong are how long a serving task may be over its target before the
+	// filling tasks beside it that disturb it at all are slowed and, then, all of them stand
+	// still, whatever the model says.
 	overSoon = 1200 * time.Millisecond
 	overLong = 2200 * time.Millisecond
 	soonPace = 20
+	// disturbs is the pressure from which slowing a filling task helps a serving one: below,
+	// it would be slowed for the load's own peaks.
+	disturbs = 0.03
+	// loadShare is the weight of a new reading in a serving task's own load, which swings
+	// within some ten seconds; a reading's error is about as large as the swing of a second.
+	loadShare = 0.5
 )
 
 // shared reports whether filling tasks run beside serving ones.
@@ -49,7 +60,7 @@
 		return
 	}
 	w.calm.last = now
-	w.fresh = false
+	w.outlook.fresh = false
 	use := w.fillUse()
 	for _, r := range w.runs {
 		if !r.serves() || r.state != RunLive {
@@ -59,9 +70,13 @@
 		if r.ready {
 			c.press.learn(s.Image, r.tail, use)
 		}
-		if r.tail < s.Target {
+		load := max(0, c.press.of(s.Image, r.tail)-c.press.sum(s.Image, use))
+		r.load += loadShare * (load - r.load)
+		switch {
+		case r.tail < s.Target:
 			r.over = time.Time{}
-		} else if r.over.IsZero() {
+		case r.over.IsZero(), len(use) == 0:
+			// With nothing that fills at work, it is over by its own load.
 			r.over = now
 		}
 	}
@@ -73,7 +88,9 @@
 	use := map[string]float64{}
 	for _, r := range w.runs {
 		if r.fills() && r.state == RunLive {
-			use[r.task.stage.spec.Image] += r.usage / float64(max(w.Size.CPU, 1))
+			if r.usage > 0 {
+				use[r.task.stage.spec.Image] += r.usage / float64(max(w.Size.CPU, 1))
+			}
 		}
 	}
 	return use
@@ -105,29 +122,26 @@
 // paceFor lowers the paces in want as far as the serving task s needs.
 func (c *Core) paceFor(now time.Time, w *worker, s *run, use map[string]float64, fills []*run, want map[*run]float64) {
 	spec := s.task.stage.spec
+	weight := func(r *run) float64 {
+		z := r.task.stage.spec
+		return c.press.factor(pair{spec.Image, z.Image}) * z.share(w)
+	}
 	if !s.over.IsZero() {
-		cap := float64(fullPace)
+		most := float64(fullPace)
 		switch d := now.Sub(s.over); {
 		case d >= overLong:
-			cap = 0
+			most = 0
 		case d >= overSoon:
-			cap = soonPace
+			most = soonPace
 		}
 		for _, r := range fills {
-			want[r] = min(want[r], cap)
+			if most == 0 || weight(r) > disturbs {
+				want[r] = min(want[r], most)
+			}
 		}
 	}
-	load := c.press.of(spec.Image, s.tail)
-	for image, u := range use {
-		load -= c.press.factor(pair{spec.Image, image}) * u
-	}
-	load = max(load, 0)
-	room := c.press.limit(spec, aimShare) - load
+	room := c.press.limit(spec, aimShare) - s.load
 	sum := 0.0
-	weight := func(r *run) float64 {
-		z := r.task.stage.spec
-		return c.press.factor(pair{spec.Image, z.Image}) * z.share(w)
-	}
 	for _, r := range fills {
 		sum += weight(r) * want[r] / fullPace
 	}
@@ -141,7 +155,7 @@
 			return
 		}
 		full := weight(r)
-		if full <= 0 {
+		if full < disturbs {
 			return
 		}
 		cut := min(sum-room, full*want[r]/fullPace)
@@ -167,50 +181,55 @@
 	return fills
 }
 
-// slack is the pressure that a worker's tightest serving task of an image can still bear, up
-// to the limit for new tasks.
-type slack struct {
-	image string
-	left  float64
+// strain is the pressure on a serving run of a worker and the pressure that is its target.
+type strain struct {
+	image     string
+	now, most float64
+}
+
+// outlook is what placing looks at on a worker; it is kept until a run comes, goes or is
+// read anew, as every waiting step asks for it.
+type outlook struct {
+	fresh   bool
+	left    int // millicores likely to be unused
+	strains []strain
 }
 
-// slacks returns the slack for each serving image of a worker; they are kept until a run
-// comes, goes or is read anew.
-func (c *Core) slacks(w *worker) []slack {
-	if w.fresh {
-		return w.slacks
+func (c *Core) look(w *worker) *outlook {
+	o := &w.outlook
+	if o.fresh {
+		return o
 	}
-	w.slacks = w.slacks[:0]
-	w.fresh = true
+	o.fresh = true
+	o.strains = o.strains[:0]
+	fill := 0
 	for _, r := range w.runs {
-		if r.serves() && r.state == RunLive {
-			w.tighten(r.task.stage.spec.Image, c.bears(w, r))
+		if r.fills() {
+			fill += r.task.stage.spec.Size.CPU * r.want / fullPace
 		}
-	}
-	return w.slacks
-}
-
-func (w *worker) tighten(image string, left float64) {
-	for i := range w.slacks {
-		if s := &w.slacks[i]; s.image == image {
-			s.left = min(s.left, left)
-			return
+		if r.serves() && r.state == RunLive {
+			spec := r.task.stage.spec
+			o.strains = append(o.strains, strain{spec.Image, c.bears(w, r), c.press.limit(spec, 1)})
 		}
 	}
-	w.slacks = append(w.slacks, slack{image, left})
+	o.left = w.Size.CPU - int(baseLoad*float64(w.base)) - (w.used.CPU - w.base) - fill
+	return o
 }
 
-// bears returns the slack of one serving run.
+// bears returns the pressure on a serving run.
 func (c *Core) bears(w *worker, r *run) float64 {
-	spec := r.task.stage.spec
-	now := max(c.press.of(spec.Image, r.tail), c.press.own(spec.Image))
+	image := r.task.stage.spec.Image
+	now := r.load
+	if r.tail == 0 {
+		now = c.press.own(image)
+	}
 	for _, f := range w.runs {
-		// What began after the reading isn't in it.
-		if f.fills() && f.usage == 0 {
-			now += c.press.factor(pair{spec.Image, f.task.stage.spec.Image}) * f.task.stage.spec.share(w)
+		if f.fills() {
+			z := f.task.stage.spec
+			now += c.press.factor(pair{image, z.Image}) * z.share(w) * float64(f.want) / fullPace
 		}
 	}
-	return c.press.limit(spec, placeShare) - now
+	return now
 }
 
 // share returns the share of a worker's processors that a task of the step asks for.
@@ -218,12 +237,20 @@
 	return float64(s.Size.CPU) / float64(max(w.Size.CPU, 1))
 }
 
-// strain returns the slack that would be left on the serving image of a worker that a
-// further filling task disturbs the most; below 0 it mustn't go there.
-func (c *Core) strain(w *worker, s *Step) float64 {
-	least := 1.0
-	for _, k := range c.slacks(w) {
-		least = min(least, k.left-c.press.factor(pair{k.image, s.Image})*s.share(w))
+// harm returns how many serving runs of a worker a further filling task would bring over
+// their target, in expectation.
+func (c *Core) harm(w *worker, s *Step) float64 {
+	sum := 0.0
+	share := s.share(w)
+	for _, k := range c.look(w).strains {
+		add := c.press.factor(pair{k.image, s.Image}) * share
+		sum += over(k.now+add-k.most) - over(k.now-k.most)
 	}
-	return least
+	return sum
+}
+
+// over returns the chance that a serving run is over its target whose pressure is expected to
+// be x above it.
+func over(x float64) float64 {
+	return min(1, max(0, 0.5+x/(2*loadSwing)))
 }
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -95,8 +95,7 @@
 	bad  health
 	calm sharing
 
-	fresh  bool // slacks are up to date
-	slacks []slack
+	outlook outlook
 }
 
 type runKey struct {
@@ -128,6 +127,7 @@
 	want   int       // percent, as it should be
 	usage  float64   // millicores
 	tail   time.Duration
+	load   float64   // pressure on a serving task by its own load
 	ready  bool      // a serving task past its startup
 	over   time.Time // since when the tail is over its target; zero: it isn't
 }
@@ -141,7 +141,7 @@
 // add enters a run into the ledger.
 func (w *worker) add(r *run) {
 	w.runs[r.runKey] = r
-	w.fresh = false
+	w.outlook.fresh = false
 	w.count(r, 1)
 }
 
@@ -150,7 +150,7 @@
 		return
 	}
 	delete(w.runs, r.runKey)
-	w.fresh = false
+	w.outlook.fresh = false
 	w.count(r, -1)
 }
 
