--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -283,8 +283,8 @@
 func (h *Holder) order(o sched.Order) {
 	sent := time.Now()
 	out := h.opt.Crew.Order(h.ctx, o, h.opt.Tenure.Term())
-	if o.Verb != sched.VerbPace || out != sched.OutcomeDone {
-		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Life.ID, "outcome", out, "took", time.Since(sent))
+	if o.Verb == sched.VerbStart || out != sched.OutcomeDone || o.Pace == 0 {
+		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Life.ID, "pace", o.Pace, "outcome", out, "took", time.Since(sent))
 	}
 	if out == sched.OutcomeFence {
 		h.fenced(o.Life.ID)
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -57,12 +57,10 @@
 	saves    map[TaskID]string
 }
 
-// tries counts a task's failures. Run is the newest that was counted: an end that was stored
-// and not acknowledged is told again, to the next holder too, and runs only rise.
-type tries struct {
-	N   int   `json:"n"`
-	Run int64 `json:"run"`
-}
+// tries are the runs of a task that failed. They are kept by number: an end that was stored
+// and not acknowledged is told again, to the next holder too, and ends of different workers
+// are told in any order.
+type tries []int64
 
 type round struct {
 	stages []*stage
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -199,6 +199,24 @@
 	next.state("j", sched.StateFailed)
 }
 
+// An insurer's job runs once more than its queue allows. Its task fails on two workers
+// while the store turns the holder away; the successor hears the newer end first and takes
+// the older one for counted.
+func TestFailuresInAnyOrder(t *testing.T) {
+	b := newBench(t, 2, 2)
+	if err := b.core.Restore(b.now, "j", one("j", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.CrewStored(b.core.Crew())
+	b.look("w0", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "j.0.0.0", Run: 1_000_002, How: sched.EndFailed}}})
+	b.look("w1", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "j.0.0.0", Run: 1_000_001, How: sched.EndFailed}}})
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v after two failures", got)
+	}
+	b.store()
+	b.state("j", sched.StateFailed)
+}
+
 // A start isn't answered and may come to life seconds later. Until a stop for it is
 // acknowledged and a later look doesn't show it, the task must not be placed again.
 func TestUnansweredStart(t *testing.T) {
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -405,14 +406,11 @@
 	if t.stage.spec.Gang {
 		key.Index = 0
 	}
-	n := j.tries[key]
-	if run <= n.Run {
+	if slices.Contains(j.tries[key], run) {
 		return
 	}
-	n.N++
-	n.Run = run
-	j.tries[key] = n
-	if n.N >= max(j.Tries, 1) && !j.state.Final() {
+	j.tries[key] = append(j.tries[key], run)
+	if len(j.tries[key]) >= max(j.Tries, 1) && !j.state.Final() {
 		c.finish(now, j, StateFailed)
 	}
 }
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -307,6 +307,9 @@
 	s := t.stage
 	s.waiting--
 	s.job.begun = true
+	if s.spec.Fills {
+		w.calm.busy = now
+	}
 	w.add(r)
 	o := r.order(VerbStart)
 	o.Spec = s.job.Spec
@@ -349,7 +352,7 @@
 	whole := float64(max(w.Size.CPU, 1))
 	switch {
 	case s.spec.Fills:
-		if z.Mem > free.Mem || z.Accel > free.Accel || left < fillShare*float64(z.CPU) {
+		if w.calm.shut || z.Mem > free.Mem || z.Accel > free.Accel || left < fillShare*float64(z.CPU) {
 			return 0, false
 		}
 		harm := c.harm(w, s.spec)
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -9,6 +9,8 @@
 type sharing struct {
 	clock clock
 	last  time.Time // of the last reading that was used
+	busy  time.Time // when a filling task was last at work
+	shut  bool      // a serving task is over its target for long: nothing more that fills
 }
 
 const (
@@ -32,6 +34,12 @@
 	overSoon = 1200 * time.Millisecond
 	overLong = 2200 * time.Millisecond
 	soonPace = 20
+	// overBegins and overEnds are the shares of a target above which a serving task counts as
+	// over and below which it no longer does.
+	overBegins = 0.9
+	overEnds   = 0.75
+	// reading is the time that a reading covers, and its way here.
+	reading = 700 * time.Millisecond
 	// disturbs is the pressure from which slowing a filling task helps a serving one: below,
 	// it would be slowed for the load's own peaks.
 	disturbs = 0.03
@@ -62,6 +70,10 @@
 	w.calm.last = now
 	w.outlook.fresh = false
 	use := w.fillUse()
+	if w.filled() {
+		w.calm.busy = now
+	}
+	w.calm.shut = false
 	for _, r := range w.runs {
 		if !r.serves() || r.state != RunLive {
 			continue
@@ -72,17 +84,38 @@
 		}
 		load := max(0, c.press.of(s.Image, r.tail)-c.press.sum(s.Image, use))
 		r.load += loadShare * (load - r.load)
-		switch {
-		case r.tail < s.Target:
-			r.over = time.Time{}
-		case r.over.IsZero(), len(use) == 0:
-			// With nothing that fills at work, it is over by its own load.
-			r.over = now
+		r.clock(now, w.calm.busy)
+		if !r.over.IsZero() && now.Sub(r.over) >= overSoon {
+			w.calm.shut = true
 		}
 	}
 	c.pace(now, w, use)
 }
 
+// clock keeps since when a serving run has been over its target with filling tasks at work
+// beside it. Readings are rough: one below the target amid others above doesn't end it.
+func (r *run) clock(now, busy time.Time) {
+	target := float64(r.task.stage.spec.Target)
+	switch tail := float64(r.tail); {
+	case tail < overEnds*target:
+		r.over = time.Time{}
+	case r.over.IsZero() && tail < overBegins*target:
+	case r.over.IsZero(), now.Sub(busy) > reading:
+		// With nothing that fills at work, it is over by its own load.
+		r.over = now
+	}
+}
+
+// filled reports whether a filling task is at work on the worker.
+func (w *worker) filled() bool {
+	for _, r := range w.runs {
+		if r.fills() && (r.pace > 0 || r.state != RunLive) {
+			return true
+		}
+	}
+	return false
+}
+
 // fillUse returns the share of the worker's processors that each filling image uses.
 func (w *worker) fillUse() map[string]float64 {
 	use := map[string]float64{}
@@ -250,7 +283,7 @@
 }
 
 // over returns the chance that a serving run is over its target whose pressure is expected to
-// be x above it.
+// be x above it. It goes on rising above 1: what is far over takes longer to come back.
 func over(x float64) float64 {
-	return min(1, max(0, 0.5+x/(2*loadSwing)))
+	return max(0, 0.5+x/(2*loadSwing))
 }
