batch: a holder that isn't confirmed starts nothing; acknowledgements belong to a life

Found by the new random schedules: an acknowledgement stored while a worker started anew made it forget the new life's ends; a start carried out by the new life was freed.

--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -45,6 +45,8 @@
 	Codec  Codec
 	Lease  time.Duration // granted to workers
 	Doubt  time.Duration // see sched.Options
+	Held   time.Duration // see sched.Options
+	Sure   time.Duration // see sched.Options
 	Stop   time.Duration // longest time that a worker takes to stop a run
 	Keep   time.Duration // for which ended jobs are known
 	Log    logr.Logger
@@ -155,7 +157,9 @@
 }
 
 func (h *Holder) tryLoad(began time.Time) ([]*feed, error) {
-	core := sched.New(sched.Options{Lease: h.opt.Lease, Doubt: h.opt.Doubt, Stop: h.opt.Stop, Term: h.opt.Tenure.Term()}, began)
+	core := sched.New(sched.Options{
+		Lease: h.opt.Lease, Doubt: h.opt.Doubt, Stop: h.opt.Stop, Held: h.opt.Held, Sure: h.opt.Sure, Term: h.opt.Tenure.Term(),
+	}, began)
 	crew, err := h.readCrew()
 	if err != nil {
 		return nil, err
@@ -269,6 +273,7 @@
 		case <-tick.C:
 		}
 		h.mu.Lock()
+		h.core.Confirm(h.opt.Tenure.Sure())
 		orders := h.core.Plan(time.Now())
 		h.mu.Unlock()
 		for _, o := range orders {
--- /dev/null
+++ b/internal/batch/drive/fleet_test.go
@@ -0,0 +1,247 @@
+package drive_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"bramleysail.example/bramleysail/internal/batch/drive"
+	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/batch/wire"
+	"bramleysail.example/bramleysail/internal/ctrl/lead"
+	fakecrew "bramleysail.example/bramleysail/internal/fake/crew"
+	"bramleysail.example/bramleysail/internal/fake/multi"
+	"bramleysail.example/bramleysail/internal/plat/store"
+)
+
+// fleet is some hosts with a store and workers, for use in a bubble of virtual time.
+type fleet struct {
+	t     *testing.T
+	store *multi.Service
+	crew  *fakecrew.Crew
+	hosts []*host
+
+	mu  sync.Mutex
+	cut string // failure domain that is cut off from everything else
+}
+
+// setCut cuts a failure domain off from the other ones and the store, or, empty, nothing.
+func (f *fleet) setCut(zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = zone
+}
+
+func (f *fleet) apart(a, b string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut != "" && (a == f.cut) != (b == f.cut)
+}
+
+// host is one process that may hold.
+type host struct {
+	f    *fleet
+	name string
+	zone string
+
+	mu     sync.Mutex
+	mode   multi.Mode
+	holder *drive.Holder
+	term   int64
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+const (
+	holderLease = 1500 * time.Millisecond
+	workerLease = 5 * time.Second
+)
+
+func newFleet(t *testing.T, hosts, workers int, rng *rand.Rand, work func(string) (time.Duration, sched.End)) *fleet {
+	f := &fleet{t: t, store: &multi.Service{}}
+	f.crew = fakecrew.New(workers, wire.Size{CPU: 16000, Mem: 64000}, rng, work)
+	f.configure(sched.Config{Version: 1, Queues: []sched.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Tries: 3, Stretch: 2, Aim: time.Second}}})
+	f.list()
+	for i := range hosts {
+		h := &host{f: f, name: fmt.Sprintf("host%d", i), zone: fmt.Sprintf("z%d", i%3)}
+		f.hosts = append(f.hosts, h)
+		h.start()
+	}
+	return f
+}
+
+func (f *fleet) configure(c sched.Config) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.store.Put("op/config", data)
+}
+
+// list writes the workers into the directory.
+func (f *fleet) list() {
+	for _, m := range f.crew.Members() {
+		data, err := json.Marshal(m)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.store.Put("workers/"+m.ID, data)
+	}
+}
+
+func codec() drive.Codec {
+	return drive.Codec{
+		IntentPrefix: "op/",
+		Intent: func(entries []store.Entry) (drive.Intent, error) {
+			in := drive.Intent{Out: map[string]bool{}}
+			for _, e := range entries {
+				if e.Key == "op/config" {
+					if err := json.Unmarshal(e.Value, &in.Config); err != nil {
+						return in, err
+					}
+					in.Known = true
+				}
+			}
+			return in, nil
+		},
+		RosterPrefix: "workers/",
+		Roster: func(entries []store.Entry) []sched.Member {
+			var all []sched.Member
+			for _, e := range entries {
+				var m sched.Member
+				if json.Unmarshal(e.Value, &m) == nil {
+					all = append(all, m)
+				}
+			}
+			return all
+		},
+	}
+}
+
+func (h *host) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	client := h.f.store.Client(func() multi.Mode {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.f.apart(h.zone, "store") {
+			return multi.ModeSilent
+		}
+		return h.mode
+	})
+	crew := h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })
+	l := lead.New(lead.Options{Store: client, Name: h.name, Addr: h.name, Lease: holderLease, Log: logr.Discard(), Alive: h.f.alive})
+	h.wg.Go(func() {
+		l.Run(ctx, func(t *lead.Tenure) {
+			_ = drive.Run(drive.Options{ // its error tells of the tenure's end
+				Store: client, Crew: crew, Codec: codec(), Tenure: t, Log: logr.Discard(),
+				Lease: workerLease, Doubt: 8 * time.Second, Held: holderLease, Sure: 3 * time.Second, Stop: 200 * time.Millisecond, Keep: time.Hour,
+			}, func(d *drive.Holder) { h.set(d, t.Term()) })
+			h.set(nil, 0)
+		})
+	})
+}
+
+func (f *fleet) alive(_ context.Context, holder lead.Holder) bool {
+	for _, h := range f.hosts {
+		if h.name == holder.Name {
+			d, _ := h.own()
+			return d != nil
+		}
+	}
+	return false
+}
+
+func (h *host) set(d *drive.Holder, term int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.holder, h.term = d, term
+}
+
+func (h *host) own() (*drive.Holder, int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.holder, h.term
+}
+
+// setMode sets how the store treats the host.
+func (h *host) setMode(m multi.Mode) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.mode = m
+}
+
+// kill ends the process without a word.
+func (h *host) kill() {
+	h.cancel()
+	h.wg.Wait()
+}
+
+func (f *fleet) stop() {
+	for _, h := range f.hosts {
+		h.kill()
+	}
+}
+
+// holder returns the process that holds with the newest term, or nil.
+func (f *fleet) holder() *host {
+	var best *host
+	var newest int64
+	for _, h := range f.hosts {
+		if d, term := h.own(); d != nil && term > newest {
+			best, newest = h, term
+		}
+	}
+	return best
+}
+
+// ask asks the holder, waiting for one up to limit.
+func (f *fleet) ask(limit time.Duration, a drive.Ask) drive.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for ctx.Err() == nil {
+		if h := f.holder(); h != nil {
+			if d, _ := h.own(); d != nil {
+				return d.Handle(ctx, a)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return drive.Refuse("no holder", time.Second)
+}
+
+func (f *fleet) submit(id string, steps ...sched.Step) drive.Reply {
+	data, err := json.Marshal(sched.Job{Spec: "x", Steps: steps})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return f.ask(2*time.Second, drive.Ask{Verb: drive.VerbSubmit, Host: "h", Path: "/q/" + id, Job: data})
+}
+
+func (f *fleet) state(id string) drive.Reply {
+	return f.ask(2*time.Second, drive.Ask{Verb: drive.VerbState, Host: "h", Path: "/q/" + id})
+}
+
+func step(n int, after ...int) sched.Step {
+	return sched.Step{Count: n, Size: wire.Size{CPU: 1000, Mem: 1000}, Estimate: time.Second, After: after}
+}
+
+// eventually waits up to limit for a job's state.
+func (f *fleet) eventually(limit time.Duration, id string, want sched.State) {
+	f.t.Helper()
+	end := time.Now().Add(limit)
+	var got drive.Reply
+	for time.Now().Before(end) {
+		if got = f.state(id); got.State == want {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.t.Errorf("job %s: %+v, want %s", id, got, want)
+}
--- a/internal/batch/sched/bench_test.go
+++ b/internal/batch/sched/bench_test.go
@@ -14,7 +14,7 @@
 //
 // Per plan: 398 us when each try counted a worker.s runs anew, 84 us with the outlook kept.
 func BenchmarkPlan(b *testing.B) {
-	core := sched.New(sched.Options{Lease: lease, Doubt: doubt, Term: 1}, start())
+	core := sched.New(sched.Options{Lease: lease, Doubt: doubt, Held: time.Hour, Sure: time.Hour, Term: 1}, start())
 	core.Roster(start(), members(48))
 	core.CrewStored(core.Crew())
 	now := start()
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -9,6 +9,8 @@
 	Lease time.Duration // granted to workers with each look; every run there ends when it runs out
 	Doubt time.Duration // after taking over: how long a former holder's orders may live on workers not reached
 	Stop  time.Duration // longest time that a worker takes to stop a run
+	Held  time.Duration // after a confirmation, for which no other process can be the holder
+	Sure  time.Duration // after a confirmation, for which tasks are started and leases granted
 	Term  int64         // of this holder, in the high part of every run number
 }
 
@@ -17,6 +19,7 @@
 	opt   Options
 	conf  Config
 	began time.Time
+	sure  time.Time // when this holder was last confirmed
 
 	jobs    map[string]*job
 	active  []*stage  // with tasks that wait for a worker
@@ -37,6 +40,7 @@
 	return &Core{
 		opt:     opt,
 		began:   now,
+		sure:    now,
 		jobs:    map[string]*job{},
 		dirty:   map[string]*job{},
 		workers: map[string]*worker{},
@@ -95,6 +99,27 @@
 	return TaskID{t.stage.job.ID, t.stage.round, t.stage.idx, t.idx}
 }
 
+// Confirm tells that this process was still the holder at a time.
+func (c *Core) Confirm(at time.Time) {
+	if at.After(c.sure) {
+		c.sure = at
+	}
+}
+
+// acts reports whether this holder may start tasks and renew leases. A holder that is cut off
+// doesn't know of its successor, which waits until what the former one has started and
+// renewed must have ended.
+func (c *Core) acts(now time.Time) bool {
+	return now.Sub(c.sure) < c.opt.Sure
+}
+
+// alone reports whether no other process can be the holder. Only then is a worker that can't
+// be reached surely not renewed by another: with a successor at work on the far side of a
+// cut, its tasks run on there while they look lapsed from here.
+func (c *Core) alone(now time.Time) bool {
+	return now.Sub(c.sure) < c.opt.Held
+}
+
 // Configure takes a configuration; an older one than the present changes nothing.
 func (c *Core) Configure(conf Config) {
 	if conf.Version >= c.conf.Version {
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -27,7 +27,7 @@
 func newBench(t *testing.T, term int64, n int) *bench {
 	t.Helper()
 	b := &bench{t: t, now: start()}
-	b.core = sched.New(sched.Options{Lease: lease, Doubt: doubt, Term: term}, b.now)
+	b.core = sched.New(sched.Options{Lease: lease, Doubt: doubt, Held: time.Hour, Sure: time.Hour, Term: term}, b.now)
 	b.core.Roster(b.now, members(n))
 	return b
 }
@@ -338,6 +338,22 @@
 	}
 }
 
+// A check-in runs twice. Its worker starts anew while the ends of its former life are being
+// stored; the acknowledgement of these makes it forget the new life's ends unheard.
+func TestAckOfFormerLife(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	b.look("w0", sched.Report{Finished: []sched.Finished{{Seq: 40, Task: "x.0.0.0", Run: 1, How: sched.EndDone}}})
+	batch, err := b.core.Collect(10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.look("w0", sched.Report{Born: 2})
+	b.core.Committed(batch)
+	if l, _ := b.core.Look(b.now, "w0"); l.Acked != 0 {
+		t.Errorf("ends up to %d of the new life acknowledged unheard", l.Acked)
+	}
+}
+
 // A worker that has crashed and started again under its id runs nothing of before: its tasks
 // are placed anew at once, but for one whose order was never answered, which may come to
 // life in the new life.
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -37,7 +37,7 @@
 func (c *Core) join(now time.Time, m Member, listed bool) {
 	w := c.workers[m.ID]
 	if w != nil && w.Born != 0 && m.Born > w.Born {
-		c.rebirth(now, w, m.Born)
+		c.rebirth(w, m.Born)
 	}
 	if w == nil {
 		w = &worker{runs: map[runKey]*run{}, lapse: c.began.Add(c.opt.Doubt)}
@@ -53,23 +53,18 @@
 	w.out = c.zones[m.Zone]
 }
 
-// rebirth notes that a worker has started anew under its id, so that nothing of its former
-// life runs. An order of then that was never answered may still come to life in the new
-// one, whose fence is unset; it stays in the ledger until a stop of it is acknowledged.
-func (c *Core) rebirth(now time.Time, w *worker, born int64) {
-	for _, r := range w.all() {
-		if r.state == RunSent || r.state == RunUnsure {
-			r.state = RunUnsure
-			continue
-		}
-		c.free(r)
-	}
+// rebirth notes that a worker has started anew under its id. The next look tells what runs in
+// its new life: an order given to the former one may have been carried out by this one, whose
+// fence is unset, so nothing is taken for ended before.
+func (c *Core) rebirth(w *worker, born int64) {
 	w.Born = born
 	w.acked, w.heard = 0, 0
 	w.contact = ContactNone
 	w.stored = false
+	w.void = false
 	w.bad = health{}
 	w.calm = sharing{}
+	w.outlook.fresh = false
 }
 
 func (w *worker) all() []*run {
@@ -112,6 +107,9 @@
 // sweep gives up the runs of workers whose lease has surely lapsed and drops workers that
 // are gone.
 func (c *Core) sweep(now time.Time) {
+	if !c.alone(now) {
+		return
+	}
 	for id, w := range c.workers {
 		if w.contact == ContactGood || now.Before(w.lapse) {
 			continue
@@ -186,7 +184,9 @@
 	if w.heard > w.acked {
 		l.Wait = 0
 	}
-	l.Until = w.lease(now, c.opt.Lease)
+	if c.acts(now) {
+		l.Until = w.lease(now, c.opt.Lease)
+	}
 	return l, true
 }
 
@@ -215,7 +215,7 @@
 		return
 	}
 	if rep.Born > w.Born && w.Born != 0 {
-		c.rebirth(now, w, rep.Born)
+		c.rebirth(w, rep.Born)
 	}
 	if w.Born == 0 {
 		w.Born = rep.Born
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -118,6 +118,9 @@
 
 // place starts what waits, as far as there is room.
 func (c *Core) place(now time.Time, orders []Order) []Order {
+	if !c.acts(now) {
+		return orders
+	}
 	if c.inDoubt(now) {
 		orders = c.placeSome(now, orders, func(j *job) bool { return !j.restored })
 		return orders
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -32,7 +32,13 @@
 type Batch struct {
 	Records []Record
 	states  map[string]State
-	acks    map[*worker]int64
+	acks    []ack
+}
+
+// ack is how far a life's ends stand in a batch.
+type ack struct {
+	life Life
+	seq  int64
 }
 
 // Empty reports whether there is nothing to store and nothing to follow.
@@ -58,10 +64,7 @@
 	}
 	for _, w := range c.workers {
 		if w.heard > w.acked {
-			if b.acks == nil {
-				b.acks = map[*worker]int64{}
-			}
-			b.acks[w] = w.heard
+			b.acks = append(b.acks, ack{w.Life, w.heard})
 		}
 	}
 	return b, nil
@@ -74,8 +77,12 @@
 			j.shown = s
 		}
 	}
-	for w, seq := range b.acks {
-		w.acked = max(w.acked, seq)
+	for _, a := range b.acks {
+		// The worker may have started anew while the batch was being stored: its ends count
+		// from 1 again, and acknowledging up to a former number would lose them.
+		if w := c.workers[a.life.ID]; w != nil && w.Life == a.life {
+			w.acked = max(w.acked, a.seq)
+		}
 	}
 }
 
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -304,7 +304,7 @@
 		return nil, err
 	}
 	tctx, cancel := context.WithCancel(ctx)
-	return &Tenure{lead: l, claim: h, lease: lease, from: rev, rev: rev, ctx: tctx, end: cancel, sure: sent, gone: make(chan struct{}, 1)}, nil
+	return &Tenure{lead: l, claim: h, lease: lease, from: rev, rev: rev, ctx: tctx, end: cancel, sure: sent, gone: make(chan struct{}, 1), write: make(chan struct{}, 1)}, nil
 }
 
 // settle finds out whether a claim without an answer took effect.
--- a/internal/ctrl/lead/tenure.go
+++ b/internal/ctrl/lead/tenure.go
@@ -44,7 +44,7 @@
 	ctx   context.Context
 	end   context.CancelFunc
 
-	write sync.Mutex // one write at a time: each depends on the one before
+	write chan struct{} // holds one token: one write at a time, as each depends on the one before
 	rev   uint64
 	seq   int64
 
@@ -98,8 +98,12 @@
 // a newer one, or a former holder's last write arrives after its successor has read. Each
 // write demands that the one before is the chain's newest, so that either can't be.
 func (t *Tenure) Commit(do []store.Write) error {
-	t.write.Lock()
-	defer t.write.Unlock()
+	select {
+	case t.write <- struct{}{}:
+		defer func() { <-t.write }()
+	case <-t.ctx.Done():
+		return errors.Wrap(ErrLost, "tenure over")
+	}
 	t.seq++
 	k := link{t.claim.Once, t.seq}
 	txn := store.Txn{
--- /dev/null
+++ b/internal/fake/multi/multi.go
@@ -0,0 +1,341 @@
+package multi
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/plat/store"
+)
+
+// Mode is how the service treats a caller.
+type Mode string
+
+// The modes; the zero value serves.
+const (
+	ModeBusy   Mode = "busy"   // refuses, so that nothing is done
+	ModeSilent Mode = "silent" // doesn't answer, and does nothing
+)
+
+// Service holds the keys; its zero value is ready.
+type Service struct {
+	mu      sync.Mutex
+	rev     uint64
+	rows    map[string]store.Entry
+	history []store.Change
+	floor   uint64 // history up to here is gone
+	leases  map[string]*lease
+	serial  int
+	changed chan struct{}
+	all     Mode
+	lose    float64       // share of writes that are done and not answered
+	late    time.Duration // after which some unanswered writes are done instead
+	delay   time.Duration
+	calls   int
+}
+
+type lease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// Client is one host's way to the service.
+type Client struct {
+	s    *Service
+	mode func() Mode
+}
+
+// Client returns a way to the service whose mode is asked at each call; nil serves.
+func (s *Service) Client(mode func() Mode) *Client {
+	return &Client{s, mode}
+}
+
+// SetMode treats all callers alike.
+func (s *Service) SetMode(m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = m
+}
+
+// SetDelay has each call take d.
+func (s *Service) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// SetLoss has a share of writes go unanswered; with late above 0, half of these are done only
+// after that time, if their condition still holds.
+func (s *Service) SetLoss(share float64, late time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose, s.late = share, late
+}
+
+// Compact drops the history, so that watches from before fail.
+func (s *Service) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.floor = s.rev
+	s.wake()
+}
+
+// Revoke deletes a key without its holder being told.
+func (s *Service) Revoke(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.rows[key]; ok {
+		s.apply([]store.Write{{Key: key, Delete: true}})
+	}
+}
+
+// Calls returns the number of calls so far.
+func (s *Service) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a key as an operator or a worker does.
+func (s *Service) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply([]store.Write{{Key: key, Value: value}})
+}
+
+func (s *Service) wake() {
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+// apply writes under the lock.
+func (s *Service) apply(do []store.Write) {
+	if s.rows == nil {
+		s.rows = map[string]store.Entry{}
+	}
+	s.rev++
+	for _, w := range do {
+		if w.Delete {
+			if _, ok := s.rows[w.Key]; ok {
+				delete(s.rows, w.Key)
+				s.history = append(s.history, store.Change{Entry: store.Entry{Key: w.Key, Rev: s.rev}, Deleted: true})
+			}
+			continue
+		}
+		e := store.Entry{Key: w.Key, Value: append([]byte(nil), w.Value...), Rev: s.rev, Lease: w.Lease}
+		s.rows[w.Key] = e
+		s.history = append(s.history, store.Change{Entry: e})
+	}
+	s.wake()
+}
+
+// expire drops the keys of leases that have run out.
+func (s *Service) expire() {
+	for id, l := range s.leases {
+		if time.Now().After(l.until) {
+			s.drop(id)
+		}
+	}
+}
+
+func (s *Service) drop(id string) {
+	delete(s.leases, id)
+	var do []store.Write
+	for k, e := range s.rows {
+		if e.Lease == id {
+			do = append(do, store.Write{Key: k, Delete: true})
+		}
+	}
+	if len(do) > 0 {
+		s.apply(do)
+	}
+}
+
+// enter begins a call and leaves the lock held if it is served.
+func (c *Client) enter(ctx context.Context) error {
+	s := c.s
+	s.mu.Lock()
+	s.calls++
+	delay := s.delay
+	mode := s.all
+	s.mu.Unlock()
+	if mode == "" && c.mode != nil {
+		mode = c.mode()
+	}
+	switch mode {
+	case ModeBusy:
+		return store.ErrBusy
+	case ModeSilent:
+		wait.For(ctx, silence)
+		return store.ErrUnknown
+	}
+	if !wait.For(ctx, delay+answer) {
+		return store.ErrUnknown
+	}
+	s.mu.Lock()
+	s.expire()
+	return nil
+}
+
+const (
+	// answer is the time of a call.
+	answer = 4 * time.Millisecond
+	// silence is how long a caller waits for an answer that doesn't come.
+	silence = time.Second
+	// watchStep is how often a watch looks for leases that have run out.
+	watchStep = 50 * time.Millisecond
+)
+
+// Get implements store.Multi.
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := c.enter(ctx); err != nil {
+		return store.Entry{}, err
+	}
+	defer c.s.mu.Unlock()
+	e, ok := c.s.rows[key]
+	if !ok {
+		return store.Entry{}, store.ErrNotFound
+	}
+	return e, nil
+}
+
+// Range implements store.Multi.
+func (c *Client) Range(ctx context.Context, prefix string) (store.Page, error) {
+	if err := c.enter(ctx); err != nil {
+		return store.Page{}, err
+	}
+	defer c.s.mu.Unlock()
+	p := store.Page{Rev: c.s.rev}
+	for k, e := range c.s.rows {
+		if strings.HasPrefix(k, prefix) {
+			p.Entries = append(p.Entries, e)
+		}
+	}
+	sort.Slice(p.Entries, func(i, k int) bool { return p.Entries[i].Key < p.Entries[k].Key })
+	return p, nil
+}
+
+// Watch implements store.Multi.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, limit time.Duration) ([]store.Change, uint64, error) {
+	end := time.Now().Add(limit)
+	for {
+		if err := c.enter(ctx); err != nil {
+			return nil, after, err
+		}
+		if after < c.s.floor {
+			c.s.mu.Unlock()
+			return nil, after, store.ErrCompacted
+		}
+		var got []store.Change
+		for _, h := range c.s.history {
+			if h.Rev > after && strings.HasPrefix(h.Key, prefix) {
+				got = append(got, h)
+			}
+		}
+		rev := c.s.rev
+		if c.s.changed == nil {
+			c.s.changed = make(chan struct{})
+		}
+		changed := c.s.changed
+		c.s.mu.Unlock()
+		if len(got) > 0 || time.Now().After(end) {
+			return got, rev, nil
+		}
+		t := time.NewTimer(watchStep)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil, after, store.ErrUnknown
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// Commit implements store.Multi.
+func (c *Client) Commit(ctx context.Context, t store.Txn) (uint64, error) {
+	if err := c.enter(ctx); err != nil {
+		return 0, err
+	}
+	s := c.s
+	defer s.mu.Unlock()
+	if rand.Float64() < s.lose {
+		if s.late > 0 && rand.IntN(2) == 0 {
+			time.AfterFunc(s.late, func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				_, _ = s.commit(t) // nobody waits for it any more
+			})
+		} else {
+			_, _ = s.commit(t) // its answer is lost
+		}
+		return 0, store.ErrUnknown
+	}
+	return s.commit(t)
+}
+
+func (s *Service) commit(t store.Txn) (uint64, error) {
+	for _, w := range t.Do {
+		if w.Lease != "" && s.leases[w.Lease] == nil {
+			return 0, store.ErrLapsed
+		}
+	}
+	for _, c := range t.If {
+		if s.rows[c.Key].Rev != c.Rev {
+			return 0, store.ErrConflict
+		}
+	}
+	s.apply(t.Do)
+	return s.rev, nil
+}
+
+// Open implements store.Multi.
+func (c *Client) Open(ctx context.Context, ttl time.Duration) (string, error) {
+	if err := c.enter(ctx); err != nil {
+		return "", err
+	}
+	defer c.s.mu.Unlock()
+	if c.s.leases == nil {
+		c.s.leases = map[string]*lease{}
+	}
+	c.s.serial++
+	id := strconv.Itoa(c.s.serial)
+	c.s.leases[id] = &lease{ttl, time.Now().Add(ttl)}
+	return id, nil
+}
+
+// Renew implements store.Multi.
+func (c *Client) Renew(ctx context.Context, id string) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	defer c.s.mu.Unlock()
+	l := c.s.leases[id]
+	if l == nil {
+		return store.ErrLapsed
+	}
+	l.until = time.Now().Add(l.ttl)
+	return nil
+}
+
+// Close implements store.Multi.
+func (c *Client) Close(ctx context.Context, id string) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	defer c.s.mu.Unlock()
+	if c.s.leases[id] == nil {
+		return store.ErrLapsed
+	}
+	c.s.drop(id)
+	return nil
+}
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -149,7 +149,7 @@
 	lease := min(workerLease, conf.Milliseconds(h.set.Bound.Hold)*9/10)
 	err := drive.Run(drive.Options{
 		Store: h.out.Store, Crew: h.out.Crew, Codec: h.out.Codec, Tenure: t, Log: h.log,
-		Lease: lease,
+		Lease: lease, Held: holderLease, Sure: unsureFor,
 		Doubt: unsureFor - holderLease + time.Duration(float64(lease)/clockSlow) + time.Second,
 		Stop:  conf.Milliseconds(h.set.Bound.Stop),
 		Keep:  2 * conf.Seconds(h.set.Bound.Keep),
