lead, drive: what was learned is handed on, a dead holder replaced sooner

Cause: after a change of holder the factors of images were learned anew, and followers waited 600 ms for a former holder that was itself cut off from the store.

--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -93,6 +93,15 @@
 	if len(r.writes) == 0 && r.batch.Empty() {
 		return nil, nil
 	}
+	// What has been learned goes along with a write that is due anyway.
+	if now := time.Now(); len(r.writes) > 0 && len(r.writes) < lead.MaxWrites && now.Sub(h.lore) > loreEvery {
+		data, err := h.core.Learned()
+		if err != nil {
+			return nil, err
+		}
+		h.lore = now
+		r.writes = append(r.writes, store.Write{Key: keyLore, Value: data})
+	}
 	if len(r.writes) > 0 {
 		h.busy = time.Now()
 	}
--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -58,6 +58,7 @@
 	keyJob  = "job/" // a job as it was handed in, below its id
 	keyRun  = "run/" // its progress
 	keyCrew = "crew" // the workers that may hold runs
+	keyLore = "lore" // what has been learned of images
 )
 
 // Times of a Holder's own.
@@ -70,6 +71,7 @@
 	missPause   = 150 * time.Millisecond // after a look without an answer
 	ackWait     = 500 * time.Millisecond // for the ends of a look to be stored
 	forgetEvery = 10 * time.Second
+	loreEvery   = 3 * time.Second // between two records of what has been learned
 	// stuckAfter is how long a write may take before hand-ins are refused at once.
 	stuckAfter = 600 * time.Millisecond
 )
@@ -93,6 +95,7 @@
 	stored  chan struct{}              // closed with each write
 	busy    time.Time                  // since when a write is under way
 	crew    []sched.Member             // as recorded
+	lore    time.Time                  // when what has been learned was last recorded
 }
 
 // submission is a job that waits to be stored.
@@ -167,6 +170,9 @@
 	if err := h.readJobs(core, began); err != nil {
 		return nil, err
 	}
+	if err := h.readLore(core); err != nil {
+		return nil, err
+	}
 	core.Inherit(began, crew)
 	h.mu.Lock()
 	h.core = core
@@ -197,6 +203,20 @@
 	return crew, errors.Wrap(err, "drive: crew")
 }
 
+func (h *Holder) readLore(core *sched.Core) error {
+	e, err := h.opt.Store.Get(h.ctx, keyLore)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if err := core.Relearn(e.Value); err != nil {
+		h.log.Error(err, "learning anew")
+	}
+	return nil
+}
+
 // readJobs restores every job. The progress is read first: a job that ends in between is
 // then still there or known to have ended, and none does, as the tenure's claim has ended
 // the former holder's writes.
--- a/internal/batch/sched/press.go
+++ b/internal/batch/sched/press.go
@@ -1,7 +1,10 @@
 package sched
 
 import (
+	"encoding/json"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // pair is an image of tasks that serve and one of tasks that fill.
@@ -103,3 +106,43 @@
 		p.pairs[k] = max(0, p.factor(k)+step*u*shareScale*shareScale)
 	}
 }
+
+// learned is the model as it is stored.
+type learned struct {
+	Least map[string]time.Duration `json:"least"`
+	Load  map[string]float64       `json:"load"`
+	Pairs []learnedPair            `json:"pairs"`
+}
+
+type learnedPair struct {
+	Serve  string  `json:"serve"`
+	Fill   string  `json:"fill"`
+	Factor float64 `json:"factor"`
+}
+
+// Learned returns what has been learned of the images, for a next holder: learning it anew
+// takes some ten seconds, in which serving tasks are disturbed or filling ones wait.
+func (c *Core) Learned() ([]byte, error) {
+	l := learned{Least: c.press.least, Load: c.press.load}
+	for k, f := range c.press.pairs {
+		l.Pairs = append(l.Pairs, learnedPair{k.serve, k.fill, f})
+	}
+	data, err := json.Marshal(l)
+	return data, errors.Wrap(err, "sched")
+}
+
+// Relearn takes what a former holder has learned.
+func (c *Core) Relearn(data []byte) error {
+	var l learned
+	if err := json.Unmarshal(data, &l); err != nil {
+		return errors.Wrap(err, "sched: learned")
+	}
+	if l.Least == nil || l.Load == nil {
+		return nil
+	}
+	c.press.least, c.press.load, c.press.pairs = l.Least, l.Load, map[pair]float64{}
+	for _, p := range l.Pairs {
+		c.press.pairs[pair{p.Serve, p.Fill}] = p.Factor
+	}
+	return nil
+}
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -35,8 +35,10 @@
 	retryPause = 100 * time.Millisecond
 	// spareTries times retryPause is what a former holder at work has to put its key back.
 	spareTries = 6
+	// outageOver is how long after the store's return a lapsed lease is put down to its outage.
+	outageOver = time.Second
 	// renewals is how many renewals are sent within a lease's time.
-	renewals = 4
+	renewals = 5
 )
 
 // Holder is the process that holds, as the store names it.
@@ -70,6 +72,8 @@
 	changed chan struct{}
 	resting time.Time // no claim before
 	heard   time.Time // the store's last answer
+	failing bool      // the store's last call failed
+	resumed time.Time // when the store answered again after failing
 }
 
 // New returns a Lead; Run has it work.
@@ -92,11 +96,20 @@
 }
 
 func (l *Lead) note(err error) {
-	if err == nil || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrLapsed) {
-		l.mu.Lock()
-		l.heard = time.Now()
-		l.mu.Unlock()
+	answered := err == nil
+	for _, known := range []error{store.ErrNotFound, store.ErrConflict, store.ErrLapsed, store.ErrCompacted} {
+		answered = answered || errors.Is(err, known)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if answered {
+		if l.failing {
+			l.resumed = now
+		}
+		l.heard = now
 	}
+	l.failing = !answered
 }
 
 // set notes the holder's key as it was at a revision.
@@ -244,14 +257,16 @@
 	wg.Go(func() { t.keep() })
 }
 
-// spare reports whether the former holder has its key back. It is at work and only its lease
-// has lapsed, as all do in some outages of the store: a change would cost more than the wait.
+// spare reports whether the former holder has its key back. After an outage of the store, in
+// which all leases may have lapsed, it is at work, and a change would cost more than the wait.
+// Where the store was there all along, the former holder is what has failed.
 func (l *Lead) spare(ctx context.Context) bool {
 	l.mu.Lock()
 	former := l.former
+	outage := time.Since(l.resumed) < outageOver
 	l.mu.Unlock()
 	for range spareTries {
-		if former.Name == "" || l.opt.Alive == nil || !l.opt.Alive(ctx, former) {
+		if !outage || former.Name == "" || l.opt.Alive == nil || !l.opt.Alive(ctx, former) {
 			return false
 		}
 		if !wait.For(ctx, retryPause) {
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -53,7 +53,7 @@
 const (
 	// holderLease is how long the others wait for a holder that is gone. Shorter leases lose
 	// the holder when the store is slow; the store allows no less than a second.
-	holderLease = 1500 * time.Millisecond
+	holderLease = 1200 * time.Millisecond
 	// workerLease is granted to workers at each look: long enough to outlast the loss of all
 	// processes and a change of holder, some 4 s, and short enough for the work of a lost worker
 	// to be placed anew in time.
