front: peers back a holder through an outage of the store

Cause: a holder that isn't confirmed for 3 s stops renewing, so in an outage of 8 s every lease on the workers lapsed. Change: followers name themselves; while the store is silent the holder goes on if more than half of them find it silent too and know no newer holder. Lapses still need the store's word.

--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -51,6 +51,9 @@
 	Keep   time.Duration // for which ended jobs are known
 	Log    logr.Logger
 	Tenure *lead.Tenure
+	// Aided tells when most of this process's peers last reached the store as little as it
+	// did; nil: never.
+	Aided func() time.Time
 }
 
 // Keys in the store.
@@ -294,6 +297,9 @@
 		}
 		h.mu.Lock()
 		h.core.Confirm(h.opt.Tenure.Sure())
+		if h.opt.Aided != nil {
+			h.core.Aid(h.opt.Aided())
+		}
 		orders := h.core.Plan(time.Now())
 		h.mu.Unlock()
 		for _, o := range orders {
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -19,7 +19,8 @@
 	opt   Options
 	conf  Config
 	began time.Time
-	sure  time.Time // when this holder was last confirmed
+	sure  time.Time // when the store last confirmed this holder
+	aided time.Time // when its peers last did
 
 	jobs    map[string]*job
 	active  []*stage  // with tasks that wait for a worker
@@ -106,11 +107,20 @@
 	}
 }
 
+// Aid tells that most of this holder's peers reach the store as little as it does, and know
+// of no other holder.
+func (c *Core) Aid(at time.Time) {
+	if at.After(c.aided) {
+		c.aided = at
+	}
+}
+
 // acts reports whether this holder may start tasks and renew leases. A holder that is cut off
 // doesn't know of its successor, which waits until what the former one has started and
-// renewed must have ended.
+// renewed must have ended. In an outage of the store for all there is no successor, and work
+// goes on.
 func (c *Core) acts(now time.Time) bool {
-	return now.Sub(c.sure) < c.opt.Sure
+	return now.Sub(later(c.sure, c.aided)) < c.opt.Sure
 }
 
 // alone reports whether no other process can be the holder. Only then is a worker that can't
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -95,6 +95,13 @@
 	return l.heard
 }
 
+// Failing reports whether the store's last call from this process failed.
+func (l *Lead) Failing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failing
+}
+
 func (l *Lead) note(err error) {
 	answered := err == nil
 	for _, known := range []error{store.ErrNotFound, store.ErrConflict, store.ErrLapsed, store.ErrCompacted} {
--- a/internal/proc/front/desk.go
+++ b/internal/proc/front/desk.go
@@ -97,6 +97,7 @@
 // Peer is what entry processes ask of each other, over net/rpc.
 type Peer struct {
 	d *Desk
+	p *peers
 }
 
 // Handle answers a request that another entry process took.
@@ -117,3 +118,22 @@
 	*yes = p.d.own() != nil
 	return nil
 }
+
+// Follow tells the holder that the process with a peer interface at addr follows it.
+func (p *Peer) Follow(addr string, _ *int) error {
+	p.p.note(addr, time.Now())
+	return nil
+}
+
+// Outlook is what a process tells the holder when this doesn't reach the store.
+type Outlook struct {
+	Failing bool  // the store doesn't answer here either
+	Term    int64 // of the newest holder known
+}
+
+// Outlook tells how the store looks from here; the argument isn't used.
+func (p *Peer) Outlook(_ int, out *Outlook) error {
+	h, _ := p.d.lead.Holder()
+	*out = Outlook{p.d.lead.Failing(), h.Term}
+	return nil
+}
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -37,6 +37,7 @@
 	log  logr.Logger
 	lead *lead.Lead
 	desk *Desk
+	peer *peers
 
 	metrics  http.Handler
 	flush    io.Closer
@@ -92,8 +93,9 @@
 		Lease: max(holderLease, conf.Milliseconds(set.Store.Least)), Log: log, Alive: h.alive,
 	})
 	h.desk.lead = h.lead
+	h.peer = &peers{lead: h.lead, links: &h.desk.links}
 	var err error
-	if h.peers, err = link.NewServer("Peer", &Peer{h.desk}); err != nil {
+	if h.peers, err = link.NewServer("Peer", &Peer{h.desk, h.peer}); err != nil {
 		return nil, err
 	}
 	_, h.metrics, h.flush = telem.NewMetrics()
@@ -104,6 +106,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	h.wg.Go(func() { h.lead.Run(ctx, h.hold) })
+	h.wg.Go(func() { h.peer.follow(ctx, lis[0].Addr().String(), set.Name) })
 	log.Info("start", "zone", set.Zone, "caller", lis[1].Addr(), "peer", lis[0].Addr())
 	return h, nil
 }
@@ -146,6 +149,7 @@
 	h.tenure.Store(t)
 	defer h.tenure.CompareAndSwap(t, nil)
 	defer h.desk.setOwn(nil)
+	h.wg.Go(func() { h.peer.aid(t) })
 	lease := min(workerLease, conf.Milliseconds(h.set.Bound.Hold)*9/10)
 	err := drive.Run(drive.Options{
 		Store: h.out.Store, Crew: h.out.Crew, Codec: h.out.Codec, Tenure: t, Log: h.log,
@@ -153,6 +157,7 @@
 		Doubt: unsureFor - holderLease + time.Duration(float64(lease)/clockSlow) + time.Second,
 		Stop:  conf.Milliseconds(h.set.Bound.Stop),
 		Keep:  2 * conf.Seconds(h.set.Bound.Keep),
+		Aided: h.peer.Aided,
 	}, h.desk.setOwn)
 	cause := ""
 	if err != nil {
--- /dev/null
+++ b/internal/proc/front/peers.go
@@ -0,0 +1,119 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/ctrl/lead"
+	"bramleysail.example/bramleysail/internal/peer/link"
+)
+
+const (
+	// followEvery is how often a process tells the holder that it follows; a call of some
+	// hundred bytes.
+	followEvery = 2 * time.Second
+	// followKept is how long a follower that isn't heard any more counts.
+	followKept = 10 * time.Second
+	// aidAfter is how long the store has to be silent for the peers to be asked, and aidEvery
+	// how often they are then.
+	aidAfter = 600 * time.Millisecond
+	aidEvery = 500 * time.Millisecond
+	aidLimit = 300 * time.Millisecond
+)
+
+// peers are the processes that follow this one while it holds. When the store is silent they
+// tell whether it is so for all: then there can be no successor, and the holder goes on.
+//
+// The failure it guards against: in an outage of the store of some seconds, a holder that
+// stops for fear of being replaced loses the leases of every task on every worker.
+type peers struct {
+	lead  *lead.Lead
+	links *link.Set
+
+	mu    sync.Mutex
+	seen  map[string]time.Time
+	aided time.Time
+}
+
+func (p *peers) note(addr string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.seen == nil {
+		p.seen = map[string]time.Time{}
+	}
+	p.seen[addr] = now
+}
+
+// known returns the followers heard of late.
+func (p *peers) known(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []string
+	for addr, at := range p.seen {
+		if now.Sub(at) > followKept {
+			delete(p.seen, addr)
+			continue
+		}
+		all = append(all, addr)
+	}
+	return all
+}
+
+// Aided returns when the peers last backed this holder.
+func (p *peers) Aided() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.aided
+}
+
+// follow tells the holder regularly that this process follows it.
+func (p *peers) follow(ctx context.Context, self string, name string) {
+	for wait.For(ctx, followEvery) {
+		h, _ := p.lead.Holder()
+		if h.Name == "" || h.Name == name {
+			continue
+		}
+		cctx, cancel := context.WithTimeout(ctx, aidLimit)
+		// A holder that doesn't answer learns of this process with a later call.
+		_, _ = link.Call[string, int](cctx, p.links.To(h.Addr), "Peer.Follow", self)
+		cancel()
+	}
+}
+
+// aid asks the peers of a holder while the store is silent.
+func (p *peers) aid(t *lead.Tenure) {
+	for wait.For(t.Context(), aidEvery) {
+		now := time.Now()
+		if now.Sub(t.Sure()) < aidAfter {
+			continue
+		}
+		if p.agree(t.Context(), t.Term(), p.known(now)) {
+			p.mu.Lock()
+			p.aided = now
+			p.mu.Unlock()
+		}
+	}
+}
+
+// agree reports whether more than half of the followers answer that the store fails them too
+// and that they know of no newer holder. One that does ends it.
+func (p *peers) agree(ctx context.Context, term int64, addrs []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, aidLimit)
+	defer cancel()
+	answers := make(chan bool, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			out, err := link.Call[int, Outlook](ctx, p.links.To(addr), "Peer.Outlook", 0)
+			answers <- err == nil && out.Failing && out.Term <= term
+		}()
+	}
+	yes := 0
+	for range addrs {
+		if <-answers {
+			yes++
+		}
+	}
+	return 2*yes > len(addrs)
+}
