--- a/internal/batch/drive/drive_test.go
+++ b/internal/batch/drive/drive_test.go
@@ -170,13 +170,13 @@
 }
 
 func randomFaults(t *testing.T, seed uint64) {
-	rng := source(seed)
+	rng, work := source(seed), source(seed+200) // work is used under the crew's lock only
 	f := newFleet(t, 3, 8, source(seed+100), func(string) (time.Duration, sched.End) {
 		how := sched.EndDone
-		if rng.IntN(20) == 0 {
+		if work.IntN(20) == 0 {
 			how = sched.EndFailed
 		}
-		return time.Duration(200+rng.IntN(3000)) * time.Millisecond, how
+		return time.Duration(200+work.IntN(3000)) * time.Millisecond, how
 	})
 	var accepted, cancelled []string
 	for i := range 150 {
--- a/internal/fake/crew/crew.go
+++ b/internal/fake/crew/crew.go
@@ -24,6 +24,7 @@
 	faults []string
 	noted  map[string]bool // tasks whose success has been acknowledged
 	starts map[string]int
+	lapsed int
 }
 
 type worker struct {
@@ -135,6 +136,7 @@
 		return
 	}
 	for _, r := range w.runs {
+		c.lapsed++
 		c.end(w, r, sched.EndLapsed)
 	}
 }
@@ -382,3 +384,20 @@
 	}
 	return n
 }
+
+// Lapsed returns how many runs have ended with a worker's lease.
+func (c *Crew) Lapsed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.workers {
+		c.lapse(w)
+	}
+	return c.lapsed
+}
+
+// SetWork changes how long tasks run and how they end, from the next start on.
+func (c *Crew) SetWork(work func(task string) (time.Duration, sched.End)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.work = work
+}
--- /dev/null
+++ b/internal/proc/front/front_test.go
@@ -0,0 +1,273 @@
+package front_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"bramleysail.example/bramleysail/internal/base/conf"
+	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/batch/wire"
+	fakecrew "bramleysail.example/bramleysail/internal/fake/crew"
+	"bramleysail.example/bramleysail/internal/fake/multi"
+	"bramleysail.example/bramleysail/internal/proc/front"
+	"bramleysail.example/bramleysail/platform"
+	"bramleysail.example/bramleysail/platform/fake"
+)
+
+// site is a store and workers behind the platform's protocols, and entry processes over them.
+type site struct {
+	t     *testing.T
+	store *multi.Service
+	crew  *fakecrew.Crew
+	hosts []*front.Host
+}
+
+const config = `{"version":1,"routes":[{"name":"q","host":"h.example","prefix":"/q/","service":"s","maxAttempts":2,` +
+	`"stretchFactor":2,"targetLatencyMs":1000}],"services":[{"name":"s","rejectsOverload":true}]}`
+
+func newSite(t *testing.T, hosts, workers int) *site {
+	t.Helper()
+	s := &site{t: t, store: &multi.Service{}}
+	s.crew = fakecrew.New(workers, wire.Size{CPU: 16000, Mem: 64000}, rand.New(rand.NewPCG(1, 1)),
+		func(string) (time.Duration, sched.End) { return 200 * time.Millisecond, sched.EndDone })
+	for _, m := range s.crew.Members() {
+		srv := httptest.NewServer(fake.Worker(s.crew, m.ID))
+		t.Cleanup(func() {
+			srv.CloseClientConnections()
+			srv.Close()
+		})
+		entry, err := fake.Entry(m, strings.TrimPrefix(srv.URL, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.store.Put("servers/"+m.ID, entry)
+	}
+	s.store.Put("op/config", []byte(config))
+	srv := httptest.NewServer(fake.Store(s.store))
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	const free = "127.0.0.1:0"
+	for i := range hosts {
+		set := conf.Host{
+			Name: fmt.Sprintf("host%d", i), Zone: "z",
+			Listen:  conf.HostListen{Caller: free, Ready: free, Peer: free},
+			Metrics: free,
+			Store:   conf.HostStore{Addr: strings.TrimPrefix(srv.URL, "http://"), Least: 1000},
+			Bound:   conf.Bound{Hold: 6000, Stop: 200, Grace: 3, Keep: 60},
+		}
+		h, err := front.Start(set, front.Outside{
+			Store: platform.NewStore(set.Store.Addr, time.Second), Crew: platform.NewCrew(), Codec: platform.Codec(),
+			Callers:   func(d *front.Desk) http.Handler { return platform.Callers(d) },
+			Readiness: platform.Readiness,
+		}, logr.Discard())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.hosts = append(s.hosts, h)
+	}
+	return s
+}
+
+// stop stops hosts at the same time.
+func (s *site) stop(hosts ...*front.Host) {
+	s.t.Helper()
+	var wg sync.WaitGroup
+	for _, h := range hosts {
+		wg.Go(func() {
+			if err := h.Stop(context.Background()); err != nil {
+				s.t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// send sends a caller's request to a host and returns the status, or 0 without an answer, and the body.
+func (s *site) send(i int, method, path, body string) (int, string) {
+	s.t.Helper()
+	req, err := http.NewRequest(method, "http://"+s.hosts[i].Addr()+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, strings.TrimSpace(string(data))
+}
+
+// until repeats a request until the answer is as wanted; generous, as machines are busy.
+func (s *site) until(i int, method, path, body string, code int, want string) {
+	s.t.Helper()
+	var got int
+	var text string
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if got, text = s.send(i, method, path, body); got == code && strings.Contains(text, want) {
+			return
+		}
+	}
+	s.t.Fatalf("%s %s at host %d: %d %q, want %d %q", method, path, i, got, text, code, want)
+}
+
+const twoSteps = `{"spec":"x","jobSteps":[{"count":3,"cpu":500,"memMb":100},{"count":2,"cpu":500,"memMb":100,"after":[0]}]}`
+
+// A job handed in at one host is answered for by every host, and done once.
+func TestWholePath(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 3, 2)
+	defer func() { s.stop(s.hosts...) }()
+	s.until(0, "POST", "/q/a1", twoSteps, 200, "")
+	s.until(1, "POST", "/q/a1", twoSteps, 200, "")
+	for i := range s.hosts {
+		s.until(i, "GET", "/q/a1", "", 200, `"completed"`)
+	}
+	for _, tt := range []struct {
+		method, path, body string
+		code               int
+	}{
+		{"GET", "/q/none", "", 410},
+		{"GET", "/other/a1", "", 404},
+		{"GET", "/q/", "", 200},
+		{"POST", "/q/b1", "{", 400},
+		{"POST", "/q/b1", `{"jobSteps":[{"count":0}]}`, 400},
+		{"DELETE", "/q/none", "", 410},
+		{"DELETE", "/q/a1", "", 200},
+	} {
+		if code, text := s.send(2, tt.method, tt.path, tt.body); code != tt.code {
+			t.Errorf("%s %s: %d %q, want %d", tt.method, tt.path, code, text, tt.code)
+		}
+	}
+	for task, n := range s.crew.Starts() {
+		if n != 1 {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+	if faults := s.crew.Faults(); len(faults) > 0 {
+		t.Error(faults)
+	}
+}
+
+// Hosts are stopped in turn, the holder among them, while jobs come. No request that was
+// taken is left without an answer, every accepted job is done, and nothing runs twice.
+func TestStopInTurn(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 3, 2)
+	s.until(2, "POST", "/q/first", twoSteps, 200, "")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.stop(s.hosts[0])
+		s.stop(s.hosts[1])
+	}()
+	var accepted []string
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("j%d", i)
+		switch code, text := s.send(2, "POST", "/q/"+id, twoSteps); code {
+		case 200:
+			accepted = append(accepted, id)
+		case 0:
+			t.Errorf("no answer for %s: %s", id, text)
+		}
+		select {
+		case <-done:
+		default:
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		break
+	}
+	for _, id := range append(accepted, "first") {
+		s.until(2, "GET", "/q/"+id, "", 200, `"completed"`)
+	}
+	s.stop(s.hosts[2])
+	if faults := s.crew.Faults(); len(faults) > 0 {
+		t.Error(faults)
+	}
+}
+
+// The store is silent for longer than any lease on a worker. The peers back the holder, which
+// goes on renewing, and what runs isn't lost.
+func TestStoreSilentForLong(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes ten seconds")
+	}
+	t.Parallel()
+	s := newSite(t, 3, 1)
+	defer func() { s.stop(s.hosts...) }()
+	lasting := `{"spec":"x","jobSteps":[{"count":1,"cpu":500,"memMb":100,"longRunning":true}]}`
+	s.crew.SetWork(func(string) (time.Duration, sched.End) { return time.Hour, sched.EndDone })
+	s.until(0, "POST", "/q/feed", lasting, 200, "")
+	s.until(0, "GET", "/q/feed", "", 200, `"running"`)
+	time.Sleep(3 * time.Second) // for the followers to have named themselves
+	s.store.SetMode(multi.ModeBusy)
+	time.Sleep(10 * time.Second)
+	s.store.SetMode("")
+	if n := s.crew.Lapsed(); n != 0 {
+		t.Errorf("%d leases lapsed", n)
+	}
+}
+
+// The operators' settings file is wrong: each fault is named and nothing starts.
+func TestSettings(t *testing.T) {
+	good := "name = \"a\"\nmetrics = \"127.0.0.1:1\"\n[listen]\ncaller = \"127.0.0.1:2\"\nready = \"127.0.0.1:3\"\npeer = \"127.0.0.1:4\"\n" +
+		"[store]\naddr = \"127.0.0.1:5\"\nleast = 1000\n[bound]\nhold = 6000\nstop = 200\ngrace = 6\nkeep = 120\n"
+	if _, err := conf.ParseHost(good); err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct{ name, from, to, want string }{
+		{"no port", `caller = "127.0.0.1:2"`, `caller = "127.0.0.1"`, "listen.caller"},
+		{"unknown key", `name = "a"`, "name = \"a\"\nnmae = 1", "nmae"},
+		{"zero", "hold = 6000", "hold = 0", "bound.hold"},
+		{"no name", `name = "a"`, `name = ""`, "name"},
+		{"no TOML", "hold = 6000", "hold = ", "hold"},
+	} {
+		_, err := conf.ParseHost(strings.Replace(good, tt.from, tt.to, 1))
+		if err == nil || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%s: %v, want %q named", tt.name, err, tt.want)
+		}
+	}
+}
+
+// A configuration that can't be read leaves the former one in force.
+func TestConfigurationBroken(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 1)
+	defer func() { s.stop(s.hosts...) }()
+	s.until(0, "POST", "/q/a", twoSteps, 200, "")
+	s.store.Put("op/config", []byte("{"))
+	next := map[string]any{}
+	if err := json.Unmarshal([]byte(config), &next); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if code, _ := s.send(0, "POST", "/q/b", twoSteps); code != 200 {
+		t.Errorf("hand-in: %d", code)
+	}
+	next["version"] = 2
+	next["routes"] = []any{}
+	data, err := json.Marshal(next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.store.Put("op/config", data)
+	s.until(0, "POST", "/q/c", twoSteps, 404, "")
+}
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -38,6 +38,7 @@
 	lead *lead.Lead
 	desk *Desk
 	peer *peers
+	addr string // of the callers' listener
 
 	metrics  http.Handler
 	flush    io.Closer
@@ -87,6 +88,7 @@
 		}
 		lis = append(lis, l)
 	}
+	h.addr = lis[1].Addr().String()
 	h.desk = &Desk{log: log, name: set.Name}
 	h.lead = lead.New(lead.Options{
 		Store: out.Store, Name: set.Name, Addr: lis[0].Addr().String(),
@@ -166,6 +168,9 @@
 	h.log.Info("no longer the holder", "term", t.Term(), "cause", cause)
 }
 
+// Addr returns the address (host:port) at which callers are served.
+func (h *Host) Addr() string { return h.addr }
+
 // Lost is closed when a listener fails.
 func (h *Host) Lost() <-chan struct{} { return h.lost }
 
