front: a request to a holder that falls silent is asked again at the next

Ruled out: answering 503, which would be a guess (the hand-in may be stored). Answers that callers may ask about are logged; answers, orders and ends counted.

--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	tally "github.com/uber-go/tally/v4"
 
 	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/batch/sched"
@@ -51,6 +52,7 @@
 	Keep   time.Duration // for which ended jobs are known
 	Log    logr.Logger
 	Tenure *lead.Tenure
+	Scope  tally.Scope // nil: nothing is counted
 	// Aided tells when most of this process's peers last reached the store as little as it
 	// did; nil: never.
 	Aided func() time.Time
@@ -84,6 +86,8 @@
 	opt    Options
 	log    logr.Logger
 	ctx    context.Context
+	orders func(verb, outcome string)
+	ends   func(verb, outcome string)
 	plan   chan struct{}
 	commit chan struct{}
 	wg     sync.WaitGroup
@@ -122,6 +126,11 @@
 		waiting: map[string][]chan struct{}{},
 		stored:  make(chan struct{}),
 	}
+	if h.opt.Scope == nil {
+		h.opt.Scope = tally.NoopScope
+	}
+	h.orders = countBy(h.opt.Scope, "orders")
+	h.ends = countBy(h.opt.Scope, "ends")
 	began := time.Now()
 	feeds, err := h.load(began)
 	if err != nil {
@@ -317,6 +326,7 @@
 	if o.Verb == sched.VerbStart || out != sched.OutcomeDone || o.Pace == 0 {
 		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Life.ID, "pace", o.Pace, "outcome", out, "took", time.Since(sent))
 	}
+	h.orders(string(o.Verb), string(out))
 	if out == sched.OutcomeFence {
 		h.fenced(o.Life.ID)
 		return
@@ -424,7 +434,15 @@
 func (h *Holder) logEnds(worker string, rep sched.Report, acked int64) {
 	for _, f := range rep.Finished {
 		if f.Seq > acked {
+			h.ends("end", string(f.How))
 			h.log.Info("end", "task", f.Task, "run", f.Run, "how", f.How, "worker", worker, "seq", f.Seq)
 		}
 	}
 }
+
+// countBy returns a counter by verb and outcome.
+func countBy(scope tally.Scope, name string) func(verb, outcome string) {
+	return func(verb, outcome string) {
+		scope.Tagged(map[string]string{"verb": verb, "outcome": outcome}).Counter(name).Inc(1)
+	}
+}
--- a/internal/proc/front/desk.go
+++ b/internal/proc/front/desk.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	tally "github.com/uber-go/tally/v4"
 
 	"bramleysail.example/bramleysail/internal/batch/drive"
 	"bramleysail.example/bramleysail/internal/ctrl/lead"
@@ -16,6 +17,7 @@
 // Desk answers callers' requests through whoever holds.
 type Desk struct {
 	log   logr.Logger
+	scope tally.Scope
 	lead  *lead.Lead
 	links link.Set
 	name  string
@@ -30,7 +32,9 @@
 
 // Handle answers a request from here or, if another process holds, from there.
 func (d *Desk) Handle(ctx context.Context, a drive.Ask) drive.Reply {
+	began := time.Now()
 	rep := d.pass(ctx, a)
+	defer func() { d.tell(a, rep, time.Since(began)) }()
 	if d.older(rep.Version) {
 		// A former holder that doesn't know it has been replaced would take a configuration back.
 		rep = drive.Refuse("answer of a former holder", drive.AfterChange)
@@ -41,6 +45,19 @@
 	return rep
 }
 
+// tell logs an answer that a caller may ask about: any that isn't what was asked for.
+func (d *Desk) tell(a drive.Ask, rep drive.Reply, took time.Duration) {
+	d.scope.Tagged(map[string]string{"verb": string(a.Verb), "result": string(rep.Result)}).Counter("answers").Inc(1)
+	d.scope.Tagged(map[string]string{"verb": string(a.Verb)}).Histogram("answer_time", answerTimes).RecordDuration(took)
+	switch rep.Result {
+	case drive.ResultRefused, drive.ResultUnknown, drive.ResultBad, drive.ResultNoJob:
+		d.log.Info("answer", "verb", a.Verb, "path", a.Path, "result", rep.Result, "why", rep.Why, "version", rep.Version, "took", took)
+	}
+}
+
+// answerTimes are the bounds of the histogram of answers: from within one host to the longest deadline.
+var answerTimes = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
+
 func (d *Desk) older(version int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -51,28 +68,70 @@
 	return true
 }
 
+// pass has the holder answer. A holder that falls silent may have carried the request out; as
+// every request is idempotent by its job's id, the next holder is asked then.
+//
+// The failure it guards against: a host without power doesn't reset connections, and every
+// request sent to it would hang until its deadline and end without a known outcome.
 func (d *Desk) pass(ctx context.Context, a drive.Ask) drive.Reply {
-	if h := d.own(); h != nil {
-		return h.Handle(ctx, a)
-	}
-	holder, _ := d.lead.Holder()
-	if holder.Name == "" || holder.Name == d.name {
-		return drive.Refuse("no holder", drive.AfterChange)
-	}
-	rep, err := link.Call[drive.Ask, drive.Reply](ctx, d.links.To(holder.Addr), "Peer.Handle", a)
-	switch {
-	case err == nil:
-		return rep
-	case errors.Is(err, link.ErrDown):
-		return drive.Refuse("holder not reached", drive.AfterChange)
+	sent := false
+	for {
+		holder, changed := d.lead.Holder()
+		rep, err := d.try(ctx, holder, changed, a)
+		switch {
+		case err == nil && !(sent && rep.Result == drive.ResultRefused):
+			return rep
+		case errors.Is(err, link.ErrLost):
+			sent = true
+			d.log.Info("no answer from holder", "holder", holder.Name, "path", a.Path, "cause", err.Error())
+		case !sent && err != nil:
+			return drive.Refuse(err.Error(), drive.AfterChange)
+		}
+		// The outcome of what was sent is open: only a holder that has read the store knows it.
+		select {
+		case <-ctx.Done():
+			return d.open(a)
+		case <-changed:
+		case <-time.After(retryPause):
+		}
 	}
-	d.log.Info("no answer from holder", "holder", holder.Name, "cause", err.Error())
+}
+
+// retryPause is between two tries to learn what became of a request.
+const retryPause = 100 * time.Millisecond
+
+// open is the reply for a request whose outcome isn't known.
+func (d *Desk) open(a drive.Ask) drive.Reply {
 	if a.Verb == drive.VerbState {
 		return drive.Refuse("holder doesn't answer", drive.AfterChange)
 	}
 	return drive.Reply{Result: drive.ResultUnknown, Why: "holder doesn't answer"}
 }
 
+// errNone says that no process is known to hold.
+var errNone = errors.New("front: no holder")
+
+// try asks one holder, until it answers or another takes its place; link.ErrLost says that
+// the request may have been carried out.
+func (d *Desk) try(ctx context.Context, holder lead.Holder, changed <-chan struct{}, a drive.Ask) (drive.Reply, error) {
+	if h := d.own(); h != nil {
+		return h.Handle(ctx, a), nil
+	}
+	if holder.Name == "" || holder.Name == d.name {
+		return drive.Reply{}, errNone
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return link.Call[drive.Ask, drive.Reply](ctx, d.links.To(holder.Addr), "Peer.Handle", a)
+}
+
 func (d *Desk) own() *drive.Holder {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	tally "github.com/uber-go/tally/v4"
 
 	"bramleysail.example/bramleysail/internal/base/conf"
 	"bramleysail.example/bramleysail/internal/base/telem"
@@ -89,7 +90,9 @@
 		lis = append(lis, l)
 	}
 	h.addr = lis[1].Addr().String()
-	h.desk = &Desk{log: log, name: set.Name}
+	var scope tally.Scope
+	scope, h.metrics, h.flush = telem.NewMetrics()
+	h.desk = &Desk{log: log, name: set.Name, scope: scope}
 	h.lead = lead.New(lead.Options{
 		Store: out.Store, Name: set.Name, Addr: lis[0].Addr().String(),
 		Lease: max(holderLease, conf.Milliseconds(set.Store.Least)), Log: log, Alive: h.alive,
@@ -100,7 +103,6 @@
 	if h.peers, err = link.NewServer("Peer", &Peer{h.desk, h.peer}); err != nil {
 		return nil, err
 	}
-	_, h.metrics, h.flush = telem.NewMetrics()
 	h.wg.Go(func() { h.peers.Serve(lis[0]) })
 	h.serve(lis[1], h.closing(out.Callers(h.desk)))
 	h.serve(lis[2], out.Readiness(h.ready))
@@ -160,6 +162,7 @@
 		Stop:  conf.Milliseconds(h.set.Bound.Stop),
 		Keep:  2 * conf.Seconds(h.set.Bound.Keep),
 		Aided: h.peer.Aided,
+		Scope: h.desk.scope,
 	}, h.desk.setOwn)
 	cause := ""
 	if err != nil {
