--- a/internal/batch/drive/answer.go
+++ b/internal/batch/drive/answer.go
@@ -135,7 +135,7 @@
 		h.subs = append(h.subs, s)
 	}
 	h.mu.Unlock()
-	kick(h.commit)
+	kick(h.rush)
 	select {
 	case <-s.done:
 		h.log.Info("accepted", "job", id, "queue", q.Name, "tasks", tasks(job), "took", time.Since(job.At))
@@ -187,7 +187,7 @@
 	done := make(chan struct{})
 	h.waiting[id] = append(h.waiting[id], done)
 	h.mu.Unlock()
-	kick(h.commit)
+	kick(h.rush)
 	kick(h.plan)
 	select {
 	case <-done:
--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -28,6 +28,9 @@
 		case <-h.ctx.Done():
 			return
 		case <-h.commit:
+			// Nobody waits for progress alone: a little later it is one call with more.
+			h.pause()
+		case <-h.rush:
 		}
 		for {
 			r, err := h.gather()
@@ -46,6 +49,17 @@
 	}
 }
 
+// pause waits for more to store, until a caller waits.
+func (h *Holder) pause() {
+	t := time.NewTimer(gatherPause)
+	defer t.Stop()
+	select {
+	case <-h.ctx.Done():
+	case <-h.rush:
+	case <-t.C:
+	}
+}
+
 func (h *Holder) write(r *round) bool {
 	err := h.opt.Tenure.Commit(r.writes)
 	if err == nil {
--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -70,8 +70,12 @@
 const (
 	intentEvery = 700 * time.Millisecond  // plain reads of what operators wrote, within a second of a cut watch
 	rosterEvery = 1500 * time.Millisecond // plain reads of the directory
+	rosterPause = 200 * time.Millisecond  // between two watches of the directory, where each worker writes every second or so
 	planEvery   = 100 * time.Millisecond  // plans without an event: lapses, rests and occurrences fall due
 	planPause   = 2 * time.Millisecond    // after a plan, so that events that come together share one
+	// gatherPause is how long ends wait to be stored with others: some 100 end each second on
+	// a busy day, and a call of the store costs as much as a tenth of a second of a task.
+	gatherPause = 20 * time.Millisecond
 	loadPause   = 100 * time.Millisecond
 	missPause   = 150 * time.Millisecond // after a look without an answer
 	ackWait     = 500 * time.Millisecond // for the ends of a look to be stored
@@ -90,6 +94,7 @@
 	ends   func(verb, outcome string)
 	plan   chan struct{}
 	commit chan struct{}
+	rush   chan struct{} // commit, with a caller waiting
 	wg     sync.WaitGroup
 
 	mu      sync.Mutex
@@ -121,6 +126,7 @@
 		ctx:     opt.Tenure.Context(),
 		plan:    make(chan struct{}, 1),
 		commit:  make(chan struct{}, 1),
+		rush:    make(chan struct{}, 1),
 		lookers: map[string]bool{},
 		byID:    map[string]*submission{},
 		waiting: map[string][]chan struct{}{},
@@ -192,7 +198,7 @@
 	h.mu.Unlock()
 	feeds := []*feed{
 		{store: h.opt.Store, prefix: h.opt.Codec.IntentPrefix, plain: intentEvery, apply: h.applyIntent},
-		{store: h.opt.Store, prefix: h.opt.Codec.RosterPrefix, plain: rosterEvery, apply: h.applyRoster},
+		{store: h.opt.Store, prefix: h.opt.Codec.RosterPrefix, plain: rosterEvery, pause: rosterPause, apply: h.applyRoster},
 	}
 	for _, f := range feeds {
 		if err := f.load(h.ctx); err != nil {
--- a/internal/batch/drive/feed.go
+++ b/internal/batch/drive/feed.go
@@ -18,6 +18,8 @@
 	// plain is how often the keys are read besides being watched: a watch may be cut off from
 	// its news, which silence doesn't tell from there being none.
 	plain time.Duration
+	// pause is between two watches: changes that come meanwhile are told by one call.
+	pause time.Duration
 	apply func(at time.Time, entries []store.Entry)
 
 	rows map[string]store.Entry
@@ -73,6 +75,7 @@
 	watch := func() {
 		rev := f.rev
 		go func() {
+			wait.For(ctx, f.pause)
 			changes, next, err := f.store.Watch(ctx, f.prefix, rev, feedWait)
 			if err != nil && !errors.Is(err, store.ErrCompacted) {
 				wait.For(ctx, feedPause)
