--- a/internal/proc/front/desk.go
+++ b/internal/proc/front/desk.go
@@ -90,7 +90,7 @@
 		// The outcome of what was sent is open: only a holder that has read the store knows it.
 		select {
 		case <-ctx.Done():
-			return d.open(a)
+			return open(ctx, a)
 		case <-changed:
 		case <-time.After(retryPause):
 		}
@@ -101,11 +101,15 @@
 const retryPause = 100 * time.Millisecond
 
 // open is the reply for a request whose outcome isn't known.
-func (d *Desk) open(a drive.Ask) drive.Reply {
+func open(ctx context.Context, a drive.Ask) drive.Reply {
+	why := "holder doesn't answer"
+	if errors.Is(ctx.Err(), context.Canceled) {
+		why = "caller left"
+	}
 	if a.Verb == drive.VerbState {
-		return drive.Refuse("holder doesn't answer", drive.AfterChange)
+		return drive.Refuse(why, drive.AfterChange)
 	}
-	return drive.Reply{Result: drive.ResultUnknown, Why: "holder doesn't answer"}
+	return drive.Reply{Result: drive.ResultUnknown, Why: why}
 }
 
 // errNone says that no process is known to hold.
--- a/internal/proc/front/front_test.go
+++ b/internal/proc/front/front_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,6 +19,7 @@
 	"bramleysail.example/bramleysail/internal/base/conf"
 	"bramleysail.example/bramleysail/internal/batch/sched"
 	"bramleysail.example/bramleysail/internal/batch/wire"
+	"bramleysail.example/bramleysail/internal/ctrl/lead"
 	fakecrew "bramleysail.example/bramleysail/internal/fake/crew"
 	"bramleysail.example/bramleysail/internal/fake/multi"
 	"bramleysail.example/bramleysail/internal/proc/front"
@@ -31,6 +33,7 @@
 	store *multi.Service
 	crew  *fakecrew.Crew
 	hosts []*front.Host
+	addr  string // of the store
 }
 
 const config = `{"version":1,"routes":[{"name":"q","host":"h.example","prefix":"/q/","service":"s","maxAttempts":2,` +
@@ -59,28 +62,35 @@
 		srv.CloseClientConnections()
 		srv.Close()
 	})
-	const free = "127.0.0.1:0"
-	for i := range hosts {
-		set := conf.Host{
-			Name: fmt.Sprintf("host%d", i), Zone: "z",
-			Listen:  conf.HostListen{Caller: free, Ready: free, Peer: free},
-			Metrics: free,
-			Store:   conf.HostStore{Addr: strings.TrimPrefix(srv.URL, "http://"), Least: 1000},
-			Bound:   conf.Bound{Hold: 6000, Stop: 200, Grace: 3, Keep: 60},
-		}
-		h, err := front.Start(set, front.Outside{
-			Store: platform.NewStore(set.Store.Addr, time.Second), Crew: platform.NewCrew(), Codec: platform.Codec(),
-			Callers:   func(d *front.Desk) http.Handler { return platform.Callers(d) },
-			Readiness: platform.Readiness,
-		}, logr.Discard())
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.hosts = append(s.hosts, h)
+	s.addr = strings.TrimPrefix(srv.URL, "http://")
+	for range hosts {
+		s.start()
 	}
 	return s
 }
 
+// start starts a further host.
+func (s *site) start() {
+	s.t.Helper()
+	const free = "127.0.0.1:0"
+	set := conf.Host{
+		Name: fmt.Sprintf("host%d", len(s.hosts)), Zone: "z",
+		Listen:  conf.HostListen{Caller: free, Ready: free, Peer: free},
+		Metrics: free,
+		Store:   conf.HostStore{Addr: s.addr, Least: 1000},
+		Bound:   conf.Bound{Hold: 6000, Stop: 200, Grace: 3, Keep: 60},
+	}
+	h, err := front.Start(set, front.Outside{
+		Store: platform.NewStore(set.Store.Addr, time.Second), Crew: platform.NewCrew(), Codec: platform.Codec(),
+		Callers:   func(d *front.Desk) http.Handler { return platform.Callers(d) },
+		Readiness: platform.Readiness,
+	}, logr.Discard())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.hosts = append(s.hosts, h)
+}
+
 // stop stops hosts at the same time.
 func (s *site) stop(hosts ...*front.Host) {
 	s.t.Helper()
@@ -204,6 +214,42 @@
 	}
 }
 
+// A shop waits until its deadline and gets no certificate. The holder's host has lost power, so
+// that its connections stay open and nothing answers; the entry goes on waiting for it though
+// another host has taken over.
+func TestHolderFallsSilent(t *testing.T) {
+	t.Parallel()
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dead.Close()
+	s := newSite(t, 0, 1)
+	holder, err := json.Marshal(lead.Holder{Name: "dead", Addr: dead.Addr().String(), Term: 1, Once: "x"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.store.Put("lead/holder", holder)
+	s.store.Put("lead/term", []byte("1"))
+	s.start()
+	defer func() { s.stop(s.hosts...) }()
+	got := make(chan int)
+	go func() {
+		code := 503 // until the host has read who holds
+		for code == 503 {
+			code, _ = s.send(0, "POST", "/q/a", twoSteps)
+		}
+		got <- code
+	}()
+	if _, err := dead.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	s.store.Revoke("lead/holder")
+	if code := <-got; code != 200 {
+		t.Errorf("hand-in: %d", code)
+	}
+}
+
 // The store is silent for longer than any lease on a worker. The peers back the holder, which
 // goes on renewing, and what runs isn't lost.
 func TestStoreSilentForLong(t *testing.T) {
--- a/internal/proc/tool/cli.go
+++ b/internal/proc/tool/cli.go
@@ -139,7 +139,10 @@
 		Usage:       "check a settings file or, with --sheet, a sheet; every fault is listed",
 		ArgsUsage:   "FILE",
 		Description: "Examples: bramleysail check examples/association.toml\n          bramleysail check --sheet examples/association.sheet.toml",
-		Flags:       []cli.Flag{&cli.BoolFlag{Name: "sheet", Usage: "the file is a sheet"}},
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "sheet", Usage: "the file is a sheet"},
+			&cli.BoolFlag{Name: "host", Usage: "the file is the settings of a host on the users' platform"},
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			name, err := argument(c, "FILE")
 			if err != nil {
@@ -149,10 +152,13 @@
 			if err != nil {
 				return exit{errors.Wrap(err, "bramleysail"), ExitInvalid}
 			}
-			if c.Bool("sheet") {
-				_, err = sheet.Parse(string(data))
-			} else {
-				_, err = conf.Parse(string(data))
+			switch text := string(data); {
+			case c.Bool("sheet"):
+				_, err = sheet.Parse(text)
+			case c.Bool("host"):
+				_, err = conf.ParseHost(text)
+			default:
+				_, err = conf.Parse(text)
 			}
 			if err != nil {
 				return err
