--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -37,7 +37,7 @@
 	for i := range n {
 		all = append(all, sched.Member{
 			Life: sched.Life{ID: fmt.Sprintf("w%d", i), Born: 1}, Service: "s", Addr: fmt.Sprintf("h%d:1", i),
-			Zone: "z", Rack: "r", Size: wire.Size{CPU: 16000, Mem: 64000},
+			Zone: "z", Rack: "r", Labels: []string{fmt.Sprintf("w%d", i)}, Size: wire.Size{CPU: 16000, Mem: 64000},
 		})
 	}
 	return all
@@ -375,3 +375,27 @@
 		t.Fatalf("placed %v, want %v", again, orders[0].Task)
 	}
 }
+
+// A check-in runs twice. Its order isn't answered, the worker starts anew and is cut off; the
+// order's time is of the former life's clock, so the new life carries it out seconds after
+// every lease has lapsed by our count.
+func TestOrderOfFormerLife(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.after(doubt)
+	b.look("w0", sched.Report{})
+	b.look("w1", sched.Report{})
+	b.core.Admit(b.now, one("j", nil))
+	o := b.core.Plan(b.now)[0]
+	b.core.Answer(b.now, o, sched.OutcomeUnknown)
+	ordered := b.now
+	other := map[string]string{"w0": "w1", "w1": "w0"}[o.Life.ID]
+	b.look(o.Life.ID, sched.Report{Born: 2})
+	b.core.Missed(b.now, o.Life.ID, 2)
+	for b.now.Sub(ordered) < 12*time.Second+lease {
+		b.look(other, sched.Report{})
+		if got := b.plan(sched.VerbStart); len(got) != 0 {
+			t.Fatalf("placed again %s after the order", b.now.Sub(ordered))
+		}
+		b.after(100 * time.Millisecond)
+	}
+}
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -114,17 +114,35 @@
 		if w.contact == ContactGood || now.Before(w.lapse) {
 			continue
 		}
+		kept := false
 		for _, r := range w.all() {
+			if r.adrift(now, w) {
+				kept = true
+				continue
+			}
 			c.free(r)
 		}
 		w.void = true
-		if !w.listed {
+		if !w.listed && !kept {
 			delete(c.workers, id)
 			c.rank()
 		}
 	}
 }
 
+// adrift reports whether an order that was given to a former life of a worker may still be
+// carried out by the present one. Its time, on the former life's clock, doesn't bound that:
+// the clock has begun anew. Only a stop settles it, or the time after which no order is
+// carried out any more.
+func (r *run) adrift(now time.Time, w *worker) bool {
+	open := r.state == RunSent || r.state == RunUnsure || r.state == RunStopping
+	return open && r.born != w.Born && now.Sub(r.began) < lateMost
+}
+
+// lateMost is above the time after which workers carry out an order that they left
+// unanswered, 2 to 12 s, with the lease that it brings.
+const lateMost = 20 * time.Second
+
 // rank lists the workers in the order of their ids, so that equals are chosen among the same
 // way every time.
 func (c *Core) rank() {
@@ -291,7 +309,7 @@
 // adopt enters a run that a worker shows and the ledger doesn't: of a former holder, or of
 // an order given up for lost. It is kept if its task has no other run, and stopped otherwise.
 func (c *Core) adopt(now time.Time, w *worker, key runKey) *run {
-	r := &run{runKey: key, worker: w, state: RunLive, began: now, sent: now, sure: now, pace: fullPace, want: fullPace}
+	r := &run{runKey: key, worker: w, state: RunLive, born: w.Born, began: now, sent: now, sure: now, pace: fullPace, want: fullPace}
 	t := c.task(key.task)
 	if t == nil || t.done || t.run != nil || t.stage.job.state.Final() {
 		r.state = RunStopping
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -304,7 +304,7 @@
 }
 
 func (c *Core) start(now time.Time, t *task, w *worker, number int64) Order {
-	r := &run{runKey: runKey{t.id(), number}, task: t, worker: w, state: RunSent, sent: now, began: now, pace: fullPace, want: fullPace}
+	r := &run{runKey: runKey{t.id(), number}, task: t, worker: w, state: RunSent, born: w.Born, sent: now, began: now, pace: fullPace, want: fullPace}
 	t.run = r
 	t.n = number
 	s := t.stage
@@ -359,19 +359,27 @@
 			return 0, false
 		}
 		harm := c.harm(w, s.spec)
-		return leftWeight*left/whole - harm, harm <= mostHarm
+		return leftWeight*left/whole + advantageWeight*c.advantage(w, s.spec) - harm, harm <= mostHarm
 	case !free.Covers(z):
 		return 0, false
 	case s.spec.Lasting:
-		return w.kinship(s.spec.Image) + leftWeight*float64(free.CPU)/whole, true
+		return w.kinship(s.spec.Image), true
 	}
 	return left / whole, true
 }
 
+// advantageWeight is the weight of what a place is worth to other images beside the harm done
+// there. On six days of both users the worth added up to 3.05 without it, 3.09 at 0.3, 3.20 at
+// 0.5 and 3.14 at 1.
+const advantageWeight = 0.5
+
 // leftWeight is the weight of the processors left beside what is decided first.
 const leftWeight = 0.1
 
-// kinship is how much a serving task of an image is among its like on the worker, from -1 to
+// kinship prefers the worker that is fullest of the image, so that others stay free of serving
+// tasks for filling images that disturb them all.
+//
+// It is how much a serving task of an image is among its like on the worker, from -1 to
 // 1. Images differ in which filling images disturb them: with one serving image on a
 // worker, most filling images find workers where they disturb nobody.
 func (w *worker) kinship(image string) float64 {
--- a/internal/batch/sched/press.go
+++ b/internal/batch/sched/press.go
@@ -24,6 +24,8 @@
 	least map[string]time.Duration
 	load  map[string]float64
 	pairs map[pair]float64
+
+	totals map[string]total // of pairs, by serving image
 }
 
 const (
@@ -35,6 +37,8 @@
 	firstLoad = 0.45
 	// fullPressure is where a reading says no more than "far over".
 	fullPressure = 0.97
+	// restShare is the most of a target that a tail at rest is; the ones measured were a sixth.
+	restShare = 0.5
 	// shareScale brings shares of processors, some 0.1 to 0.4, to the scale of the load's constant 1.
 	shareScale = 5
 )
@@ -47,6 +51,34 @@
 	return firstFactor
 }
 
+// mean returns the average factor of the filling images seen beside a serving one.
+func (p *pressure) mean(serve string) float64 {
+	t := p.totals[serve]
+	if t.n == 0 {
+		return firstFactor
+	}
+	return t.sum / float64(t.n)
+}
+
+// set gives a pair a factor and keeps the totals.
+func (p *pressure) set(k pair, f float64) {
+	t := p.totals[k.serve]
+	if old, ok := p.pairs[k]; ok {
+		t.sum -= old
+	} else {
+		t.n++
+	}
+	t.sum += f
+	p.pairs[k] = f
+	p.totals[k.serve] = t
+}
+
+// total is what the average of a serving image's factors is made of.
+type total struct {
+	sum float64
+	n   int
+}
+
 func (p *pressure) own(serve string) float64 {
 	if l, ok := p.load[serve]; ok {
 		return l
@@ -79,15 +111,19 @@
 
 // learn takes a reading of a serving task's tail beside filling images with the shares of
 // the worker's processors that they use.
-func (p *pressure) learn(serve string, tail time.Duration, use map[string]float64) {
+func (p *pressure) learn(s *Step, tail time.Duration, use map[string]float64) {
 	if tail <= 0 {
 		return
 	}
 	if p.least == nil {
 		p.least, p.load, p.pairs = map[string]time.Duration{}, map[string]float64{}, map[pair]float64{}
+		p.totals = map[string]total{}
 	}
-	if least, ok := p.least[serve]; !ok || tail < least {
-		p.least[serve] = tail
+	serve := s.Image
+	// A task disturbed from its start shows no tail at rest; that is well below its target.
+	tailAtRest := min(tail, time.Duration(restShare*float64(s.Target)))
+	if least, ok := p.least[serve]; !ok || tailAtRest < least {
+		p.least[serve] = tailAtRest
 	}
 	got := p.of(serve, tail)
 	sum := p.own(serve)
@@ -103,7 +139,7 @@
 	p.load[serve] = p.own(serve) + step
 	for image, u := range use {
 		k := pair{serve, image}
-		p.pairs[k] = max(0, p.factor(k)+step*u*shareScale*shareScale)
+		p.set(k, max(0, p.factor(k)+step*u*shareScale*shareScale))
 	}
 }
 
@@ -140,9 +176,9 @@
 	if l.Least == nil || l.Load == nil {
 		return nil
 	}
-	c.press.least, c.press.load, c.press.pairs = l.Least, l.Load, map[pair]float64{}
+	c.press = pressure{least: l.Least, load: l.Load, pairs: map[pair]float64{}, totals: map[string]total{}}
 	for _, p := range l.Pairs {
-		c.press.pairs[pair{p.Serve, p.Fill}] = p.Factor
+		c.press.set(pair{p.Serve, p.Fill}, p.Factor)
 	}
 	return nil
 }
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -80,7 +80,7 @@
 		}
 		s := r.task.stage.spec
 		if r.ready {
-			c.press.learn(s.Image, r.tail, use)
+			c.press.learn(s, r.tail, use)
 		}
 		load := max(0, c.press.of(s.Image, r.tail)-c.press.sum(s.Image, use))
 		r.load += loadShare * (load - r.load)
@@ -218,6 +218,7 @@
 type strain struct {
 	image     string
 	now, most float64
+	mean      float64 // factor of the filling images known, on average
 }
 
 // outlook is what placing looks at on a worker; it is kept until a run comes, goes or is
@@ -242,7 +243,7 @@
 		}
 		if r.serves() && r.state == RunLive {
 			spec := r.task.stage.spec
-			o.strains = append(o.strains, strain{spec.Image, c.bears(w, r), c.press.limit(spec, 1)})
+			o.strains = append(o.strains, strain{spec.Image, c.bears(w, r), c.press.limit(spec, 1), c.press.mean(spec.Image)})
 		}
 	}
 	o.left = w.Size.CPU - int(baseLoad*float64(w.base)) - (w.used.CPU - w.base) - fill
@@ -282,6 +283,17 @@
 	return sum
 }
 
+// advantage is how much less a filling image disturbs the worker's serving tasks than filling
+// images do on average. Placing by it leaves the workers on which nothing serves, and those
+// whose serving tasks bear more, to the images that have no other place.
+func (c *Core) advantage(w *worker, s *Step) float64 {
+	sum := 0.0
+	for _, k := range c.look(w).strains {
+		sum += k.mean - c.press.factor(pair{k.image, s.Image})
+	}
+	return sum * s.share(w)
+}
+
 // over returns the chance that a serving run is over its target whose pressure is expected to
 // be x above it. It goes on rising above 1: what is far over takes longer to come back.
 func over(x float64) float64 {
--- /dev/null
+++ b/internal/batch/sched/share_test.go
@@ -0,0 +1,140 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+)
+
+// show has a worker report its serving task's tail beside a filling task's use.
+func (b *bench) show(serve, fill sched.Order, tail time.Duration, use float64) {
+	b.t.Helper()
+	b.after(600 * time.Millisecond)
+	s, f := running(serve), running(fill)
+	s.Part, s.Tail = 100, tail
+	f.Usage = use
+	b.look(serve.Life.ID, sched.Report{Running: []sched.Running{s, f}})
+}
+
+// sharing starts a serving task and a filling one on the only worker.
+func sharing(t *testing.T) (b *bench, serve, fill sched.Order) {
+	t.Helper()
+	b = newBench(t, 1, 1).open()
+	j := serving("s", "serve")
+	j.Steps[0].Count = 1
+	b.core.Admit(b.now, j)
+	serve = b.plan(sched.VerbStart)[0]
+	k := filling("f", "fill", 3000)
+	k.Steps[0].Count = 1
+	b.core.Admit(b.now, k)
+	got := b.plan(sched.VerbStart)
+	if len(got) != 1 {
+		t.Fatalf("%d filling tasks placed, want 1", len(got))
+	}
+	return b, serve, got[0]
+}
+
+// A sponsor's feed answers late for many seconds. A photo book beside it brings it over its
+// target, and one rough reading below it in between must not begin the wait anew: within
+// 3 s the book stands still.
+func TestOverTargetStops(t *testing.T) {
+	b, serve, fill := sharing(t)
+	b.show(serve, fill, 4*time.Millisecond, 3000)
+	began := b.now
+	pace := 100
+	for i, tail := range []int{80, 90, 20, 85, 90, 80, 90} {
+		b.show(serve, fill, time.Duration(tail)*time.Millisecond, 3000)
+		for _, o := range b.plan(sched.VerbPace) {
+			pace = o.Pace
+		}
+		if pace == 0 {
+			return
+		}
+		if b.now.Sub(began) > 3*time.Second+600*time.Millisecond {
+			t.Fatalf("at %d%% after %d readings over the target", pace, i+1)
+		}
+	}
+	t.Fatalf("at %d%% in the end", pace)
+}
+
+// A feed that is over its target by its own load, with nothing at work beside it, doesn't keep
+// filling tasks away for good, and one that is well below lets them work at full speed again.
+func TestPaceReturns(t *testing.T) {
+	b, serve, fill := sharing(t)
+	b.show(serve, fill, 4*time.Millisecond, 3000)
+	for range 6 {
+		b.show(serve, fill, 90*time.Millisecond, 3000)
+		b.plan(sched.VerbPace)
+	}
+	pace := 0
+	for range 12 {
+		b.show(serve, fill, 6*time.Millisecond, 0)
+		for _, o := range b.plan(sched.VerbPace) {
+			pace = o.Pace
+		}
+	}
+	if pace != 100 {
+		t.Errorf("at %d%% with the tail far below the target", pace)
+	}
+}
+
+// Serving tasks of one image share workers, and a filling image that disturbs one of two
+// serving images, both under some load, is placed beside the other.
+func TestPlacedApart(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	for _, j := range []*sched.Job{serving("s1", "a"), serving("s2", "b"), serving("s3", "a"), serving("s4", "b")} {
+		j.Steps[0].Count = 2
+		b.core.Admit(b.now, j)
+	}
+	at := map[string]string{}
+	serves := map[string][]sched.Order{}
+	for _, o := range b.plan(sched.VerbStart) {
+		image := map[string]string{"s1": "a", "s2": "b", "s3": "a", "s4": "b"}[o.Task.Job]
+		if w, ok := at[image]; ok && w != o.Life.ID {
+			t.Fatalf("image %s on two workers", image)
+		}
+		at[image] = o.Life.ID
+		serves[image] = append(serves[image], o)
+	}
+	if at["a"] == at["b"] {
+		t.Fatal("both images on one worker")
+	}
+	// Both images are seen beside the filling one: it disturbs a, and doesn't b.
+	for image, tail := range map[string]time.Duration{"a": 60 * time.Millisecond, "b": 6 * time.Millisecond} {
+		rows := func(tail time.Duration) []sched.Running {
+			var all []sched.Running
+			for _, s := range serves[image] {
+				row := running(s)
+				row.Part, row.Tail = 100, tail
+				all = append(all, row)
+			}
+			return all
+		}
+		b.after(600 * time.Millisecond)
+		b.look(at[image], sched.Report{Running: rows(5 * time.Millisecond)})
+		probe := filling("p"+image, "x", 3000)
+		probe.Steps[0].Count = 1
+		probe.Steps[0].Label = at[image]
+		b.core.Admit(b.now, probe)
+		o := b.plan(sched.VerbStart)[0]
+		for range 40 {
+			b.after(600 * time.Millisecond)
+			row := running(o)
+			row.Usage = 3000
+			b.look(at[image], sched.Report{Running: append(rows(tail), row)})
+		}
+		done := sched.Report{Running: rows(16 * time.Millisecond), Finished: []sched.Finished{finished(1, o, sched.EndDone)}}
+		for range 10 {
+			b.after(600 * time.Millisecond)
+			b.look(at[image], done)
+		}
+	}
+	next := filling("n", "x", 1500)
+	next.Steps[0].Count = 1
+	b.core.Admit(b.now, next)
+	got := b.plan(sched.VerbStart)
+	if len(got) != 1 || got[0].Life.ID != at["b"] {
+		t.Errorf("placed %v, want on %s", got, at["b"])
+	}
+}
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -120,6 +120,7 @@
 	task   *task // nil: of a job that isn't known here
 	worker *worker
 	state  RunState
+	born   int64     // life of the worker that was meant
 	sent   time.Time // of the newest order about it
 	began  time.Time // first seen or ordered
 	sure   time.Time // since when it was known to be there, or its stop to be acknowledged
