batch/sched, batch/drive: files split by their job; the lease's slack from the worker's bound

The ledger's roster, looks and orders stand in files of their own; a setting that nothing read is gone; a lapse is counted with the worker's own time to stop (200 or 400 ms) instead of 500 ms.

--- /dev/null
+++ b/internal/batch/drive/work.go
@@ -0,0 +1,155 @@
+package drive
+
+import (
+	"time"
+
+	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/batch/sched"
+)
+
+// plans orders what follows from the events until the tenure is over.
+func (h *Holder) plans() {
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-h.plan:
+		case <-tick.C:
+		}
+		h.mu.Lock()
+		h.core.Confirm(h.opt.Tenure.Sure())
+		if h.opt.Aided != nil {
+			h.core.Aid(h.opt.Aided())
+		}
+		orders := h.core.Plan(time.Now())
+		h.mu.Unlock()
+		for _, o := range orders {
+			h.wg.Go(func() { h.order(o) })
+		}
+		if !wait.For(h.ctx, planPause) {
+			return
+		}
+	}
+}
+
+func (h *Holder) order(o sched.Order) {
+	sent := time.Now()
+	out := h.opt.Crew.Order(h.ctx, o, h.opt.Tenure.Term())
+	if o.Verb == sched.VerbStart || out != sched.OutcomeDone || o.Pace == 0 {
+		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Life.ID, "pace", o.Pace, "outcome", out, "took", time.Since(sent))
+	}
+	h.orders(string(o.Verb), string(out))
+	if out == sched.OutcomeFence {
+		h.fenced(o.Life.ID)
+		return
+	}
+	h.mu.Lock()
+	h.core.Answer(time.Now(), o, out)
+	h.mu.Unlock()
+	if out != sched.OutcomeDone {
+		kick(h.plan)
+	}
+}
+
+// fenced ends the tenure: a worker knows a newer holder.
+func (h *Holder) fenced(worker string) {
+	h.log.Info("fenced by a newer holder", "worker", worker)
+	h.opt.Tenure.Over()
+}
+
+// look has a goroutine for each worker.
+func (h *Holder) look() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, m := range h.core.Crew() {
+		if !h.lookers[m.ID] {
+			h.lookers[m.ID] = true
+			h.wg.Go(func() { h.lookAt(m.ID) })
+		}
+	}
+}
+
+func (h *Holder) lookAt(id string) {
+	good := true
+	for h.ctx.Err() == nil {
+		h.mu.Lock()
+		sent := time.Now()
+		l, ok := h.core.Look(sent, id)
+		if !ok {
+			delete(h.lookers, id)
+		}
+		h.mu.Unlock()
+		if !ok {
+			return
+		}
+		rep, out := h.opt.Crew.Look(h.ctx, l, h.opt.Tenure.Term())
+		if h.ctx.Err() != nil {
+			return
+		}
+		if good != (out == sched.OutcomeDone) {
+			good = !good
+			h.log.Info("contact", "worker", id, "outcome", out, "took", time.Since(sent))
+		}
+		h.hear(sent, l, rep, out)
+	}
+}
+
+func (h *Holder) hear(sent time.Time, l sched.Look, rep sched.Report, out sched.Outcome) {
+	now := time.Now()
+	h.mu.Lock()
+	switch out {
+	case sched.OutcomeDone:
+		h.core.Hear(sent, now, l.ID, rep)
+	case sched.OutcomeGone:
+		h.core.Gone(now, l.ID, l.Born)
+	default:
+		h.core.Missed(now, l.ID, l.Born)
+	}
+	h.mu.Unlock()
+	if out == sched.OutcomeFence {
+		h.fenced(l.ID)
+		return
+	}
+	h.logEnds(l.ID, rep, l.Acked)
+	kick(h.plan)
+	if out != sched.OutcomeDone {
+		wait.For(h.ctx, missPause)
+		return
+	}
+	h.awaitStored(l.ID)
+}
+
+// awaitStored waits until a worker's ends are stored, for a while: the next look tells the
+// worker to forget them and would be answered at once with the same ends before.
+func (h *Holder) awaitStored(id string) {
+	t := time.NewTimer(ackWait)
+	defer t.Stop()
+	for {
+		h.mu.Lock()
+		unstored := h.core.Unacked(id)
+		stored := h.stored
+		h.mu.Unlock()
+		if !unstored {
+			return
+		}
+		kick(h.commit)
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-stored:
+		case <-t.C:
+			return
+		}
+	}
+}
+
+func (h *Holder) logEnds(worker string, rep sched.Report, acked int64) {
+	for _, f := range rep.Finished {
+		if f.Seq > acked {
+			h.ends("end", string(f.How))
+			h.log.Info("end", "task", f.Task, "run", f.Run, "how", f.How, "worker", worker, "seq", f.Seq)
+		}
+	}
+}
--- a/internal/batch/sched/job.go
+++ b/internal/batch/sched/job.go
@@ -149,7 +149,6 @@
 type Config struct {
 	Version int64
 	Queues  []Queue
-	Guarded map[string]bool // services whose workers refuse what doesn't fit
 }
 
 // Match returns the queue for a host and path: of those for the host, the one with the longest prefix.
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -317,7 +317,7 @@
 	o := r.order(VerbStart)
 	o.Spec = s.job.Spec
 	o.Save = s.job.saves[t.id()]
-	o.Until = w.lease(now, c.opt.Lease)
+	o.Until = c.grant(now, w)
 	return o
 }
 
--- /dev/null
+++ b/internal/batch/sched/roster.go
@@ -0,0 +1,148 @@
+package sched
+
+import (
+	"sort"
+	"time"
+)
+
+// Roster takes the directory's list of workers. One that is missing gets nothing more; it
+// is looked at on until it is surely empty.
+func (c *Core) Roster(now time.Time, members []Member) {
+	for _, w := range c.workers {
+		w.listed = false
+	}
+	for _, m := range members {
+		c.join(now, m, true)
+	}
+	c.sweep(now)
+}
+
+// Inherit takes the workers that a former holder may have given work to.
+func (c *Core) Inherit(now time.Time, crew []Member) {
+	for _, m := range crew {
+		if c.workers[m.ID] == nil {
+			c.join(now, m, false)
+			c.workers[m.ID].stored = true
+		}
+	}
+}
+
+func (c *Core) join(now time.Time, m Member, listed bool) {
+	w := c.workers[m.ID]
+	if w != nil && w.Born != 0 && m.Born > w.Born {
+		c.rebirth(w, m.Born)
+	}
+	if w == nil {
+		w = &worker{runs: map[runKey]*run{}, lapse: c.began.Add(c.opt.Doubt)}
+		c.workers[m.ID] = w
+		w.ID = m.ID
+		c.rank()
+	}
+	if m.Born < w.Born {
+		m.Born = w.Born
+	}
+	w.Member = m
+	w.listed = listed
+	w.out = c.zones[m.Zone]
+}
+
+// rebirth notes that a worker has started anew under its id. The next look tells what runs in
+// its new life: an order given to the former one may have been carried out by this one, whose
+// fence is unset, so nothing is taken for ended before.
+func (c *Core) rebirth(w *worker, born int64) {
+	w.Born = born
+	w.acked, w.heard = 0, 0
+	w.contact = ContactNone
+	w.stored = false
+	w.void = false
+	w.bad = health{}
+	w.calm = sharing{}
+	w.clock = clock{}
+	w.outlook.fresh = false
+}
+
+func (w *worker) all() []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+// Out takes the failure domains that operators have taken out.
+func (c *Core) Out(zones map[string]bool) {
+	c.zones = zones
+	for _, w := range c.workers {
+		w.out = zones[w.Zone]
+	}
+}
+
+// Gone tells that another life answers at a worker's address: this one has ended.
+func (c *Core) Gone(now time.Time, id string, born int64) {
+	w := c.workers[id]
+	if w == nil || w.Born != born {
+		return
+	}
+	for _, r := range w.all() {
+		c.free(r)
+	}
+	w.contact = ContactLost
+	w.lapse = now
+	c.sweep(now)
+}
+
+// Missed tells that a look at a worker was not answered.
+func (c *Core) Missed(now time.Time, id string, born int64) {
+	if w := c.workers[id]; w != nil && w.Born == born && w.contact == ContactGood {
+		w.contact = ContactLost
+	}
+}
+
+// sweep gives up the runs of workers whose lease has surely lapsed and drops workers that
+// are gone.
+func (c *Core) sweep(now time.Time) {
+	if !c.alone(now) {
+		return
+	}
+	for id, w := range c.workers {
+		if w.contact == ContactGood || now.Before(w.lapse) {
+			continue
+		}
+		kept := false
+		for _, r := range w.all() {
+			if r.adrift(now, w) {
+				kept = true
+				continue
+			}
+			c.free(r)
+		}
+		w.void = true
+		if !w.listed && !kept {
+			delete(c.workers, id)
+			c.rank()
+		}
+	}
+}
+
+// adrift reports whether an order that was given to a former life of a worker may still be
+// carried out by the present one. Its time, on the former life's clock, doesn't bound that:
+// the clock has begun anew. Only a stop settles it, or the time after which no order is
+// carried out any more.
+func (r *run) adrift(now time.Time, w *worker) bool {
+	open := r.state == RunSent || r.state == RunUnsure || r.state == RunStopping
+	return open && r.born != w.Born && now.Sub(r.began) < lateMost
+}
+
+// lateMost is above the time after which workers carry out an order that they left
+// unanswered, 2 to 12 s, with the lease that it brings.
+const lateMost = 20 * time.Second
+
+// rank lists the workers in the order of their ids, so that equals are chosen among the same
+// way every time.
+func (c *Core) rank() {
+	c.ranks = c.ranks[:0]
+	for _, w := range c.workers {
+		c.ranks = append(c.ranks, w)
+	}
+	sort.Slice(c.ranks, func(i, k int) bool { return c.ranks[i].ID < c.ranks[k].ID })
+}
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -7,10 +7,9 @@
 
 // sharing is what is known of a worker on which tasks that fill run beside tasks that serve.
 type sharing struct {
-	clock clock
-	last  time.Time // of the last reading that was used
-	busy  time.Time // when a filling task was last at work
-	shut  bool      // a serving task is over its target for long: nothing more that fills
+	last time.Time // of the last reading that was used
+	busy time.Time // when a filling task was last at work
+	shut bool      // a serving task is over its target for long: nothing more that fills
 }
 
 const (
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -87,13 +87,14 @@
 	acked   int64     // ends up to here are recorded and may be forgotten there
 	heard   int64     // ends up to here have been handled
 
-	runs map[runKey]*run
-	used wire.Size // of all runs but those that fill
-	mem  int       // memory of the runs that fill, MiB
-	fill int       // millicores asked for by the runs that fill
-	base int       // millicores asked for by lasting runs
-	bad  health
-	calm sharing
+	runs  map[runKey]*run
+	used  wire.Size // of all runs but those that fill
+	mem   int       // memory of the runs that fill, MiB
+	fill  int       // millicores asked for by the runs that fill
+	base  int       // millicores asked for by lasting runs
+	clock clock
+	bad   health
+	calm  sharing
 
 	outlook outlook
 }
