route/relay: a refusal leaves its connection in use

The relay closed the connection after a refusal that was whole; the transport had given it to the next request already, which failed with "use of closed network connection" and was told as unknown. Change: only an answer that can't be used closes its connection. TestRefusedKeepsConnection fails without it (20 connections for 20 refusals).

--- a/internal/fake/target/target.go
+++ b/internal/fake/target/target.go
@@ -43,6 +43,7 @@
 	over    int
 	conns   int
 	connTop int
+	made    int // connections in all
 	runs    map[string]int
 	bodies  map[string]string
 }
@@ -99,6 +100,13 @@
 	return t.peak, t.connTop, t.over
 }
 
+// Accepted returns how many connections were made to the target.
+func (t *Target) Accepted() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.made
+}
+
 // Server returns an HTTP server for the target that counts its connections.
 func (t *Target) Server() *http.Server {
 	mux := http.NewServeMux()
@@ -117,6 +125,7 @@
 		switch s {
 		case http.StateNew:
 			t.conns++
+			t.made++
 			t.connTop = max(t.connTop, t.conns)
 		case http.StateClosed, http.StateHijacked:
 			t.conns--
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -206,7 +206,9 @@
 		return Answer{Load: -1}, errors.Wrap(ErrLost, err.Error())
 	}
 	a, err := r.read(resp, q.ID)
-	if err != nil {
+	// A refusal is a whole answer, after which the connection may already carry another
+	// request: closing it then would lose that one's answer.
+	if err != nil && !errors.Is(err, ErrRefused) {
 		t.kill()
 	}
 	_ = resp.Body.Close()
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -120,3 +120,23 @@
 		t.Errorf("headers at the target: %v", h)
 	}
 }
+
+// A caller is told that a check-in's outcome is unknown though the target had refused it. The
+// relay closes the connection after the refusal, which was whole, and the next request already
+// goes over it. So a refusal leaves the connection in use.
+func TestRefusedKeepsConnection(t *testing.T) {
+	target := faketarget.New(4, 0)
+	target.SetFault(faketarget.FaultRefuse)
+	addr := serve(t, target)
+	r := New(1<<20, always)
+	defer r.Close()
+	for i := range 20 {
+		_, err := r.Do(context.Background(), addr, RoleOwner, 1, Request{ID: "r", Key: "k", Method: http.MethodPost, Path: "/", Body: []byte("x")})
+		if !errors.Is(err, ErrRefused) {
+			t.Fatalf("refusal %d: %v", i, err)
+		}
+	}
+	if got := target.Accepted(); got != 1 {
+		t.Errorf("%d connections made for 20 refusals, want 1", got)
+	}
+}
