front: a host that doesn't reach the holder isn't ready; a silent connection to it is made anew

Cause: a host cut off from the holder told the balancer that it is ready, and its callers were refused all the while; a connection that goes silent without a reset stayed in use for good. Change: followers ask the holder twice a second; without an answer for 1.7 s a host isn't ready and closes callers' connections; two lost calls in a row have the connection made anew.

--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// Reset drops the connection, so that the next call makes a new one. Calls under way return
+// ErrLost.
+//
+// The failure it guards against: a connection goes silent for good, without a reset, while a
+// new one would work; calls over it time out one after the other.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	c := l.client
+	l.mu.Unlock()
+	if c != nil {
+		l.drop(c)
+	}
+}
+
 // Close ends the link; later calls return ErrDown.
 func (l *Link) Close() {
 	l.mu.Lock()
--- a/internal/proc/front/desk.go
+++ b/internal/proc/front/desk.go
@@ -148,15 +148,6 @@
 	d.holder = h
 }
 
-// Ready reports whether this process can have requests answered.
-func (d *Desk) Ready() bool {
-	if d.own() != nil {
-		return true
-	}
-	h, _ := d.lead.Holder()
-	return h.Name != "" && h.Name != d.name
-}
-
 // Peer is what entry processes ask of each other, over net/rpc.
 type Peer struct {
 	d *Desk
@@ -182,8 +173,12 @@
 	return nil
 }
 
-// Follow tells the holder that the process with a peer interface at addr follows it.
+// Follow tells the holder that the process with a peer interface at addr follows it; the error
+// says that this one doesn't hold.
 func (p *Peer) Follow(addr string, _ *int) error {
+	if p.d.own() == nil {
+		return errNone
+	}
 	p.p.note(addr, time.Now())
 	return nil
 }
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -105,7 +105,7 @@
 	}
 	h.wg.Go(func() { h.peers.Serve(lis[0]) })
 	h.serve(lis[1], h.closing(out.Callers(h.desk)))
-	h.serve(lis[2], out.Readiness(h.ready))
+	h.serve(lis[2], out.Readiness(h.Ready))
 	h.serve(lis[3], h.metrics)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
@@ -126,19 +126,24 @@
 	})
 }
 
-// closing has connections closed with their next answer once the process is to end, so that
-// callers go elsewhere.
+// closing has connections closed with their next answer while this process isn't ready, so
+// that callers go elsewhere.
 func (h *Host) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if h.stopping.Load() {
+		if !h.Ready() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-func (h *Host) ready() bool {
-	return !h.stopping.Load() && h.desk.Ready()
+// Ready reports whether this process can have callers' requests answered: it holds, or the
+// holder answers it.
+//
+// The failure it guards against: a host that is cut off from the holder looks sound to the
+// balancer, and its callers are refused for as long as the cut lasts.
+func (h *Host) Ready() bool {
+	return !h.stopping.Load() && (h.desk.own() != nil || h.peer.reaches())
 }
 
 func (h *Host) alive(ctx context.Context, holder lead.Holder) bool {
--- a/internal/proc/front/peers.go
+++ b/internal/proc/front/peers.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/ctrl/lead"
 	"bramleysail.example/bramleysail/internal/peer/link"
@@ -13,7 +15,11 @@
 const (
 	// followEvery is how often a process tells the holder that it follows; a call of some
 	// hundred bytes.
-	followEvery = 2 * time.Second
+	followEvery = 500 * time.Millisecond
+	// missesMost is how many calls in a row may be lost before their connection is given up.
+	missesMost = 2
+	// reachKept is how long a holder that answered counts as reached: two calls may be lost.
+	reachKept = 1700 * time.Millisecond
 	// followKept is how long a follower that isn't heard any more counts.
 	followKept = 10 * time.Second
 	// aidAfter is how long the store has to be silent for the peers to be asked, and aidEvery
@@ -32,9 +38,10 @@
 	lead  *lead.Lead
 	links *link.Set
 
-	mu    sync.Mutex
-	seen  map[string]time.Time
-	aided time.Time
+	mu      sync.Mutex
+	seen    map[string]time.Time
+	aided   time.Time
+	reached time.Time // when the holder last answered this process
 }
 
 func (p *peers) note(addr string, now time.Time) {
@@ -70,18 +77,37 @@
 
 // follow tells the holder regularly that this process follows it.
 func (p *peers) follow(ctx context.Context, self string, name string) {
+	misses := 0
 	for wait.For(ctx, followEvery) {
 		h, _ := p.lead.Holder()
 		if h.Name == "" || h.Name == name {
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, aidLimit)
-		// A holder that doesn't answer learns of this process with a later call.
-		_, _ = link.Call[string, int](cctx, p.links.To(h.Addr), "Peer.Follow", self)
+		l := p.links.To(h.Addr)
+		_, err := link.Call[string, int](cctx, l, "Peer.Follow", self)
 		cancel()
+		if err == nil {
+			misses = 0
+			p.mu.Lock()
+			p.reached = time.Now()
+			p.mu.Unlock()
+			continue
+		}
+		if misses++; misses >= missesMost && errors.Is(err, link.ErrLost) {
+			misses = 0
+			l.Reset()
+		}
 	}
 }
 
+// reaches reports whether the holder answers this process.
+func (p *peers) reaches() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.reached) < reachKept
+}
+
 // aid asks the peers of a holder while the store is silent.
 func (p *peers) aid(t *lead.Tenure) {
 	for wait.For(t.Context(), aidEvery) {
