--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -34,7 +34,7 @@
 	// overSoon and overLong are how long a serving task may be over its target before the
 	// filling tasks beside it that disturb it at all are slowed and, then, all of them stand
 	// still, whatever the model says.
-	overSoon = 1200 * time.Millisecond
+	overSoon = 1700 * time.Millisecond
 	overLong = 2 * time.Second
 	soonPace = 20
 	// overBegins and overEnds are the shares of a target above which a serving task counts as
