--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -92,7 +92,6 @@
 	run   *run
 	n     int64 // runs ordered in this term
 	avoid string
-	after time.Time // not to start before
 }
 
 func (t *task) id() TaskID {
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -102,7 +102,6 @@
 		return
 	}
 	w.contact = ContactGood
-	w.seen = sent
 	w.clock = clock{rep.Clock, now}
 	for _, f := range rep.Finished {
 		if f.Seq <= w.heard {
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -27,11 +27,22 @@
 	if !c.acts(now) {
 		return orders
 	}
-	if c.inDoubt(now) {
-		orders = c.placeSome(now, orders, func(j *job) bool { return !j.restored })
-		return orders
+	doubt := c.inDoubt(now)
+	c.sortActive(now)
+	full := misfits{}
+	rest := c.active[:0]
+	for _, s := range c.active {
+		if s.job.state.Final() || s.waiting == 0 {
+			s.listed = false
+			continue
+		}
+		rest = append(rest, s)
+		if !doubt || !s.job.restored {
+			orders = c.placeStage(now, s, full, orders)
+		}
 	}
-	return c.placeSome(now, orders, func(*job) bool { return true })
+	c.active = rest
+	return orders
 }
 
 // inDoubt reports whether a former holder's orders may still live on workers that haven't
@@ -48,25 +59,6 @@
 	return false
 }
 
-func (c *Core) placeSome(now time.Time, orders []Order, may func(*job) bool) []Order {
-	c.sortActive(now)
-	full := misfits{}
-	rest := c.active[:0]
-	for _, s := range c.active {
-		if s.job.state.Final() || s.waiting == 0 {
-			s.listed = false
-			continue
-		}
-		rest = append(rest, s)
-		if !may(s.job) {
-			continue
-		}
-		orders = c.placeStage(now, s, full, orders)
-	}
-	c.active = rest
-	return orders
-}
-
 // kind is what, besides its size, decides whether a task fits somewhere.
 type kind struct {
 	fills   bool
@@ -137,7 +129,7 @@
 		return c.placeGang(now, s, orders)
 	}
 	for _, t := range s.tasks {
-		if t.done || t.run != nil || now.Before(t.after) {
+		if t.done || t.run != nil {
 			continue
 		}
 		w := c.pick(now, t, "")
@@ -155,7 +147,7 @@
 // placeGang starts all tasks of a gang or none, on one rack where that is faster.
 func (c *Core) placeGang(now time.Time, s *stage, orders []Order) []Order {
 	for _, t := range s.tasks {
-		if t.run != nil || now.Before(t.after) {
+		if t.run != nil {
 			return orders // the rest of a former run has to end first
 		}
 	}
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -95,7 +95,7 @@
 			w.share.shut = true
 		}
 	}
-	c.pace(now, w, use)
+	c.pace(now, w)
 }
 
 // clock keeps since when a serving run has been over its target with filling tasks at work
@@ -150,10 +150,8 @@
 func (w *worker) fillUse() map[string]float64 {
 	use := map[string]float64{}
 	for _, r := range w.runs {
-		if r.fills() && r.state == RunLive {
-			if r.usage > 0 {
-				use[r.task.stage.spec.Image] += r.usage / float64(max(w.Size.CPU, 1))
-			}
+		if r.fills() && r.state == RunLive && r.usage > 0 {
+			use[r.task.stage.spec.Image] += r.usage / float64(max(w.Size.CPU, 1))
 		}
 	}
 	return use
@@ -161,7 +159,7 @@
 
 // pace sets the paces at which the filling tasks of a worker leave every serving task below
 // its target. It starts from full and slows those that disturb the most.
-func (c *Core) pace(now time.Time, w *worker, use map[string]float64) {
+func (c *Core) pace(now time.Time, w *worker) {
 	fills := w.filling()
 	if len(fills) == 0 {
 		return
@@ -174,7 +172,7 @@
 		if !s.serves() || s.state != RunLive {
 			continue
 		}
-		c.paceFor(now, w, s, use, fills, want)
+		c.paceFor(now, w, s, fills, want)
 	}
 	for _, r := range fills {
 		p := int(want[r])
@@ -183,7 +181,7 @@
 }
 
 // paceFor lowers the paces in want as far as the serving task s needs.
-func (c *Core) paceFor(now time.Time, w *worker, s *run, use map[string]float64, fills []*run, want map[*run]float64) {
+func (c *Core) paceFor(now time.Time, w *worker, s *run, fills []*run, want map[*run]float64) {
 	spec := s.task.stage.spec
 	weight := func(r *run) float64 {
 		z := r.task.stage.spec
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -82,7 +82,6 @@
 	out     bool // its failure domain is taken out
 	stored  bool // in the store's record of workers that may hold runs
 	contact Contact
-	seen    time.Time // sending of the last look that was answered
 	lapse   time.Time // when every run there has ended unless the lease is renewed
 	acked   int64     // ends up to here are recorded and may be forgotten there
 	heard   int64     // ends up to here have been handled
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -71,7 +71,6 @@
 	tenure  *Tenure
 	changed chan struct{}
 	resting time.Time // no claim before
-	heard   time.Time // the store's last answer
 	failing bool      // the store's last call failed
 	resumed time.Time // when the store answered again after failing
 }
@@ -88,13 +87,6 @@
 	return l.holder, l.changed
 }
 
-// Heard returns when the store last answered this process.
-func (l *Lead) Heard() time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.heard
-}
-
 // Failing reports whether the store's last call from this process failed.
 func (l *Lead) Failing() bool {
 	l.mu.Lock()
@@ -109,12 +101,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
-	if answered {
-		if l.failing {
-			l.resumed = now
-		}
-		l.heard = now
+	if answered && l.failing {
+		l.resumed = time.Now()
 	}
 	l.failing = !answered
 }
