batch/sched: a worker's new life isn't lapsed by the count of its former one

By reading: a worker that is born anew kept the lapse of its former life; once that had passed, the ends of the new life were passed over and acknowledged. Change: with a rebirth the lapse is put off by the longest that an order can be late. TestLapseOfFormerLife fails without it. That the random failure was this one isn't shown: its schedule can't be played again.

--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -399,3 +399,21 @@
 		b.after(100 * time.Millisecond)
 	}
 }
+
+// A check-in runs twice. Its worker starts anew, carries out an order in its new life and ends
+// it before it is looked at; the former life's lease has lapsed by then, so the end is passed
+// over as of before a lapse, and acknowledged.
+func TestLapseOfFormerLife(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	b.core.Admit(b.now, one("j", nil))
+	o := b.plan(sched.VerbStart)[0]
+	b.core.Missed(b.now, "w0", 1)
+	b.after(doubt + lease)
+	all := members(1)
+	all[0].Born = 2
+	b.core.Roster(b.now, all)
+	b.plan(sched.VerbStart)
+	b.look("w0", sched.Report{Born: 2, Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
+	b.store()
+	b.state("j", sched.StateCompleted)
+}
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -93,7 +93,7 @@
 		return
 	}
 	if rep.Born > w.Born && w.Born != 0 {
-		c.rebirth(w, rep.Born)
+		c.rebirth(now, w, rep.Born)
 	}
 	if w.Born == 0 {
 		w.Born = rep.Born
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -30,7 +30,7 @@
 func (c *Core) join(now time.Time, m Member, listed bool) {
 	w := c.workers[m.ID]
 	if w != nil && w.Born != 0 && m.Born > w.Born {
-		c.rebirth(w, m.Born)
+		c.rebirth(now, w, m.Born)
 	}
 	if w == nil {
 		w = &worker{runs: map[runKey]*run{}, lapse: c.began.Add(c.opt.Doubt)}
@@ -48,9 +48,12 @@
 
 // rebirth notes that a worker has started anew under its id. The next look tells what runs in
 // its new life: an order given to the former one may have been carried out by this one, whose
-// fence is unset, so nothing is taken for ended before.
-func (c *Core) rebirth(w *worker, born int64) {
+// fence is unset, so nothing is taken for ended before. Nor has its lease lapsed by the former
+// life's count: the ends of the new one would be passed over as of before a lapse, and be
+// acknowledged uncounted.
+func (c *Core) rebirth(now time.Time, w *worker, born int64) {
 	w.Born = born
+	w.lapse = later(w.lapse, now.Add(lateMost))
 	w.acked, w.heard = 0, 0
 	w.contact = ContactNone
 	w.stored = false
