batch/sched: the load of serving steps is followed as a level and a swing, told ahead

The model followed each task's load for itself, a second late, and learned the factors against an average load for the image.

Change: a step's load is fitted from the readings of all its tasks by least squares with a level and a swing, its period found among 28; factors by a Kalman filter a serving image, which knows how sure it is. Paces weigh a second over the target against slowed seconds, for the load's peak of the next second; placing looks 2 s ahead. A share of the target at rest isn't learned any more: the pressure is a straight line of the true one for any.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -83,6 +83,7 @@
 	listed  bool // in Core.active
 	at      time.Time
 	due     time.Time // to be on time
+	course  *course   // of a serving step: its users' load
 }
 
 type task struct {
--- /dev/null
+++ b/internal/batch/sched/factor.go
@@ -0,0 +1,125 @@
+package sched
+
+import "math"
+
+// factors are what filling images add to the pressure on a serving image, for each worker's
+// worth of processors that they use. They are learned from every reading by a Kalman filter,
+// which also knows how sure each is.
+type factors struct {
+	fills []string // images
+	value []float64
+	cov   [][]float64
+	at    float64 // seconds
+}
+
+const (
+	// firstFactor and factorSpread are what is assumed of a pair never seen. Of the pairs
+	// measured, half were at 0.1 and half at 1 to 2.
+	firstFactor  = 0.5
+	factorSpread = 0.6
+	// factorDrift is how far a factor may move within a second.
+	factorDrift = 0.02
+	// pairNoise is the standard deviation of a reading's pressure as far as the factors can't
+	// explain it: readings of the tasks on a worker share a part of theirs.
+	pairNoise = 0.08
+	// wildest is the largest error that a reading is taken to have: some are far off.
+	wildest = 0.25
+)
+
+func (f *factors) index(fill string) int {
+	for i, name := range f.fills {
+		if name == fill {
+			return i
+		}
+	}
+	return -1
+}
+
+// of returns the factor of a filling image.
+func (f *factors) of(fill string) float64 {
+	if i := f.index(fill); i >= 0 {
+		return f.value[i]
+	}
+	return firstFactor
+}
+
+// mean returns the average factor of the filling images seen.
+func (f *factors) mean() float64 {
+	if len(f.value) == 0 {
+		return firstFactor
+	}
+	sum := 0.0
+	for _, v := range f.value {
+		sum += v
+	}
+	return sum / float64(len(f.value))
+}
+
+// set gives an image a factor with a standard deviation.
+func (f *factors) set(fill string, value, spread float64) {
+	i := f.index(fill)
+	if i < 0 {
+		i = len(f.fills)
+		f.fills = append(f.fills, fill)
+		f.value = append(f.value, 0)
+		for k := range f.cov {
+			f.cov[k] = append(f.cov[k], 0)
+		}
+		f.cov = append(f.cov, make([]float64, i+1))
+	}
+	for k := range f.cov {
+		f.cov[i][k], f.cov[k][i] = 0, 0
+	}
+	f.value[i] = value
+	f.cov[i][i] = spread * spread
+}
+
+// expect returns the pressure expected from images with the shares of processors that they
+// use, and its variance.
+func (f *factors) expect(use map[string]float64) (sum, variance float64) {
+	for image, u := range use {
+		i := f.index(image)
+		if i < 0 {
+			sum += firstFactor * u
+			variance += factorSpread * factorSpread * u * u
+			continue
+		}
+		sum += f.value[i] * u
+		for other, v := range use {
+			if k := f.index(other); k >= 0 {
+				variance += f.cov[i][k] * u * v
+			}
+		}
+	}
+	return sum, variance
+}
+
+// learn takes a reading's error: the pressure it shows less the one expected, whose variance
+// without the factors' own is noise.
+func (f *factors) learn(at float64, use map[string]float64, miss, noise float64) {
+	for image := range use {
+		if f.index(image) < 0 {
+			f.set(image, firstFactor, factorSpread)
+		}
+	}
+	aged := max(0, at-f.at)
+	f.at = max(f.at, at)
+	for i := range f.cov {
+		f.cov[i][i] = min(f.cov[i][i]+factorDrift*factorDrift*aged, factorSpread*factorSpread)
+	}
+	_, variance := f.expect(use)
+	gain := make([]float64, len(f.fills))
+	for i := range gain {
+		for image, u := range use {
+			gain[i] += f.cov[i][f.index(image)] * u
+		}
+	}
+	total := variance + noise
+	miss = math.Copysign(min(math.Abs(miss), wildest), miss)
+	for i := range gain {
+		f.value[i] = max(0, f.value[i]+gain[i]/total*miss)
+		for k := range gain {
+			f.cov[i][k] -= gain[i] * gain[k] / total
+		}
+	}
+}
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -228,7 +228,7 @@
 		if w.Service != s.job.Service || rack != "" && w.Rack != rack || !w.open(now) || !w.labelled(s.spec.Label) {
 			continue
 		}
-		score, ok := c.score(w, s)
+		score, ok := c.score(now, w, s)
 		if !ok || s.spec.Apart > 0 && w.holds(s) >= s.spec.Apart {
 			continue
 		}
@@ -246,18 +246,18 @@
 }
 
 // score returns how well a stage's task suits a worker, higher being better, and whether it fits.
-func (c *Core) score(w *worker, s *stage) (float64, bool) {
+func (c *Core) score(now time.Time, w *worker, s *stage) (float64, bool) {
 	z := s.spec.Size
 	free := w.free()
-	left := float64(c.look(w).left)
+	left := float64(c.look(now, w).left)
 	whole := float64(max(w.Size.CPU, 1))
 	switch {
 	case s.spec.Fills:
 		if w.share.shut || z.Mem > free.Mem || z.Accel > free.Accel || left < fillShare*float64(z.CPU) {
 			return 0, false
 		}
-		harm := c.harm(w, s.spec)
-		return leftWeight*left/whole + advantageWeight*c.advantage(w, s.spec) - harm, harm <= mostHarm
+		harm := c.harm(now, w, s.spec)
+		return leftWeight*left/whole + advantageWeight*c.advantage(now, w, s.spec) - harm, harm <= mostHarm
 	case !free.Covers(z):
 		return 0, false
 	case s.spec.Lasting:
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -18,15 +18,18 @@
 	unknownPace = -1
 	// paceError is the share of a filling task's size by which a reading of its use may be off.
 	paceError = 0.2
-	// aimShare is the share of a serving task's target at which filling tasks are held:
-	// readings are rough and half a second old.
-	aimShare = 0.9
-	// mostHarm is how many serving tasks a filling task may bring over their target. A second
-	// of a serving task is worth some three seconds of a filling one to the users.
+	// serveWorth is how many seconds of a filling task a second of a serving one is worth to
+	// the users: four sixths of a job's 0.35 in 2 s for one over its target, against 1.2 to
+	// 1.5 for some 30 s of tasks.
+	serveWorth = 3
+	// mostHarm is how many serving tasks a filling task may bring over their target.
 	mostHarm = 0.15
-	// loadSwing is how far a serving task's pressure may be from what is expected while a
-	// filling task runs.
-	loadSwing = 0.15
+	// pressureSpread is how far a serving task's pressure may be from what is expected.
+	pressureSpread = 0.1
+	// paceAhead is until when, in seconds, a pace has to suit: it is set anew with the next
+	// look. placeAhead is the same of a place, where a filling task stays for some 2 s.
+	paceAhead  = 1.0
+	placeAhead = 2.0
 	// paceStep is the most that a pace is raised at a time, in percent; it is lowered at once.
 	paceStep = 25
 	// readEvery is the least time between two readings that are used: each covers half a second.
@@ -45,12 +48,9 @@
 	oldest = time.Second
 	// reading is the time that a reading covers, and its way here.
 	reading = 700 * time.Millisecond
-	// disturbs is the pressure from which slowing a filling task helps a serving one: below,
-	// it would be slowed for the load's own peaks.
+	// disturbs is the pressure from which a filling task is slowed for a serving one that is
+	// over its target: below, it would be slowed for the load's own peaks.
 	disturbs = 0.03
-	// loadShare is the weight of a new reading in a serving task's own load, which swings
-	// within some ten seconds; a reading's error is about as large as the swing of a second.
-	loadShare = 0.5
 )
 
 // shared reports whether filling tasks run beside serving ones.
@@ -84,12 +84,9 @@
 		if !r.serves() || r.state != RunLive {
 			continue
 		}
-		s := r.task.stage.spec
-		if r.ready {
-			c.press.learn(s, r.tail, use)
+		if st := r.task.stage; r.ready {
+			c.press.learn(c.seconds(now), c.course(st), st.spec, r.tail, use)
 		}
-		load := max(0, c.press.of(s.Image, r.tail)-c.press.sum(s.Image, use))
-		r.load += loadShare * (load - r.load)
 		r.clock(now, later(before, now.Add(-oldest)), w.share.busy)
 		if !r.over.IsZero() && now.Sub(r.over) >= overSoon {
 			w.share.shut = true
@@ -157,74 +154,123 @@
 	return use
 }
 
-// pace sets the paces at which the filling tasks of a worker leave every serving task below
-// its target. It starts from full and slows those that disturb the most.
+// course returns the load of a serving step.
+func (c *Core) course(s *stage) *course {
+	if s.course == nil {
+		s.course = newCourse(c.seconds(s.at))
+	}
+	return s.course
+}
+
+// peak returns the most load expected of a serving step within some seconds.
+func (c *Core) peak(now time.Time, s *stage, ahead float64) float64 {
+	k, at := c.course(s), c.seconds(now)
+	most := 0.0
+	for _, x := range []float64{0, ahead / 2, ahead} {
+		most = max(most, k.load(at+x, c.press.period))
+	}
+	return most
+}
+
+// pace sets the paces of a worker's filling tasks: those that are worth most to the users, and,
+// whatever the model says, lower ones beside a serving task that has been over its target.
 func (c *Core) pace(now time.Time, w *worker) {
 	fills := w.filling()
 	if len(fills) == 0 {
 		return
 	}
-	want := make(map[*run]float64, len(fills))
-	for _, r := range fills {
-		want[r] = fullPace
-	}
+	b := c.weigh(now, w, fills)
+	b.slow()
 	for _, s := range w.runs {
-		if !s.serves() || s.state != RunLive {
-			continue
+		if s.serves() && s.state == RunLive && !s.over.IsZero() {
+			c.hold(now, w, s, fills, b.paces)
 		}
-		c.paceFor(now, w, s, fills, want)
 	}
-	for _, r := range fills {
-		p := int(want[r])
-		r.want = min(p, r.want+paceStep)
+	for i, r := range fills {
+		r.want = min(b.paces[i], r.want+paceStep)
 	}
 }
 
-// paceFor lowers the paces in want as far as the serving task s needs.
-func (c *Core) paceFor(now time.Time, w *worker, s *run, fills []*run, want map[*run]float64) {
-	spec := s.task.stage.spec
-	weight := func(r *run) float64 {
-		z := r.task.stage.spec
-		return c.press.factor(pair{spec.Image, z.Image}) * z.share(w)
+// hold bounds the paces beside a serving task that has been over its target.
+func (c *Core) hold(now time.Time, w *worker, s *run, fills []*run, paces []int) {
+	most := fullPace
+	switch d := now.Sub(s.over); {
+	case d >= overLong:
+		most = 0
+	case d >= overSoon:
+		most = soonPace
 	}
-	if !s.over.IsZero() {
-		most := float64(fullPace)
-		switch d := now.Sub(s.over); {
-		case d >= overLong:
-			most = 0
-		case d >= overSoon:
-			most = soonPace
-		}
-		for _, r := range fills {
-			if most == 0 || weight(r) > disturbs {
-				want[r] = min(want[r], most)
-			}
+	f := c.press.of(s.task.stage.spec.Image)
+	for i, r := range fills {
+		z := r.task.stage.spec
+		if most == 0 || f.of(z.Image)*z.share(w) > disturbs {
+			paces[i] = min(paces[i], most)
 		}
 	}
-	room := c.press.limit(spec, aimShare) - s.load
-	sum := 0.0
-	for _, r := range fills {
-		sum += weight(r) * want[r] / fullPace
+}
+
+// balance weighs the paces of a worker's filling tasks against the pressure on its serving ones.
+type balance struct {
+	paces []int       // of each filling task, percent
+	adds  [][]float64 // pressure on each serving task by each filling one at full pace
+	above []float64   // of each serving task: pressure with these paces less the one at its target
+}
+
+// weigh returns the balance of a worker with all paces full.
+func (c *Core) weigh(now time.Time, w *worker, fills []*run) *balance {
+	b := &balance{paces: make([]int, len(fills))}
+	for i := range b.paces {
+		b.paces[i] = fullPace
 	}
-	if sum <= room {
-		return
+	for _, s := range w.runs {
+		if !s.serves() || s.state != RunLive {
+			continue
+		}
+		f := c.press.of(s.task.stage.spec.Image)
+		above := c.peak(now, s.task.stage, paceAhead) - limit(1)
+		adds := make([]float64, len(fills))
+		for i, r := range fills {
+			z := r.task.stage.spec
+			adds[i] = f.of(z.Image) * z.share(w)
+			above += adds[i]
+		}
+		b.adds = append(b.adds, adds)
+		b.above = append(b.above, above)
 	}
-	order := append([]*run(nil), fills...)
-	sort.Slice(order, func(i, k int) bool { return weight(order[i]) > weight(order[k]) })
-	for _, r := range order {
-		if sum <= room {
-			return
+	return b
+}
+
+// slow lowers the pace whose lowering gains most, until none gains.
+func (b *balance) slow() {
+	for {
+		best, to, most := -1, 0, 0.0
+		for i, pace := range b.paces {
+			for p := 0; p < pace; p += paceStep {
+				if g := b.gain(i, p); g > most {
+					best, to, most = i, p, g
+				}
+			}
 		}
-		full := weight(r)
-		if full < disturbs {
+		if best < 0 {
 			return
 		}
-		cut := min(sum-room, full*want[r]/fullPace)
-		want[r] -= cut / full * fullPace
-		sum -= cut
+		for k := range b.above {
+			b.above[k] += b.adds[k][best] * float64(to-b.paces[best]) / fullPace
+		}
+		b.paces[best] = to
 	}
 }
 
+// gain returns what lowering a filling task's pace gains, in seconds of filling tasks.
+func (b *balance) gain(i, pace int) float64 {
+	part := float64(b.paces[i]-pace) / fullPace
+	sum := -part
+	for k, x := range b.above {
+		sum += serveWorth * (over(x) - over(x-part*b.adds[k][i]))
+	}
+	return sum
+}
+
 // filling returns the worker's filling runs in a fixed order.
 func (w *worker) filling() []*run {
 	var fills []*run
@@ -242,27 +288,31 @@
 	return fills
 }
 
-// strain is the pressure on a serving run of a worker and the pressure that is its target.
+// strain is the pressure on a serving run of a worker.
 type strain struct {
-	image     string
-	now, most float64
-	mean      float64 // factor of the filling images known, on average
+	factors *factors
+	above   float64 // pressure less the one at its target
 }
 
 // outlook is what placing looks at on a worker; it is kept until a run comes, goes or is
-// read anew, as every waiting step asks for it.
+// read anew, or the loads have moved, as every waiting step asks for it.
 type outlook struct {
 	fresh   bool
+	at      time.Time
 	left    int // millicores likely to be unused
 	strains []strain
 }
 
-func (c *Core) look(w *worker) *outlook {
+// outlookAge is how long an outlook is kept. A load that swings within 10 s by half moves by
+// 0.03 meanwhile, half of a reading's noise.
+const outlookAge = 200 * time.Millisecond
+
+func (c *Core) look(now time.Time, w *worker) *outlook {
 	o := &w.outlook
-	if o.fresh {
+	if o.fresh && now.Sub(o.at) < outlookAge {
 		return o
 	}
-	o.fresh = true
+	o.fresh, o.at = true, now
 	o.strains = o.strains[:0]
 	fill := 0
 	for _, r := range w.runs {
@@ -270,28 +320,24 @@
 			fill += r.task.stage.spec.Size.CPU * r.want / fullPace
 		}
 		if r.serves() && r.state == RunLive {
-			spec := r.task.stage.spec
-			o.strains = append(o.strains, strain{spec.Image, c.bears(w, r), c.press.limit(spec, 1), c.press.mean(spec.Image)})
+			o.strains = append(o.strains, strain{c.press.of(r.task.stage.spec.Image), c.bears(now, w, r) - limit(1)})
 		}
 	}
 	o.left = w.Size.CPU - int(baseLoad*float64(w.base)) - (w.used.CPU - w.base) - fill
 	return o
 }
 
-// bears returns the pressure on a serving run.
-func (c *Core) bears(w *worker, r *run) float64 {
-	image := r.task.stage.spec.Image
-	now := r.load
-	if r.tail == 0 {
-		now = c.press.own(image)
-	}
-	for _, f := range w.runs {
-		if f.fills() {
-			z := f.task.stage.spec
-			now += c.press.factor(pair{image, z.Image}) * z.share(w) * float64(f.want) / fullPace
+// bears returns the pressure expected on a serving run while a task placed now would run.
+func (c *Core) bears(now time.Time, w *worker, r *run) float64 {
+	f := c.press.of(r.task.stage.spec.Image)
+	sum := c.peak(now, r.task.stage, placeAhead)
+	for _, o := range w.runs {
+		if o.fills() {
+			z := o.task.stage.spec
+			sum += f.of(z.Image) * z.share(w) * float64(o.want) / fullPace
 		}
 	}
-	return now
+	return sum
 }
 
 // share returns the share of a worker's processors that a task of the step asks for.
@@ -301,12 +347,11 @@
 
 // harm returns how many serving runs of a worker a further filling task would bring over
 // their target, in expectation.
-func (c *Core) harm(w *worker, s *Step) float64 {
+func (c *Core) harm(now time.Time, w *worker, s *Step) float64 {
 	sum := 0.0
 	share := s.share(w)
-	for _, k := range c.look(w).strains {
-		add := c.press.factor(pair{k.image, s.Image}) * share
-		sum += over(k.now+add-k.most) - over(k.now-k.most)
+	for _, k := range c.look(now, w).strains {
+		sum += over(k.above+k.factors.of(s.Image)*share) - over(k.above)
 	}
 	return sum
 }
@@ -314,10 +359,10 @@
 // advantage is how much less a filling image disturbs the worker's serving tasks than filling
 // images do on average. Placing by it leaves the workers on which nothing serves, and those
 // whose serving tasks bear more, to the images that have no other place.
-func (c *Core) advantage(w *worker, s *Step) float64 {
+func (c *Core) advantage(now time.Time, w *worker, s *Step) float64 {
 	sum := 0.0
-	for _, k := range c.look(w).strains {
-		sum += k.mean - c.press.factor(pair{k.image, s.Image})
+	for _, k := range c.look(now, w).strains {
+		sum += k.factors.mean() - k.factors.of(s.Image)
 	}
 	return sum * s.share(w)
 }
@@ -325,5 +370,5 @@
 // over returns the chance that a serving run is over its target whose pressure is expected to
 // be x above it. It goes on rising above 1: what is far over takes longer to come back.
 func over(x float64) float64 {
-	return max(0, 0.5+x/(2*loadSwing))
+	return max(0, 0.5+x/(2*pressureSpread))
 }
--- a/internal/batch/sched/share_test.go
+++ b/internal/batch/sched/share_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -159,3 +160,39 @@
 		t.Errorf("placed %v, want on %s", got, at["b"])
 	}
 }
+
+// A feed's users come and go within ten seconds. The book beside it is to be slowed as their load
+// rises, not once the feed is late: after the first swings, the feed is late in hardly any
+// reading, and the book works most of the time.
+func TestSlowedAheadOfPeak(t *testing.T) {
+	b, serve, fill := sharing(t)
+	const (
+		swing  = 10.0 // seconds
+		factor = 1.2
+		size   = 3000.0 / 16000
+	)
+	pace, late, worked, n := 100, 0, 0, 0
+	for b.now.Sub(start()) < 70*time.Second {
+		at := b.now.Sub(start()).Seconds() + 0.6
+		p := 0.48 + 0.24*math.Sin(2*math.Pi*(at-0.3)/swing) + factor*size*float64(pace)/100
+		tail := time.Duration(float64(4*time.Millisecond) / (1 - min(p, 0.99)))
+		b.show(serve, fill, tail, 3000*float64(pace)/100)
+		for _, o := range b.plan(sched.VerbPace) {
+			pace = o.Pace
+		}
+		if b.now.Sub(start()) < 30*time.Second {
+			continue
+		}
+		n++
+		worked += pace
+		if tail > 24*time.Millisecond {
+			late++
+		}
+	}
+	if late*20 > n {
+		t.Errorf("late in %d of %d readings", late, n)
+	}
+	if worked < 60*n {
+		t.Errorf("the book worked at %d%% on average", worked/n)
+	}
+}
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -129,7 +129,6 @@
 	want   int       // percent, as it should be
 	usage  float64   // millicores
 	tail   time.Duration
-	load   float64   // pressure on a serving task by its own load
 	ready  bool      // a serving task past its startup
 	over   time.Time // since when the tail is over its target; zero: it isn't
 }
