batch/sched: filling tasks that are slowed are moved; places with some harm are taken

And tasks waited for a place that harms less than needed: the longest tenth over 3 s.

Change: a task slowed below half for 0.4 s is stopped and resumed with what it has saved where it works at full speed, one without a checkpoint only when it's slowed for longer than it has worked. With that, a place may bring 0.3 serving tasks over their targets, not 0.15.

TestSlowedTaskMoves fails without it.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -33,6 +33,7 @@
 	zones   map[string]bool // failure domains that are taken out
 	speeds  learner
 	press   pressure
+	moved   time.Time // when slowed tasks were last looked at
 }
 
 // New returns the core of a term that began at now.
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -55,6 +55,7 @@
 func (c *Core) Plan(now time.Time) []Order {
 	c.sweep(now)
 	c.dueRounds(now)
+	c.move(now)
 	orders := c.settle(now, nil)
 	return c.place(now, orders)
 }
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -23,7 +23,7 @@
 	// 1.5 for some 30 s of tasks.
 	serveWorth = 3
 	// mostHarm is how many serving tasks a filling task may bring over their target.
-	mostHarm = 0.15
+	mostHarm = 0.3
 	// pressureSpread is how far a serving task's pressure may be from what is expected.
 	pressureSpread = 0.1
 	// paceAhead is until when, in seconds, a pace has to suit: it is set anew with the next
@@ -188,6 +188,12 @@
 	}
 	for i, r := range fills {
 		r.want = min(b.paces[i], r.want+paceStep)
+		switch {
+		case r.want >= movePace:
+			r.slowed = time.Time{}
+		case r.slowed.IsZero():
+			r.slowed = now
+		}
 	}
 }
 
--- a/internal/batch/sched/share_test.go
+++ b/internal/batch/sched/share_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/batch/wire"
 )
 
 // show has a worker report its serving task's tail beside a filling task's use.
@@ -196,3 +197,62 @@
 		t.Errorf("the book worked at %d%% on average", worked/n)
 	}
 }
+
+// A book's task is stopped at a feed's peak and stays there for the whole of it, though another
+// worker has room by then: the book is as late as this one task. It is to be resumed there
+// with what it has saved.
+func TestSlowedTaskMoves(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		saves bool
+		want  int // stops within a second and a half
+	}{
+		{"saves its progress", true, 1},
+		{"would begin anew", false, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t, 1, 2).open()
+			// The only task on the second worker leaves no memory there.
+			b.core.Admit(b.now, one("big", func(j *sched.Job) { j.Steps[0].Size, j.Steps[0].Label = wire.Size{CPU: 1000, Mem: 64000}, "w1" }))
+			big := b.plan(sched.VerbStart)[0]
+			feed := serving("s", "serve")
+			feed.Steps[0].Count = 1
+			b.core.Admit(b.now, feed)
+			serve := b.plan(sched.VerbStart)[0]
+			book := filling("f", "fill", 3000)
+			book.Steps[0].Count, book.Steps[0].Saves = 1, tt.saves
+			b.core.Admit(b.now, book)
+			fill := b.plan(sched.VerbStart)[0]
+			for range 8 {
+				b.show(serve, fill, 4*time.Millisecond, 3000)
+			}
+			for range 5 {
+				b.show(serve, fill, 90*time.Millisecond, 3000)
+				if got := b.plan(sched.VerbStop); len(got) > 0 {
+					t.Fatalf("stopped without another place: %v", got)
+				}
+			}
+			b.look(big.Life.ID, sched.Report{Finished: []sched.Finished{finished(1, big, sched.EndDone)}})
+			var stops []sched.Order
+			for range 2 {
+				b.show(serve, fill, 90*time.Millisecond, 0)
+				stops = append(stops, b.plan(sched.VerbStop)...)
+			}
+			if len(stops) != tt.want {
+				t.Fatalf("stops: %v, want %d", stops, tt.want)
+			}
+			if tt.want == 0 {
+				return
+			}
+			end := finished(1, fill, sched.EndStopped)
+			end.Save = "half"
+			s := running(serve)
+			s.Part, s.Tail = 100, 20*time.Millisecond
+			b.look(serve.Life.ID, sched.Report{Running: []sched.Running{s}, Finished: []sched.Finished{end}})
+			again := b.plan(sched.VerbStart)
+			if len(again) != 1 || again[0].Life.ID != big.Life.ID || again[0].Save != "half" {
+				t.Errorf("started anew: %v", again)
+			}
+		})
+	}
+}
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -127,6 +127,7 @@
 	pace   int       // percent, as the worker was told
 	paced  time.Time // when it was
 	want   int       // percent, as it should be
+	slowed time.Time // since when that is below movePace; zero: it isn't
 	usage  float64   // millicores
 	tail   time.Duration
 	ready  bool      // a serving task past its startup
