batch/sched: steps are ordered by the latest start with which their jobs are on time

Cause: steps were ordered by when their job is due, and only put behind once that had passed. A job with further steps to go, which couldn't be on time any more, took places of jobs that could. Ruled out: the worth a core-second as the order, which would starve the largest jobs.

Change: the time of the steps that follow is taken off, and what is too late to be worth anything (three times the aim) comes last of all. TestHopelessWaits fails without it.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 )
 
@@ -83,7 +84,8 @@
 	open    bool
 	listed  bool // in Core.active
 	at      time.Time
-	due     time.Time // to be on time
+	due     time.Time // latest start for the job to be on time
+	worth   time.Time // latest start for it to be worth something, late
 	course  *course   // of a serving step: its users' load
 }
 
@@ -212,10 +214,13 @@
 	if j.Times > 0 {
 		at = j.First.Add(time.Duration(k) * j.Every)
 	}
-	due := at.Add(j.Aim + time.Duration(j.Stretch*float64(c.chain(j.Job))))
+	chains := c.chains(j.Job)
+	aim := j.Aim + time.Duration(j.Stretch*float64(slices.Max(chains)))
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		st := &stage{job: j, round: k, idx: i, spec: s, waiting: s.Count, left: s.Count, at: at, due: due}
+		st := &stage{job: j, round: k, idx: i, spec: s, waiting: s.Count, left: s.Count, at: at}
+		st.due = at.Add(aim - chains[i])
+		st.worth = at.Add(lateAims*aim - chains[i])
 		st.tasks = make([]*task, s.Count)
 		for n := range st.tasks {
 			st.tasks[n] = &task{stage: st, idx: n}
@@ -227,19 +232,17 @@
 	return r
 }
 
-// chain returns the time of the longest chain of steps, as far as is known.
-func (c *Core) chain(j *Job) time.Duration {
-	end := make([]time.Duration, len(j.Steps))
-	var longest time.Duration
-	for i, s := range j.Steps {
-		var from time.Duration
-		for _, a := range s.After {
-			from = max(from, end[a])
+// chains returns for each step the time of the longest chain of steps that begins with it, as
+// far as is known.
+func (c *Core) chains(j *Job) []time.Duration {
+	all := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		all[i] += c.speeds.expect(j.Queue, j.Steps[i].Estimate)
+		for _, a := range j.Steps[i].After {
+			all[a] = max(all[a], all[i])
 		}
-		end[i] = from + c.speeds.expect(j.Queue, s.Estimate)
-		longest = max(longest, end[i])
 	}
-	return longest
+	return all
 }
 
 // openStages lets the steps start whose earlier steps are done.
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -417,3 +417,28 @@
 	b.store()
 	b.state("j", sched.StateCompleted)
 }
+
+// Two books wait for the only place. The one that is due first has two steps of 2 s to go and 3 s
+// left: begun first, it would be late all the same and bring the other past its time too.
+func TestHopelessWaits(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	steps := func(n int) func(*sched.Job) {
+		return func(j *sched.Job) {
+			j.Aim = 3 * time.Second
+			for i := range n {
+				s := sched.Step{Count: 1, Size: wire.Size{CPU: 16000}, Estimate: 2 * time.Second}
+				if i > 0 {
+					s.After = []int{i - 1}
+				}
+				j.Steps = append(j.Steps[:i], s)
+			}
+		}
+	}
+	b.core.Admit(b.now, one("hopeless", steps(2)))
+	b.after(500 * time.Millisecond)
+	b.core.Admit(b.now, one("timely", func(j *sched.Job) { steps(1)(j); j.At = b.now }))
+	got := b.plan(sched.VerbStart)
+	if len(got) != 1 || got[0].Task.Job != "timely" {
+		t.Errorf("started %v, want the job that can be on time", got)
+	}
+}
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -18,8 +18,11 @@
 	baseLoad = 0.6
 	// fillShare is how much of a filling task's processors must be left for it to be placed.
 	fillShare = 0.9
-	// lateBy moves a job that can't be on time any more behind those that can.
+	// lateBy moves a step whose job can't be on time any more behind those whose jobs can.
 	lateBy = time.Hour
+	// lateAims is how many times its aim a job may take for its end to be worth something to
+	// its caller.
+	lateAims = 3
 )
 
 // place starts what waits, as far as there is room.
@@ -112,9 +115,15 @@
 	})
 }
 
-// key orders stages by when they are due; what is late already comes last.
+// key orders stages by the latest start with which their jobs are on time. Those for which it
+// has passed come after all others, and last the ones whose jobs are worth nothing to their
+// callers any more. With the time of the steps that follow left out, a job that couldn't be
+// on time took the places of those that could until its due time had passed.
 func (s *stage) key(now time.Time) time.Time {
-	if now.After(s.due) {
+	switch {
+	case now.After(s.worth):
+		return s.due.Add(2 * lateBy)
+	case now.After(s.due):
 		return s.due.Add(lateBy)
 	}
 	return s.due
