batch/sched: the same events give the same decisions

Walks over maps of runs and workers had readings learned, sums of pressures added up and orders sent in another order each time, so a play of the core alone couldn't be repeated.

Change: a worker's runs are also kept in the order in which they came, workers are walked by their ids, records by theirs, and uses of processors are a list.

--- a/internal/batch/sched/factor.go
+++ b/internal/batch/sched/factor.go
@@ -76,18 +76,18 @@
 
 // expect returns the pressure expected from images with the shares of processors that they
 // use, and its variance.
-func (f *factors) expect(use map[string]float64) (sum, variance float64) {
-	for image, u := range use {
-		i := f.index(image)
+func (f *factors) expect(use []usage) (sum, variance float64) {
+	for _, u := range use {
+		i := f.index(u.image)
 		if i < 0 {
-			sum += firstFactor * u
-			variance += factorSpread * factorSpread * u * u
+			sum += firstFactor * u.share
+			variance += factorSpread * factorSpread * u.share * u.share
 			continue
 		}
-		sum += f.value[i] * u
-		for other, v := range use {
-			if k := f.index(other); k >= 0 {
-				variance += f.cov[i][k] * u * v
+		sum += f.value[i] * u.share
+		for _, v := range use {
+			if k := f.index(v.image); k >= 0 {
+				variance += f.cov[i][k] * u.share * v.share
 			}
 		}
 	}
@@ -96,10 +96,10 @@
 
 // learn takes a reading's error: the pressure it shows less the one expected, whose variance
 // without the factors' own is noise.
-func (f *factors) learn(at float64, use map[string]float64, miss, noise float64) {
-	for image := range use {
-		if f.index(image) < 0 {
-			f.set(image, firstFactor, factorSpread)
+func (f *factors) learn(at float64, use []usage, miss, noise float64) {
+	for _, u := range use {
+		if f.index(u.image) < 0 {
+			f.set(u.image, firstFactor, factorSpread)
 		}
 	}
 	aged := max(0, at-f.at)
@@ -110,8 +110,8 @@
 	_, variance := f.expect(use)
 	gain := make([]float64, len(f.fills))
 	for i := range gain {
-		for image, u := range use {
-			gain[i] += f.cov[i][f.index(image)] * u
+		for _, u := range use {
+			gain[i] += f.cov[i][f.index(u.image)] * u.share
 		}
 	}
 	total := variance + noise
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -57,7 +57,7 @@
 			l.Wait = lookStrained
 		}
 	}
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.state == RunUnsure || r.state == RunStopped {
 			l.Wait = lookUnsure
 		}
@@ -144,9 +144,9 @@
 			c.keepSave(r.task, row.Save)
 		}
 	}
-	for key, r := range w.runs {
+	for _, r := range w.all() {
 		// A look that was sent before the start was answered may have overtaken it.
-		if shown[key] || !r.sure.Before(sent) {
+		if shown[r.runKey] || !r.sure.Before(sent) {
 			continue
 		}
 		if r.state == RunLive || r.state == RunStopped {
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -54,7 +54,7 @@
 	if !now.Before(c.began.Add(c.opt.Doubt)) {
 		return false
 	}
-	for _, w := range c.workers {
+	for _, w := range c.ranks {
 		if w.contact == ContactNone {
 			return true
 		}
@@ -196,7 +196,7 @@
 func (c *Core) racks() []string {
 	seen := map[string]bool{}
 	var all []string
-	for _, w := range c.workers {
+	for _, w := range c.ranks {
 		if !seen[w.Rack] {
 			seen[w.Rack] = true
 			all = append(all, w.Rack)
@@ -291,7 +291,7 @@
 // worker, most filling images find workers where they disturb nobody.
 func (w *worker) kinship(image string) float64 {
 	same, other := 0, 0
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.task == nil || !r.task.stage.spec.Lasting {
 			continue
 		}
@@ -306,7 +306,7 @@
 
 func (w *worker) holds(s *stage) int {
 	n := 0
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.task != nil && r.task.stage == s {
 			n++
 		}
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -73,11 +73,11 @@
 
 // settle orders stops and paces.
 func (c *Core) settle(now time.Time, orders []Order) []Order {
-	for _, w := range c.workers {
+	for _, w := range c.ranks {
 		if w.contact != ContactGood {
 			continue
 		}
-		for _, r := range w.runs {
+		for _, r := range w.list {
 			switch {
 			case (r.state == RunStopping || r.state == RunUnsure) && now.Sub(r.sent) > resendStop:
 				r.sent = now
--- a/internal/batch/sched/press.go
+++ b/internal/batch/sched/press.go
@@ -59,7 +59,7 @@
 
 // learn takes a reading of a serving step's tail beside filling images with the shares of
 // the worker's processors that they use. at is when it was read, in seconds.
-func (p *pressure) learn(at float64, k *course, s *Step, tail time.Duration, use map[string]float64) {
+func (p *pressure) learn(at float64, k *course, s *Step, tail time.Duration, use []usage) {
 	if tail <= 0 {
 		return
 	}
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -2,8 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math/big"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,7 +51,8 @@
 // the batch that holds the last change: an end that its worker may forget must be stored.
 func (c *Core) Collect(most int) (*Batch, error) {
 	b := &Batch{states: map[string]State{}}
-	for id, j := range c.dirty {
+	for _, id := range slices.Sorted(maps.Keys(c.dirty)) {
+		j := c.dirty[id]
 		if len(b.Records) == most {
 			return b, nil
 		}
@@ -62,7 +64,7 @@
 		b.states[id] = j.state
 		delete(c.dirty, id)
 	}
-	for _, w := range c.workers {
+	for _, w := range c.ranks {
 		if w.heard > w.acked {
 			b.acks = append(b.acks, ack{w.Life, w.heard})
 		}
@@ -190,10 +192,9 @@
 // holder has to reach.
 func (c *Core) Crew() []Member {
 	var all []Member
-	for _, w := range c.workers {
+	for _, w := range c.ranks {
 		all = append(all, w.Member)
 	}
-	sort.Slice(all, func(i, k int) bool { return all[i].ID < all[k].ID })
 	return all
 }
 
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -64,12 +65,9 @@
 	w.outlook.fresh = false
 }
 
+// all returns the runs of a worker as they are now, to be walked while some are dropped.
 func (w *worker) all() []*run {
-	runs := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		runs = append(runs, r)
-	}
-	return runs
+	return slices.Clone(w.list)
 }
 
 // Out takes the failure domains that operators have taken out.
@@ -107,7 +105,7 @@
 	if !c.alone(now) {
 		return
 	}
-	for id, w := range c.workers {
+	for _, w := range slices.Clone(c.ranks) {
 		if w.contact == ContactGood || now.Before(w.lapse) {
 			continue
 		}
@@ -121,7 +119,7 @@
 		}
 		w.void = true
 		if !w.listed && !kept {
-			delete(c.workers, id)
+			delete(c.workers, w.ID)
 			c.rank()
 		}
 	}
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -80,7 +81,7 @@
 		w.share.busy = now
 	}
 	w.share.shut = false
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if !r.serves() || r.state != RunLive {
 			continue
 		}
@@ -115,7 +116,7 @@
 
 // filled reports whether a filling task is at work on the worker.
 func (w *worker) filled() bool {
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.fills() && (r.pace > 0 || r.state != RunLive) {
 			return true
 		}
@@ -135,7 +136,7 @@
 
 // strained reports whether a serving task of the worker counts as over its target.
 func (w *worker) strained() bool {
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if !r.over.IsZero() && r.serves() {
 			return true
 		}
@@ -143,12 +144,24 @@
 	return false
 }
 
-// fillUse returns the share of the worker's processors that each filling image uses.
-func (w *worker) fillUse() map[string]float64 {
-	use := map[string]float64{}
-	for _, r := range w.runs {
-		if r.fills() && r.state == RunLive && r.usage > 0 {
-			use[r.task.stage.spec.Image] += r.usage / float64(max(w.Size.CPU, 1))
+// usage is the share of a worker's processors that a filling image uses there.
+type usage struct {
+	image string
+	share float64
+}
+
+// fillUse returns what each filling image uses on the worker.
+func (w *worker) fillUse() []usage {
+	var use []usage
+	for _, r := range w.list {
+		if !r.fills() || r.state != RunLive || r.usage <= 0 {
+			continue
+		}
+		image, share := r.task.stage.spec.Image, r.usage/float64(max(w.Size.CPU, 1))
+		if i := slices.IndexFunc(use, func(u usage) bool { return u.image == image }); i >= 0 {
+			use[i].share += share
+		} else {
+			use = append(use, usage{image, share})
 		}
 	}
 	return use
@@ -181,7 +194,7 @@
 	}
 	b := c.weigh(now, w, fills)
 	b.slow()
-	for _, s := range w.runs {
+	for _, s := range w.list {
 		if s.serves() && s.state == RunLive && !s.over.IsZero() {
 			c.hold(now, w, s, fills, b.paces)
 		}
@@ -228,7 +241,7 @@
 	for i := range b.paces {
 		b.paces[i] = fullPace
 	}
-	for _, s := range w.runs {
+	for _, s := range w.list {
 		if !s.serves() || s.state != RunLive {
 			continue
 		}
@@ -280,7 +293,7 @@
 // filling returns the worker's filling runs in a fixed order.
 func (w *worker) filling() []*run {
 	var fills []*run
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.fills() && r.state == RunLive {
 			fills = append(fills, r)
 		}
@@ -321,7 +334,7 @@
 	o.fresh, o.at = true, now
 	o.strains = o.strains[:0]
 	fill := 0
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.fills() {
 			fill += r.task.stage.spec.Size.CPU * r.want / fullPace
 		}
@@ -337,7 +350,7 @@
 func (c *Core) bears(now time.Time, w *worker, r *run) float64 {
 	f := c.press.of(r.task.stage.spec.Image)
 	sum := c.peak(now, r.task.stage, placeAhead)
-	for _, o := range w.runs {
+	for _, o := range w.list {
 		if o.fills() {
 			z := o.task.stage.spec
 			sum += f.of(z.Image) * z.share(w) * float64(o.want) / fullPace
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"bramleysail.example/bramleysail/internal/batch/wire"
@@ -87,6 +88,7 @@
 	heard   int64     // ends up to here have been handled
 
 	runs  map[runKey]*run
+	list  []*run    // the same, in the order in which they came
 	used  wire.Size // of all runs but those that fill
 	mem   int       // memory of the runs that fill, MiB
 	fill  int       // millicores asked for by the runs that fill
@@ -143,6 +145,7 @@
 // add enters a run into the ledger.
 func (w *worker) add(r *run) {
 	w.runs[r.runKey] = r
+	w.list = append(w.list, r)
 	w.outlook.fresh = false
 	w.count(r, 1)
 }
@@ -152,6 +155,8 @@
 		return
 	}
 	delete(w.runs, r.runKey)
+	i := slices.Index(w.list, r)
+	w.list = slices.Delete(w.list, i, i+1)
 	w.outlook.fresh = false
 	w.count(r, -1)
 }
--- /dev/null
+++ b/internal/model/trial/doc.go
@@ -0,0 +1,3 @@
+// Package trial plays days of a model with several policies in the same run and compares what
+// callers get.
+package trial
--- /dev/null
+++ b/internal/model/trial/policy.go
@@ -0,0 +1,79 @@
+package trial
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+)
+
+// Policy decides what runs where.
+type Policy interface {
+	Join(now time.Time, members []sched.Member)
+	Admit(now time.Time, j *sched.Job)
+	// Look returns how long to wait for an end, and up to which end the worker may forget.
+	Look(now time.Time, id string) (wait time.Duration, acked int64)
+	Hear(sent, now time.Time, id string, rep sched.Report)
+	Plan(now time.Time) []sched.Order
+	Answer(now time.Time, o sched.Order, out sched.Outcome)
+	// Completed reports whether a job is shown as completed.
+	Completed(id string) bool
+}
+
+// product is the product's own core; what has changed counts as stored at once.
+type product struct {
+	core *sched.Core
+}
+
+// Times of a core in a model, as on the users' platform.
+const (
+	coreLease = 5500 * time.Millisecond
+	coreStop  = 400 * time.Millisecond
+	always    = time.Hour // no other holder, no outage of the store
+)
+
+func newProduct(now time.Time) Policy {
+	return &product{sched.New(sched.Options{Lease: coreLease, Stop: coreStop, Held: always, Sure: always, Term: 1}, now)}
+}
+
+func (p *product) Join(now time.Time, members []sched.Member) {
+	p.core.Roster(now, members)
+	p.core.CrewStored(p.core.Crew())
+}
+
+func (p *product) Admit(now time.Time, j *sched.Job) { p.core.Admit(now, j) }
+
+func (p *product) Look(now time.Time, id string) (time.Duration, int64) {
+	l, _ := p.core.Look(now, id)
+	return l.Wait, l.Acked
+}
+
+func (p *product) Hear(sent, now time.Time, id string, rep sched.Report) {
+	p.core.Hear(sent, now, id, rep)
+	p.store()
+}
+
+func (p *product) Plan(now time.Time) []sched.Order {
+	orders := p.core.Plan(now)
+	p.store()
+	return orders
+}
+
+// store has everything that has changed counted as stored.
+func (p *product) store() {
+	b, err := p.core.Collect(int(^uint(0) >> 1))
+	if err != nil {
+		panic(errors.Wrap(err, "trial: a job's progress can always be encoded"))
+	}
+	p.core.Committed(b)
+}
+
+func (p *product) Answer(now time.Time, o sched.Order, out sched.Outcome) {
+	p.core.Answer(now, o, out)
+}
+
+func (p *product) Completed(id string) bool {
+	s, _ := p.core.State(id)
+	return s == sched.StateCompleted
+}
