--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -44,6 +44,13 @@
 	}
 	w.Member = m
 	w.listed = listed
+	// The entry is read again with any other's change, so the first word counts.
+	switch {
+	case !m.Draining:
+		w.leaves = time.Time{}
+	case w.leaves.IsZero():
+		w.leaves = now.Add(m.Left)
+	}
 	w.out = c.zones[m.Zone]
 }
 
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -23,6 +23,8 @@
 	Rack     string    `json:"rack,omitempty"`
 	Size     wire.Size `json:"size"`
 	Draining bool      `json:"-"`
+	// Left is how long a draining worker stays at least.
+	Left time.Duration `json:"-"`
 }
 
 // End is the way in which a run ended.
@@ -78,10 +80,11 @@
 // worker is a life of a worker with the ledger of its runs.
 type worker struct {
 	Member
-	listed  bool // in the directory
-	void    bool // its runs were given up after a lapse and it hasn't been heard since
-	out     bool // its failure domain is taken out
-	stored  bool // in the store's record of workers that may hold runs
+	listed  bool      // in the directory
+	void    bool      // its runs were given up after a lapse and it hasn't been heard since
+	out     bool      // its failure domain is taken out
+	leaves  time.Time // when it may leave; zero: it doesn't drain
+	stored  bool      // in the store's record of workers that may hold runs
 	contact Contact
 	lapse   time.Time // when every run there has ended unless the lease is renewed
 	acked   int64     // ends up to here are recorded and may be forgotten there
