batch/sched: loads are handed on to the next holder

Change: the fit of each step is stored with the factors, its times counted from the Unix epoch, and stands for 12 readings, so that readings outweigh it within seconds where hosts' clocks differ.

--- a/internal/batch/sched/course.go
+++ b/internal/batch/sched/course.go
@@ -53,6 +53,9 @@
 	firstLoad   = 0.5
 	firstSpread = 0.1
 	swingSpread = 0.17
+	// seedReadings is how many readings a fit that was handed on stands for. The hosts' clocks
+	// may differ, so readings have to outweigh it within seconds.
+	seedReadings = 12.0
 	// roughness is the error, in standard deviations, from which a reading counts less: one in
 	// twenty is far off.
 	roughness = 2.0
@@ -161,7 +164,21 @@
 	return f
 }
 
-// seconds returns a time as courses count it.
-func (c *Core) seconds(at time.Time) float64 {
-	return at.Sub(c.began).Seconds()
+// seconds returns a time as courses count it: the same on every host, so that a fit can be
+// handed on.
+func seconds(at time.Time) float64 {
+	return time.Duration(at.UnixNano()).Seconds()
+}
+
+// seed has the course of a period begin with a fit that a former holder found, as if it
+// came from some readings spread over a whole swing.
+func (k *course) seed(at float64, period int, f fit) {
+	k.at = at
+	s := &k.sums[period]
+	*s = sums{w: seedReadings, y: seedReadings * f.level}
+	if turn[period] != 0 {
+		s.cc, s.ss = seedReadings/2, seedReadings/2
+		s.cy, s.sy = s.cc*f.cos, s.ss*f.sin
+	}
+	k.fits[period] = s.solve(turn[period] != 0)
 }
--- a/internal/batch/sched/course_test.go
+++ b/internal/batch/sched/course_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"testing"
+	"time"
 )
 
 // The load of a serving step is told a second ahead, whether it swings, with which period, or
@@ -49,3 +50,37 @@
 		})
 	}
 }
+
+// The holder is lost while watches are at their peak. Its successor has to know the loads at
+// once: learned anew, they are told well only after some seconds, in which audits run beside
+// watches that can't bear them.
+func TestLoadsHandedOn(t *testing.T) {
+	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	feed := &Job{ID: "feed", Queue: "q", Service: "s", At: start, Steps: []Step{{Count: 2, Lasting: true, Image: "a", Target: 24 * time.Millisecond}}}
+	former, next := New(Options{Term: 1}, start), New(Options{Term: 2}, start.Add(30*time.Second))
+	former.Admit(start, feed)
+	truth := func(at time.Time) float64 { return 0.5 + 0.24*math.Sin(2*math.Pi*at.Sub(start).Seconds()/20+1) }
+	k := former.course(former.jobs["feed"].rounds[0].stages[0])
+	for at := start; at.Before(start.Add(30 * time.Second)); at = at.Add(200 * time.Millisecond) {
+		k.learn(seconds(at), truth(at), 1, &former.press.score)
+		former.press.age(seconds(at))
+	}
+	data, err := former.Learned()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := next.Restore(next.began, "feed", feed, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := next.Relearn(data); err != nil {
+		t.Fatal(err)
+	}
+	for _, ahead := range []time.Duration{time.Second, 4 * time.Second, 9 * time.Second} {
+		at := next.began.Add(ahead)
+		next.course(next.jobs["feed"].rounds[0].stages[0]).learn(seconds(at), truth(at)+0.05, 1, &next.press.score)
+		got := next.course(next.jobs["feed"].rounds[0].stages[0]).load(seconds(at), next.press.period)
+		if math.Abs(got-truth(at)) > 0.06 {
+			t.Errorf("load in %s: %.2f, want %.2f", ahead, got, truth(at))
+		}
+	}
+}
--- a/internal/batch/sched/press.go
+++ b/internal/batch/sched/press.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,13 +78,18 @@
 	f.learn(at, use, got-load-fill, pairNoise*pairNoise+spread*spread)
 }
 
-// age has older errors of the periods count less and chooses among these.
+// age has older errors of the periods count less.
 func (p *pressure) age(at float64) {
 	x := math.Exp(-max(0, at-p.scored) / scoreMemory)
 	p.scored = max(p.scored, at)
 	for i := range p.score {
 		p.score[i] *= x
 	}
+	p.choose()
+}
+
+// choose makes the period that has told the loads best the one that counts.
+func (p *pressure) choose() {
 	for i, score := range p.score {
 		if score < p.score[p.period] {
 			p.period = i
@@ -94,6 +101,18 @@
 type learned struct {
 	Score []float64     `json:"score"`
 	Pairs []learnedPair `json:"pairs"`
+	Loads []learnedLoad `json:"loads,omitempty"`
+}
+
+// learnedLoad is the fit of a step's load for the period that tells best, its times counted
+// from the Unix epoch.
+type learnedLoad struct {
+	Job   string  `json:"job"`
+	Round int     `json:"round,omitempty"`
+	Step  int     `json:"step,omitempty"`
+	Level float64 `json:"level"`
+	Cos   float64 `json:"cos"`
+	Sin   float64 `json:"sin"`
 }
 
 type learnedPair struct {
@@ -103,7 +122,7 @@
 	Spread float64 `json:"spread"`
 }
 
-// Learned returns what has been learned of the images, for a next holder: learning it anew
+// Learned returns what has been learned of images and loads, for a next holder: learning it anew
 // takes some ten seconds, in which serving tasks are disturbed or filling ones wait.
 func (c *Core) Learned() ([]byte, error) {
 	l := learned{Score: c.press.score[:]}
@@ -112,11 +131,24 @@
 			l.Pairs = append(l.Pairs, learnedPair{serve, fill, f.value[i], math.Sqrt(max(0, f.cov[i][i]))})
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		if c.jobs[id].state.Final() {
+			continue
+		}
+		for _, r := range c.jobs[id].rounds {
+			for _, s := range r.stages {
+				if k := s.course; k != nil && k.sums[c.press.period].w > 1 {
+					f := k.fits[c.press.period]
+					l.Loads = append(l.Loads, learnedLoad{id, s.round, s.idx, f.level, f.cos, f.sin})
+				}
+			}
+		}
+	}
 	data, err := json.Marshal(l)
 	return data, errors.Wrap(err, "sched")
 }
 
-// Relearn takes what a former holder has learned.
+// Relearn takes what a former holder has learned, of the jobs that are known here.
 func (c *Core) Relearn(data []byte) error {
 	var l learned
 	if err := json.Unmarshal(data, &l); err != nil {
@@ -129,5 +161,11 @@
 	for _, p := range l.Pairs {
 		c.press.of(p.Serve).set(p.Fill, p.Factor, p.Spread)
 	}
+	c.press.choose()
+	for _, f := range l.Loads {
+		if t := c.task(TaskID{Job: f.Job, Round: f.Round, Step: f.Step}); t != nil {
+			c.course(t.stage).seed(seconds(c.began), c.press.period, fit{f.Level, f.Cos, f.Sin})
+		}
+	}
 	return nil
 }
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		if st := r.task.stage; r.ready {
-			c.press.learn(c.seconds(now), c.course(st), st.spec, r.tail, use)
+			c.press.learn(seconds(now), c.course(st), st.spec, r.tail, use)
 		}
 		r.clock(now, later(before, now.Add(-oldest)), w.share.busy)
 		if !r.over.IsZero() && now.Sub(r.over) >= overSoon {
@@ -170,14 +170,14 @@
 // course returns the load of a serving step.
 func (c *Core) course(s *stage) *course {
 	if s.course == nil {
-		s.course = newCourse(c.seconds(s.at))
+		s.course = newCourse(seconds(s.at))
 	}
 	return s.course
 }
 
 // peak returns the most load expected of a serving step within some seconds.
 func (c *Core) peak(now time.Time, s *stage, ahead float64) float64 {
-	k, at := c.course(s), c.seconds(now)
+	k, at := c.course(s), seconds(now)
 	most := 0.0
 	for _, x := range []float64{0, ahead / 2, ahead} {
 		most = max(most, k.load(at+x, c.press.period))
