--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -270,7 +270,7 @@
 	case !free.Covers(z):
 		return 0, false
 	case s.spec.Lasting:
-		return w.kinship(s.spec.Image), true
+		return c.kinship(w, s.spec.Image), true
 	}
 	return left / whole, true
 }
@@ -284,24 +284,26 @@
 const leftWeight = 0.1
 
 // kinship prefers the worker that is fullest of the image, so that others stay free of serving
-// tasks for filling images that disturb them all.
+// tasks for filling images that disturb them all, and, where images have to share a worker,
+// ones that the same filling images disturb.
 //
 // It is how much a serving task of an image is among its like on the worker, from -1 to
 // 1. Images differ in which filling images disturb them: with one serving image on a
 // worker, most filling images find workers where they disturb nobody.
-func (w *worker) kinship(image string) float64 {
-	same, other := 0, 0
+func (c *Core) kinship(w *worker, image string) float64 {
+	sum := 0.0
 	for _, r := range w.list {
 		if r.task == nil || !r.task.stage.spec.Lasting {
 			continue
 		}
-		if s := r.task.stage.spec; s.Image == image {
-			same += s.Size.CPU
-		} else {
-			other += s.Size.CPU
+		s := r.task.stage.spec
+		like := 1.0
+		if s.Image != image {
+			like = -c.press.unlike(s.Image, image)
 		}
+		sum += like * float64(s.Size.CPU)
 	}
-	return float64(same-other) / float64(max(w.Size.CPU, 1))
+	return sum / float64(max(w.Size.CPU, 1))
 }
 
 func (w *worker) holds(s *stage) int {
--- a/internal/batch/sched/press.go
+++ b/internal/batch/sched/press.go
@@ -59,6 +59,20 @@
 	return f
 }
 
+// unlike returns how much the filling images that disturb two serving images differ, from 0 to
+// 1; 1 where that isn't known.
+func (p *pressure) unlike(a, b string) float64 {
+	f, g := p.of(a), p.of(b)
+	if len(f.fills) == 0 || len(g.fills) == 0 {
+		return 1
+	}
+	sum := 0.0
+	for i, fill := range f.fills {
+		sum += min(1, math.Abs(f.value[i]-g.of(fill)))
+	}
+	return sum / float64(len(f.fills))
+}
+
 // learn takes a reading of a serving step's tail beside filling images with the shares of
 // the worker's processors that they use. at is when it was read, in seconds.
 func (p *pressure) learn(at float64, k *course, s *Step, tail time.Duration, use []usage) {
