drive: hand-ins to queues that need advice are refused with a word

Their starts lack a ticket, so workers refuse them all: the job looked accepted and never began. Now 503 at once, with a minute to come back, and a line in the log; rounds of upkeep that operators ask for get a line too. Both stay unbuilt (docs/design/service.md). TestAdvisedQueue fails without it (accepted).

--- a/internal/batch/drive/answer.go
+++ b/internal/batch/drive/answer.go
@@ -67,6 +67,8 @@
 	// afterOutage fits a store that doesn't answer: it is tried ten times a second, so a
 	// second is soon enough.
 	afterOutage = time.Second
+	// afterAdvice is for a queue that isn't served until operators change it.
+	afterAdvice = time.Minute
 )
 
 // Handle answers a caller.
@@ -105,6 +107,10 @@
 }
 
 func (h *Holder) submit(ctx context.Context, a Ask, q sched.Queue, id string) Reply {
+	if q.Advised {
+		h.log.Info("refused", "job", id, "queue", q.Name, "cause", "queue needs advice")
+		return Refuse("a queue whose workers need advice isn't served", afterAdvice)
+	}
 	job := &sched.Job{}
 	if err := json.Unmarshal(a.Job, job); err != nil {
 		return Reply{Result: ResultBad, Why: err.Error()}
--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -29,6 +29,7 @@
 	Config sched.Config
 	Known  bool            // there is a configuration
 	Out    map[string]bool // failure domains that are taken out
+	Upkeep []string        // rounds of upkeep of workers' hosts that operators ask for; none is served
 }
 
 // Codec reads what operators and workers have written in the store.
@@ -107,6 +108,7 @@
 	stored  chan struct{}              // closed with each write
 	busy    time.Time                  // since when a write is under way
 	crew    []sched.Member             // as recorded
+	upkeep  map[string]bool            // rounds that were told of in the log
 	learned time.Time                  // when what has been learned was last recorded
 }
 
@@ -131,6 +133,7 @@
 		byID:    map[string]*submission{},
 		waiting: map[string][]chan struct{}{},
 		stored:  make(chan struct{}),
+		upkeep:  map[string]bool{},
 	}
 	if h.opt.Scope == nil {
 		h.opt.Scope = tally.NoopScope
@@ -286,6 +289,12 @@
 		h.core.Configure(in.Config)
 	}
 	h.core.Out(in.Out)
+	for _, u := range in.Upkeep {
+		if !h.upkeep[u] {
+			h.upkeep[u] = true
+			h.log.Info("refused", "upkeep", u, "cause", "upkeep of workers' hosts isn't served")
+		}
+	}
 	kick(h.plan)
 }
 
--- a/internal/batch/drive/drive_test.go
+++ b/internal/batch/drive/drive_test.go
@@ -270,3 +270,19 @@
 		f.crew.SetDark(m.ID, false)
 	}
 }
+
+// A queue's tasks may only run where a service of the operators says so, and that service isn't
+// asked yet: every start would be refused by its worker, and the job would look accepted for
+// good. The hand-in is refused at once instead, with a time to come back.
+func TestAdvisedQueue(t *testing.T) {
+	play(t, seconds(time.Second), func(f *fleet) {
+		f.configure(sched.Config{Version: 2, Queues: []sched.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Tries: 3, Advised: true}}})
+		time.Sleep(time.Second)
+		if r := f.submit("a", step(1)); r.Result != drive.ResultRefused || r.After < 30*time.Second {
+			t.Errorf("hand-in: %+v", r)
+		}
+		if r := f.state("a"); r.Result != drive.ResultNoJob {
+			t.Errorf("state: %+v", r)
+		}
+	})
+}
--- a/internal/batch/sched/job.go
+++ b/internal/batch/sched/job.go
@@ -143,6 +143,7 @@
 	Tries    int
 	Stretch  float64
 	Aim      time.Duration
+	Advised  bool // only a service of the operators knows which workers may run its steps
 }
 
 // Config is what operators have set, with a version that only grows.
