front: an answer of an older configuration is asked for again

A hand-in that was on its way to the store as the configuration changed was answered by the older version, taken for a former holder's answer, and ended as 504 though it was stored; callers don't repeat that.

Change: the desk asks again until the answer is based on the newest configuration; what was carried out ends as done, or as unknown where the queue is gone.

--- a/internal/proc/front/desk.go
+++ b/internal/proc/front/desk.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	tally "github.com/uber-go/tally/v4"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/batch/drive"
 	"bramleysail.example/bramleysail/internal/ctrl/lead"
 	"bramleysail.example/bramleysail/internal/peer/link"
@@ -33,14 +34,30 @@
 // Handle answers a request from here or, if another process holds, from there.
 func (d *Desk) Handle(ctx context.Context, a drive.Ask) drive.Reply {
 	began := time.Now()
-	rep := d.pass(ctx, a)
-	defer func() { d.tell(a, rep, time.Since(began)) }()
-	if d.older(rep.Version) {
-		// A former holder that doesn't know it has been replaced would take a configuration back.
-		rep = drive.Refuse("answer of a former holder", drive.AfterChange)
-		if a.Verb != drive.VerbState {
-			rep.Result = drive.ResultUnknown
+	rep := d.newest(ctx, a, d.pass)
+	d.tell(a, rep, time.Since(began))
+	return rep
+}
+
+// newest has a request answered by the newest configuration that an answer from here was based on.
+//
+// The failure it guards against: a former holder that doesn't know it has been replaced would
+// take a configuration back. An older one also shows in the answer to a request that was on its
+// way to the store as the configuration changed; ended as of unknown outcome, that job was
+// lost to its caller. Asked again, whoever holds now answers for what it has stored.
+func (d *Desk) newest(ctx context.Context, a drive.Ask, pass func(context.Context, drive.Ask) drive.Reply) drive.Reply {
+	rep := pass(ctx, a)
+	carried := false // it may have been, by an answer that was based on an older configuration
+	for d.older(rep.Version) {
+		carried = carried || a.Verb != drive.VerbState && (rep.Result == drive.ResultDone || rep.Result == drive.ResultUnknown)
+		if !wait.For(ctx, retryPause) {
+			rep = drive.Refuse("answer of a former holder", drive.AfterChange)
+			break
 		}
+		rep = pass(ctx, a)
+	}
+	if carried && rep.Result != drive.ResultDone {
+		return drive.Reply{Result: drive.ResultUnknown, Why: "answered by an older configuration"}
 	}
 	return rep
 }
