story, sched: a command that tells from the logs what became of a job, and why its steps wait

Cause: nothing told why a job waited; its path had to be put together by hand from six kinds of line.

The holder logs one line for a step that found no place for a second, with how many workers were closed, full, with a late serving task or disturbed.

--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -24,7 +24,12 @@
 			h.core.Aid(h.opt.Aided())
 		}
 		orders := h.core.Plan(time.Now())
+		waits := h.core.Waits()
 		h.mu.Unlock()
+		for _, w := range waits {
+			h.log.Info("waits", "job", w.Job, "step", w.Step, "tasks", w.Tasks, "since", w.Since, "workers", w.Workers,
+				"closed", w.Closed, "shut", w.Shut, "full", w.Full, "harm", w.Harm)
+		}
 		for _, o := range orders {
 			h.wg.Go(func() { h.order(o) })
 		}
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -35,6 +35,7 @@
 	speeds  learner
 	press   pressure
 	moved   time.Time // when slowed tasks were last looked at
+	waits   []Wait    // to be told
 }
 
 // New returns the core of a term that began at now.
@@ -84,6 +85,8 @@
 	open    bool
 	listed  bool // in Core.active
 	at      time.Time
+	short   time.Time // since when a task of it has found no place; zero: none has lacked one
+	told    bool      // that was told
 	due     time.Time // latest start for the job to be on time
 	worth   time.Time // latest start for it to be worth something, late
 	course  *course   // of a serving step: its users' load
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -143,6 +143,7 @@
 		}
 		w := c.pick(now, t, "")
 		if w == nil {
+			c.lack(now, s)
 			if s.spec.Apart == 0 {
 				full[k] = append(full[k], s.spec.Size)
 			}
@@ -262,7 +263,7 @@
 	whole := float64(max(w.Size.CPU, 1))
 	switch {
 	case s.spec.Fills:
-		if w.share.shut || z.Mem > free.Mem || z.Accel > free.Accel || left < fillShare*float64(z.CPU) {
+		if w.share.shut || !c.roomy(now, w, s) {
 			return 0, false
 		}
 		harm := c.harm(now, w, s.spec)
@@ -275,6 +276,12 @@
 	return left / whole, true
 }
 
+// roomy reports whether a worker has room for a filling task of a stage.
+func (c *Core) roomy(now time.Time, w *worker, s *stage) bool {
+	z, free := s.spec.Size, w.free()
+	return z.Mem <= free.Mem && z.Accel <= free.Accel && float64(c.look(now, w).left) >= fillShare*float64(z.CPU)
+}
+
 // advantageWeight is the weight of what a place is worth to other images beside the harm done
 // there. On six days of both users the worth added up to 3.05 without it, 3.09 at 0.3, 3.20 at
 // 0.5 and 3.14 at 1.
--- /dev/null
+++ b/internal/batch/sched/waits.go
@@ -0,0 +1,58 @@
+package sched
+
+import "time"
+
+// Wait tells why tasks of a step have found no place for a while.
+type Wait struct {
+	Job     string
+	Step    int
+	Tasks   int // that wait
+	Since   time.Duration
+	Workers int // of the service
+	Closed  int // of these, that take nothing at present
+	Shut    int // where a serving task is over its target for long
+	Full    int // without room
+	Harm    int // where they would disturb serving tasks too much
+}
+
+// waitTold is after how long without a place a step is told of: one that is on time as a rule
+// waits for less.
+const waitTold = time.Second
+
+// Waits returns the steps that have newly waited for long. Each is told once.
+func (c *Core) Waits() []Wait {
+	w := c.waits
+	c.waits = nil
+	return w
+}
+
+// lack notes that a task of a step has found no place.
+func (c *Core) lack(now time.Time, s *stage) {
+	if s.short.IsZero() {
+		s.short = now
+	}
+	if s.told || now.Sub(s.short) < waitTold {
+		return
+	}
+	s.told = true
+	t := Wait{Job: s.job.ID, Step: s.idx, Tasks: s.waiting, Since: now.Sub(s.short)}
+	for _, w := range c.ranks {
+		if w.Service != s.job.Service {
+			continue
+		}
+		t.Workers++
+		_, fits := c.score(now, w, s)
+		switch {
+		case !w.open(now) || !w.labelled(s.spec.Label):
+			t.Closed++
+		case s.spec.Fills && w.share.shut:
+			t.Shut++
+		case fits:
+		case s.spec.Fills && c.roomy(now, w, s):
+			t.Harm++
+		default:
+			t.Full++
+		}
+	}
+	c.waits = append(c.waits, t)
+}
--- /dev/null
+++ b/internal/batch/sched/waits_test.go
@@ -0,0 +1,37 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/batch/wire"
+)
+
+// A check-in is late because the only worker with room drains. Whoever looks for the reason finds one
+// line that says so, not one for each plan.
+func TestWaits(t *testing.T) {
+	b := newBench(t, 1, 3).open()
+	all := members(3)
+	all[0].Draining = true
+	b.core.Roster(b.now, all)
+	for _, id := range []string{"w1", "w2"} {
+		b.core.Admit(b.now, one("big-"+id, func(j *sched.Job) { j.Steps[0].Size, j.Steps[0].Label = wire.Size{CPU: 15500, Mem: 1000}, id }))
+	}
+	b.plan(sched.VerbStart)
+	b.core.Admit(b.now, one("late", nil))
+	var told []sched.Wait
+	for range 30 {
+		b.after(100 * time.Millisecond)
+		b.plan(sched.VerbStart)
+		told = append(told, b.core.Waits()...)
+	}
+	if len(told) != 1 {
+		t.Fatalf("told %d times: %+v", len(told), told)
+	}
+	w := told[0]
+	w.Since = 0
+	if want := (sched.Wait{Job: "late", Tasks: 1, Workers: 3, Closed: 1, Full: 2}); w != want {
+		t.Errorf("told %+v, want %+v", w, want)
+	}
+}
--- /dev/null
+++ b/internal/proc/tool/explain.go
@@ -0,0 +1,72 @@
+package tool
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"bramleysail.example/bramleysail/internal/proc/story"
+)
+
+func explainCommand(out, errOut io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:        "explain",
+		Usage:       "tell from the hosts' logs what became of a job: where it is, why it waited, what was decided",
+		ArgsUsage:   "JOB [LOGFILE ...]",
+		Description: "Reads standard input without a file. Example: bramleysail explain 5c0e7a21d94b36f8 host-*.log",
+		Flags:       []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "for programs"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() < 1 {
+				return exit{errors.Errorf("bramleysail: %s takes a job's id, see --help", c.Name), ExitInvalid}
+			}
+			lines, err := readLogs(c.Args().Tail(), errOut)
+			if err != nil {
+				return err
+			}
+			s, err := story.Of(c.Args().First(), lines)
+			switch {
+			case errors.Is(err, story.ErrNone):
+				return exit{err, ExitInvalid}
+			case err != nil:
+				return err
+			case c.Bool("json"):
+				return s.JSON(out)
+			}
+			return s.Text(out)
+		},
+	}
+}
+
+func readLogs(files []string, errOut io.Writer) ([]story.Line, error) {
+	if len(files) == 0 {
+		return readLog("standard input", os.Stdin, errOut)
+	}
+	var all []story.Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, exit{errors.Wrap(err, "bramleysail"), ExitInvalid}
+		}
+		lines, err := readLog(name, f, errOut)
+		if cerr := f.Close(); err == nil {
+			err = errors.Wrap(cerr, "bramleysail")
+		}
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func readLog(name string, in io.Reader, errOut io.Writer) ([]story.Line, error) {
+	lines, bad, err := story.Read(in)
+	if bad > 0 {
+		fmt.Fprintf(errOut, "%s: %d lines can't be read and are left out\n", name, bad)
+	}
+	return lines, err
+}
