--- a/internal/batch/drive/fleet_test.go
+++ b/internal/batch/drive/fleet_test.go
@@ -17,7 +17,7 @@
 	"bramleysail.example/bramleysail/internal/ctrl/lead"
 	fakecrew "bramleysail.example/bramleysail/internal/fake/crew"
 	"bramleysail.example/bramleysail/internal/fake/multi"
-	"bramleysail.example/bramleysail/internal/plat/store"
+	"bramleysail.example/bramleysail/internal/fake/plain"
 )
 
 // fleet is some hosts with a store and workers, for use in a bubble of virtual time.
@@ -77,50 +77,15 @@
 }
 
 func (f *fleet) configure(c sched.Config) {
-	data, err := json.Marshal(c)
-	if err != nil {
+	if err := plain.Configure(f.store, c); err != nil {
 		f.t.Fatal(err)
 	}
-	f.store.Put("op/config", data)
 }
 
 // list writes the workers into the directory.
 func (f *fleet) list() {
-	for _, m := range f.crew.Members() {
-		data, err := json.Marshal(m)
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		f.store.Put("workers/"+m.ID, data)
-	}
-}
-
-func codec() drive.Codec {
-	return drive.Codec{
-		IntentPrefix: "op/",
-		Intent: func(entries []store.Entry) (drive.Intent, error) {
-			in := drive.Intent{Out: map[string]bool{}}
-			for _, e := range entries {
-				if e.Key == "op/config" {
-					if err := json.Unmarshal(e.Value, &in.Config); err != nil {
-						return in, err
-					}
-					in.Known = true
-				}
-			}
-			return in, nil
-		},
-		RosterPrefix: "workers/",
-		Roster: func(entries []store.Entry) []sched.Member {
-			var all []sched.Member
-			for _, e := range entries {
-				var m sched.Member
-				if json.Unmarshal(e.Value, &m) == nil {
-					all = append(all, m)
-				}
-			}
-			return all
-		},
+	if err := plain.List(f.store, f.crew.Members()); err != nil {
+		f.t.Fatal(err)
 	}
 }
 
@@ -140,7 +105,7 @@
 	h.wg.Go(func() {
 		l.Run(ctx, func(t *lead.Tenure) {
 			_ = drive.Run(drive.Options{ // its error tells of the tenure's end
-				Store: client, Crew: crew, Codec: codec(), Tenure: t, Log: logr.Discard(),
+				Store: client, Crew: crew, Codec: plain.Codec(), Tenure: t, Log: logr.Discard(),
 				Lease: workerLease, Doubt: 8 * time.Second, Held: holderLease, Sure: 3 * time.Second, Stop: 200 * time.Millisecond, Keep: time.Hour,
 			}, func(d *drive.Holder) { h.set(d, t.Term()) })
 			h.set(nil, 0)
--- /dev/null
+++ b/internal/fake/plain/plain.go
@@ -0,0 +1,75 @@
+package plain
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"bramleysail.example/bramleysail/internal/batch/drive"
+	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/plat/store"
+)
+
+// Keys in the store.
+const (
+	intentPrefix = "op/"
+	configKey    = intentPrefix + "config"
+	rosterPrefix = "workers/"
+)
+
+// Store is where operators and workers write.
+type Store interface {
+	Put(key string, value []byte)
+}
+
+// Configure writes the operators' configuration.
+func Configure(s Store, c sched.Config) error {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return errors.Wrap(err, "plain")
+	}
+	s.Put(configKey, data)
+	return nil
+}
+
+// List writes the workers' entries in the directory.
+func List(s Store, members []sched.Member) error {
+	for _, m := range members {
+		data, err := json.Marshal(m)
+		if err != nil {
+			return errors.Wrap(err, "plain")
+		}
+		s.Put(rosterPrefix+m.ID, data)
+	}
+	return nil
+}
+
+// Codec reads what Configure and List write.
+func Codec() drive.Codec {
+	return drive.Codec{IntentPrefix: intentPrefix, Intent: intent, RosterPrefix: rosterPrefix, Roster: roster}
+}
+
+func intent(entries []store.Entry) (drive.Intent, error) {
+	in := drive.Intent{Out: map[string]bool{}}
+	for _, e := range entries {
+		if e.Key != configKey {
+			continue
+		}
+		if err := json.Unmarshal(e.Value, &in.Config); err != nil {
+			return in, errors.Wrap(err, "plain")
+		}
+		in.Known = true
+	}
+	return in, nil
+}
+
+func roster(entries []store.Entry) []sched.Member {
+	var all []sched.Member
+	for _, e := range entries {
+		var m sched.Member
+		if json.Unmarshal(e.Value, &m) == nil { // an entry that can't be read names no worker
+			all = append(all, m)
+		}
+	}
+	return all
+}
--- a/internal/proc/demo/demo_test.go
+++ b/internal/proc/demo/demo_test.go
@@ -25,6 +25,15 @@
 	checkSpans(t, spans.Ended())
 }
 
+// The demo of hosts of which one holds goes through its faults and keeps every promise.
+func TestRunHosts(t *testing.T) {
+	var out bytes.Buffer
+	broken, err := RunHosts(context.Background(), &out)
+	if err != nil || len(broken) > 0 {
+		t.Errorf("%v, broken: %v\n%s", err, broken, out.String())
+	}
+}
+
 // checkSpans holds that a check-in's hops are spans of one trace, each below the entry's.
 func checkSpans(t *testing.T, ended []trace.ReadOnlySpan) {
 	t.Helper()
--- a/internal/proc/tool/cli.go
+++ b/internal/proc/tool/cli.go
@@ -103,8 +103,13 @@
 		Name:        "demo",
 		Usage:       "run the main job on embedded stand-ins, bring about faults and check the promises",
 		Description: "It takes under a minute, needs nothing but loopback, and exits with 5 if a promise was broken.",
-		Action: func(ctx context.Context, _ *cli.Command) error {
-			broken, err := demo.Run(ctx, out)
+		Flags:       []cli.Flag{&cli.BoolFlag{Name: "hosts", Usage: "the demo of entry hosts of which one holds, as on the users' platform"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			run := demo.Run
+			if c.Bool("hosts") {
+				run = demo.RunHosts
+			}
+			broken, err := run(ctx, out)
 			if err == nil && len(broken) > 0 {
 				err = exit{errors.Errorf("bramleysail: %d promises were broken", len(broken)), ExitBroken}
 			}
