--- a/internal/model/trial/ideal.go
+++ b/internal/model/trial/ideal.go
@@ -42,14 +42,12 @@
 				rest = append(rest, j)
 				continue
 			}
-			j.count(res, at)
+			res.ended(j.Job, at-j.At)
 		}
 		open = rest
 	}
 	for _, j := range open {
-		t := res.tally(j.Kind.Name)
-		t.Jobs++
-		t.Owed += j.Kind.Worth * j.Job.Worth
+		res.missed(j.Job)
 	}
 	return res
 }
@@ -101,19 +99,3 @@
 	j.now, j.ends = j.now+1, nil
 	return j.now == len(j.Work)
 }
-
-func (j *idealJob) count(res *Result, at time.Duration) {
-	t := res.tally(j.Kind.Name)
-	took := at - j.At
-	t.Jobs++
-	t.Waits = append(t.Waits, took)
-	t.Owed += j.Kind.Worth * j.Job.Worth
-	switch goal := j.Objective(); {
-	case took <= goal:
-		t.OnTime++
-		t.Earned += j.Kind.Worth * j.Job.Worth
-	case took <= latest*goal:
-		t.Late++
-		t.Earned += j.Kind.Late * j.Job.Worth
-	}
-}
--- a/internal/model/trial/play.go
+++ b/internal/model/trial/play.go
@@ -70,6 +70,29 @@
 	return t
 }
 
+// ended counts a job that was completed within a time.
+func (r *Result) ended(j *trace.Job, took time.Duration) {
+	t := r.tally(j.Kind.Name)
+	t.Jobs++
+	t.Waits = append(t.Waits, took)
+	t.Owed += j.Kind.Worth * j.Worth
+	switch goal := j.Objective(); {
+	case took <= goal:
+		t.OnTime++
+		t.Earned += j.Kind.Worth * j.Worth
+	case took <= latest*goal:
+		t.Late++
+		t.Earned += j.Kind.Late * j.Worth
+	}
+}
+
+// missed counts a job that wasn't completed.
+func (r *Result) missed(j *trace.Job) {
+	t := r.tally(j.Kind.Name)
+	t.Jobs++
+	t.Owed += j.Kind.Worth * j.Worth
+}
+
 // Worth returns the share of what was owed that was earned.
 func (r *Result) Worth() float64 {
 	owed, earned := 0.0, 0.0
@@ -184,19 +207,7 @@
 			rest = append(rest, j)
 			continue
 		}
-		took := now.Sub(start.Add(j.At))
-		t := p.res.tally(j.Kind.Name)
-		t.Jobs++
-		t.Waits = append(t.Waits, took)
-		t.Owed += j.Kind.Worth * j.Worth
-		switch goal := j.Objective(); {
-		case took <= goal:
-			t.OnTime++
-			t.Earned += j.Kind.Worth * j.Worth
-		case took <= latest*goal:
-			t.Late++
-			t.Earned += j.Kind.Late * j.Worth
-		}
+		p.res.ended(j, now.Sub(start.Add(j.At)))
 	}
 	p.open = rest
 }
@@ -207,9 +218,7 @@
 		if j.Kind.Lasting {
 			continue
 		}
-		t := p.res.tally(j.Kind.Name)
-		t.Jobs++
-		t.Owed += j.Kind.Worth * j.Worth
+		p.res.missed(j)
 	}
 }
 
