--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -442,3 +442,27 @@
 		t.Errorf("started %v, want the job that can be on time", got)
 	}
 }
+
+// A book is finished twice. Its worker is cut off, starts anew behind the cut under the same id, and
+// carries out an order that was meant for its former life; the book is done there before the cut
+// heals. The first look after it must not acknowledge ends by the former life's numbers: the
+// worker would forget the success before anybody heard of it.
+func TestAckAfterBrokenContact(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	b.core.Admit(b.now, one("j", nil))
+	o := b.plan(sched.VerbStart)[0]
+	b.look(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(1, o, sched.EndFailed)}})
+	b.store()
+	l, _ := b.core.Look(b.now, o.Life.ID)
+	if l.Acked != 1 {
+		t.Fatalf("acknowledged up to %d, want 1", l.Acked)
+	}
+	b.core.Missed(b.now, o.Life.ID, 1)
+	if l, _ = b.core.Look(b.now, o.Life.ID); l.Acked != 0 {
+		t.Errorf("after a look without an answer, ends up to %d are acknowledged to whoever answers next", l.Acked)
+	}
+	b.look(o.Life.ID, sched.Report{})
+	if l, _ = b.core.Look(b.now, o.Life.ID); l.Acked != 1 {
+		t.Errorf("with the same life again, ends up to %d are acknowledged, want 1", l.Acked)
+	}
+}
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -46,10 +46,13 @@
 	if w == nil {
 		return Look{}, false
 	}
-	l := Look{Life: w.Life, Addr: w.Addr, Acked: w.acked}
+	l := Look{Life: w.Life, Addr: w.Addr}
 	if w.contact != ContactGood {
+		// It may have started anew meanwhile under its id, with ends that count from 1: by the
+		// numbers of its former life it would forget some that nobody has heard of.
 		return l, true
 	}
+	l.Acked = w.acked
 	l.Wait = lookIdle
 	if w.shared() {
 		l.Wait = lookShared
