--- /dev/null
+++ b/internal/model/trial/plot.go
@@ -0,0 +1,39 @@
+package trial
+
+import (
+	"io"
+	"slices"
+
+	"github.com/pkg/errors"
+	"github.com/wcharczuk/go-chart/v2"
+)
+
+// Plot draws the share of the worth that each policy earned against the load, as SVG. It needs
+// rows of two loads or more.
+func Plot(out io.Writer, rows []Row) error {
+	var names []string
+	lines := map[string]*chart.ContinuousSeries{}
+	for _, r := range rows {
+		s := lines[r.Policy]
+		if s == nil {
+			s = &chart.ContinuousSeries{Name: r.Policy}
+			lines[r.Policy] = s
+			names = append(names, r.Policy)
+		}
+		s.XValues = append(s.XValues, r.Load)
+		s.YValues = append(s.YValues, r.Result.Worth())
+	}
+	slices.Sort(names)
+	graph := chart.Chart{
+		XAxis: chart.XAxis{Name: "load"},
+		YAxis: chart.YAxis{Name: "worth earned, of what was owed", Range: &chart.ContinuousRange{Min: 0, Max: 1}},
+	}
+	for _, name := range names {
+		if len(lines[name].XValues) < 2 {
+			return errors.Wrap(ErrPlan, "a plot needs two loads or more")
+		}
+		graph.Series = append(graph.Series, *lines[name])
+	}
+	graph.Elements = []chart.Renderable{chart.Legend(&graph)}
+	return errors.Wrap(graph.Render(chart.SVG, out), "trial")
+}
--- a/internal/model/trial/trial_test.go
+++ b/internal/model/trial/trial_test.go
@@ -78,3 +78,22 @@
 		t.Errorf("first:\n%sagain:\n%s", &out[0], &out[1])
 	}
 }
+
+func TestPlot(t *testing.T) {
+	row := func(load float64, policy string, earned float64) trial.Row {
+		return trial.Row{Load: load, Policy: policy, Result: &trial.Result{Kinds: map[string]*trial.Tally{"book": {Owed: 1, Earned: earned}}}}
+	}
+	var out bytes.Buffer
+	rows := []trial.Row{row(0.7, trial.First, 0.8), row(0.7, trial.Product, 1), row(1.2, trial.First, 0.5), row(1.2, trial.Product, 0.75)}
+	if err := trial.Plot(&out, rows); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"<svg", trial.First, trial.Product} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %q in the plot", want)
+		}
+	}
+	if err := trial.Plot(&out, rows[:1]); !errors.Is(err, trial.ErrPlan) {
+		t.Errorf("error %v for one load, want ErrPlan", err)
+	}
+}
