--- a/internal/model/trial/plot.go
+++ b/internal/model/trial/plot.go
@@ -8,6 +8,12 @@
 	"github.com/wcharczuk/go-chart/v2"
 )
 
+// Room around the plot, in pixels; the legend stands above it.
+const (
+	legendRoom = 50
+	margin     = 20
+)
+
 // Plot draws the share of the worth that each policy earned against the load, as SVG. It needs
 // rows of two loads or more.
 func Plot(out io.Writer, rows []Row) error {
@@ -25,8 +31,9 @@
 	}
 	slices.Sort(names)
 	graph := chart.Chart{
-		XAxis: chart.XAxis{Name: "load"},
-		YAxis: chart.YAxis{Name: "worth earned, of what was owed", Range: &chart.ContinuousRange{Min: 0, Max: 1}},
+		Background: chart.Style{Padding: chart.Box{Top: legendRoom, Left: margin, Right: margin, Bottom: margin}},
+		XAxis:      chart.XAxis{Name: "load"},
+		YAxis:      chart.YAxis{Name: "worth earned, of what was owed", Range: &chart.ContinuousRange{Min: 0, Max: 1}},
 	}
 	for _, name := range names {
 		if len(lines[name].XValues) < 2 {
@@ -34,6 +41,6 @@
 		}
 		graph.Series = append(graph.Series, *lines[name])
 	}
-	graph.Elements = []chart.Renderable{chart.Legend(&graph)}
+	graph.Elements = []chart.Renderable{chart.LegendThin(&graph)}
 	return errors.Wrap(graph.Render(chart.SVG, out), "trial")
 }
