batch/sched: what was handed on stays sure; a clock that is set doesn't shift the loads

Cause: found in reading. Times of courses were counted from the Unix epoch by the wall clock: a host's clock that is set by seconds while it holds shifted every swing against the loads. And a next holder's first reading aged scores and factors by all the time since the epoch: the factors kept their values but not how sure they are, the period was found anew.

Change: the epoch as it was when the term began, and the steady clock from there; scores and factors are as of the moment when they are taken over. The clock that is set has no test: a time with another wall clock and the same steady one can't be made in one.

--- a/internal/batch/sched/course.go
+++ b/internal/batch/sched/course.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Users' load on a serving step swings, and all of its tasks show the same load at a time: on
-// a quarter of an hour of readings of both users' workloads, a level and one swing for each job
+// Users' load on a serving step swings, and all of its tasks show the same load at a time: in
+// the readings of four days of both users' workloads, a level and one swing for each job
 // and a factor for each pair of images explain 0.84 to 0.89 of the variance of the pressure,
 // 0.72 with the load of each task followed for itself. So the load is kept for the step, from
 // the readings of all its tasks, and it can be told some seconds ahead: a filling task has to
@@ -107,8 +107,8 @@
 	return most / math.Sqrt(1+k.sums[period].w)
 }
 
-// learn takes a reading of the load whose noise is sure times as likely as a plain one to be
-// small, and adds each period's squared error to score.
+// learn takes a reading of the load, with a weight of sure against a plain one (1), and adds each
+// period's squared error to score.
 func (k *course) learn(at, load, sure float64, score *[periods]float64) {
 	aged := max(0, at-k.at)
 	k.at = max(k.at, at)
@@ -164,10 +164,11 @@
 	return f
 }
 
-// seconds returns a time as courses count it: the same on every host, so that a fit can be
-// handed on.
-func seconds(at time.Time) float64 {
-	return time.Duration(at.UnixNano()).Seconds()
+// seconds returns a time as courses count it: from the Unix epoch, so that a fit can be handed on
+// to another host, by the clock as it was when the term began. A clock that is set while this
+// process holds would shift every swing against the loads.
+func (c *Core) seconds(at time.Time) float64 {
+	return time.Duration(c.began.UnixNano()).Seconds() + at.Sub(c.began).Seconds()
 }
 
 // seed has the course of a period begin with a fit that a former holder found, as if it
@@ -186,14 +187,14 @@
 // course returns the load of a serving step.
 func (c *Core) course(s *stage) *course {
 	if s.course == nil {
-		s.course = newCourse(seconds(s.at))
+		s.course = newCourse(c.seconds(s.at))
 	}
 	return s.course
 }
 
 // peak returns the most load expected of a serving step within some seconds.
 func (c *Core) peak(now time.Time, s *stage, ahead float64) float64 {
-	k, at := c.course(s), seconds(now)
+	k, at := c.course(s), c.seconds(now)
 	most := 0.0
 	for _, x := range []float64{0, ahead / 2, ahead} {
 		most = max(most, k.load(at+x, c.press.period))
--- a/internal/batch/sched/press.go
+++ b/internal/batch/sched/press.go
@@ -168,17 +168,20 @@
 	if err := json.Unmarshal(data, &l); err != nil {
 		return errors.Wrap(err, "sched: learned")
 	}
-	c.press = pressure{}
+	now := c.seconds(c.began)
+	c.press = pressure{scored: now}
 	if len(l.Score) == periods {
 		copy(c.press.score[:], l.Score)
 	}
 	for _, p := range l.Pairs {
-		c.press.factors(p.Serve).set(p.Fill, p.Factor, p.Spread)
+		f := c.press.factors(p.Serve)
+		f.set(p.Fill, p.Factor, p.Spread)
+		f.at = now
 	}
 	c.press.choose()
 	for _, f := range l.Loads {
 		if t := c.task(TaskID{Job: f.Job, Round: f.Round, Step: f.Step}); t != nil {
-			c.course(t.stage).seed(seconds(c.began), c.press.period, fit{f.Level, f.Cos, f.Sin})
+			c.course(t.stage).seed(now, c.press.period, fit{f.Level, f.Cos, f.Sin})
 		}
 	}
 	return nil
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		if st := r.task.stage; r.ready {
-			c.press.learn(seconds(now), c.course(st), st.spec, r.tail, use)
+			c.press.learn(c.seconds(now), c.course(st), st.spec, r.tail, use)
 		}
 		r.clock(now, later(before, now.Add(-oldest)), w.share.busy)
 		if !r.over.IsZero() && now.Sub(r.over) >= overSoon {
