--- a/internal/batch/sched/outlook.go
+++ b/internal/batch/sched/outlook.go
@@ -46,7 +46,7 @@
 			fill += r.task.stage.spec.Size.CPU * r.want / fullPace
 		}
 		if r.serves() && r.state == RunLive {
-			o.strains = append(o.strains, strain{c.press.factors(r.task.stage.spec.Image), c.bears(now, w, r) - limit(1)})
+			o.strains = append(o.strains, strain{c.press.factors(r.task.stage.spec.Image), c.bears(now, w, r) - targetPressure})
 		}
 	}
 	o.left = w.Size.CPU - int(baseLoad*float64(w.base)) - (w.used.CPU - w.base) - fill
--- a/internal/batch/sched/pace.go
+++ b/internal/batch/sched/pace.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		f := c.press.factors(s.task.stage.spec.Image)
-		above := c.peak(now, s.task.stage, paceAhead) - limit(1)
+		above := c.peak(now, s.task.stage, paceAhead) - targetPressure
 		adds := make([]float64, len(fills))
 		for i, r := range fills {
 			z := r.task.stage.spec
--- a/internal/batch/sched/press.go
+++ b/internal/batch/sched/press.go
@@ -27,6 +27,8 @@
 	// ones measured. Where it's another, load and factors come out larger or smaller, and the
 	// model holds all the same: its pressure is a straight line of the true one.
 	restShare = 1.0 / 6
+	// targetPressure is the pressure at which a tail is at its target.
+	targetPressure = 1 - restShare
 	// fullPressure is where a reading says no more than "far over".
 	fullPressure = 0.97
 	// lag is how long ago, in seconds, the middle of what a reading covers is.
@@ -41,11 +43,6 @@
 	return max(0, 1-restShare*float64(target)/float64(tail))
 }
 
-// limit is the pressure at which a tail is share of its target.
-func limit(share float64) float64 {
-	return 1 - restShare/share
-}
-
 // factors returns the factors of the filling images for a serving one.
 func (p *pressure) factors(serve string) *factors {
 	f := p.pairs[serve]
--- a/internal/model/trial/play.go
+++ b/internal/model/trial/play.go
@@ -29,10 +29,9 @@
 
 // Result is what a day's callers got.
 type Result struct {
-	Kinds   map[string]*Tally
-	Waste   float64 // core-seconds worked in vain
-	Moves   int     // filling tasks that were stopped and begun anew
-	Elapsed time.Duration
+	Kinds map[string]*Tally
+	Waste float64 // core-seconds worked in vain
+	Moves int     // filling tasks that were stopped and begun anew
 }
 
 // Tally is what the callers of a kind got.
@@ -55,7 +54,6 @@
 	}
 	r.Waste += o.Waste
 	r.Moves += o.Moves
-	r.Elapsed += o.Elapsed
 }
 
 func (r *Result) tally(name string) *Tally {
@@ -123,7 +121,6 @@
 
 // play plays a day's jobs with a policy.
 func play(d *trace.Day, jobs []*trace.Job, start time.Time, seed uint64, policy func(time.Time) Policy) *Result {
-	began := time.Now()
 	p := &day{world: world.New(d, start, jobs, seed), policy: policy(start), jobs: jobs, res: &Result{}}
 	p.policy.Join(start, p.world.Members())
 	p.looks = make([]look, len(p.world.Workers))
@@ -150,7 +147,6 @@
 	}
 	p.owe()
 	p.res.Waste = p.world.Wasted
-	p.res.Elapsed = time.Since(began)
 	return p.res
 }
 
--- a/internal/model/world/world.go
+++ b/internal/model/world/world.go
@@ -327,8 +327,3 @@
 	}
 	return max(time.Millisecond, time.Duration(x*float64(tail)).Round(time.Millisecond))
 }
-
-// Waits reports whether a look's answer is due before its wait is over.
-func (k *Worker) Waits(acked int64) bool {
-	return len(k.ends) == 0 || k.ends[len(k.ends)-1].Seq <= acked
-}
