drive: a holder's standing in metrics and log

While callers' lasting tasks stood still after a change of holder, nothing told that the holder held them back, for which workers and how long, nor that it was late with its own work: the logs of that time were overwritten by orders, and no metric had it.

Gauges term, workers by contact, tasks_held, confirmed_age, a histogram plan_late, and a line each when holding back begins and ends. No decision changes.

--- /dev/null
+++ b/internal/batch/drive/standing.go
@@ -0,0 +1,66 @@
+package drive
+
+import (
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+)
+
+// standingEvery is how often a holder's standing is shown in its metrics.
+const standingEvery = time.Second
+
+// standing shows what a holder has and knows: as gauges, and in the log when it begins and
+// ends to hold tasks back.
+type standing struct {
+	scope tally.Scope
+	late  tally.Histogram
+	shown time.Time
+	held  int
+}
+
+// lateTimes are the bounds of the histogram of a holder's lateness with its own work.
+var lateTimes = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
+
+func newStanding(scope tally.Scope) *standing {
+	return &standing{scope: scope, late: scope.Histogram("plan_late", lateTimes)}
+}
+
+// lag counts by how much a plan that was due came late: what a holder lacks in processor shows first there.
+func (s *standing) lag(d time.Duration) {
+	s.late.RecordDuration(d)
+}
+
+// due reports whether the standing is to be shown again.
+func (s *standing) due(now time.Time) bool {
+	return now.Sub(s.shown) >= standingEvery
+}
+
+// show sets the gauges and tells of a change in what is held back.
+func (s *standing) show(h *Holder, now time.Time, st sched.Standing) {
+	s.shown = now
+	s.scope.Gauge("term").Update(float64(h.opt.Tenure.Term()))
+	for contact, n := range map[string]int{"good": st.Good, "lost": st.Lost, "unheard": st.Unheard} {
+		s.scope.Tagged(map[string]string{"contact": contact}).Gauge("workers").Update(float64(n))
+	}
+	s.scope.Gauge("tasks_held").Update(float64(st.Held))
+	s.scope.Gauge("confirmed_age").Update(st.Age.Seconds())
+	switch {
+	case s.held == 0 && st.Held > 0:
+		h.log.Info("holds back", "tasks", st.Held, "unheard", st.Unheard, "workers", st.Good+st.Lost+st.Unheard, "left", st.Left)
+	case s.held > 0 && st.Held == 0:
+		h.log.Info("holds nothing back", "tasks", s.held, "unheard", st.Unheard)
+	}
+	s.held = st.Held
+}
+
+// clear takes back the gauges of a tenure that is over: they would show its last state for good.
+func (s *standing) clear() {
+	s.scope.Gauge("term").Update(0)
+	for _, contact := range []string{"good", "lost", "unheard"} {
+		s.scope.Tagged(map[string]string{"contact": contact}).Gauge("workers").Update(0)
+	}
+	s.scope.Gauge("tasks_held").Update(0)
+	s.scope.Gauge("confirmed_age").Update(0)
+}
--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -11,21 +11,33 @@
 func (h *Holder) plans() {
 	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
+	shown := newStanding(h.opt.Scope)
+	defer shown.clear()
 	for {
 		select {
 		case <-h.ctx.Done():
 			return
 		case <-h.plan:
-		case <-tick.C:
+		case due := <-tick.C:
+			shown.lag(time.Since(due))
 		}
+		now := time.Now()
 		h.mu.Lock()
 		h.core.Confirm(h.opt.Tenure.Sure())
 		if h.opt.Aided != nil {
 			h.core.Aid(h.opt.Aided())
 		}
-		orders := h.core.Plan(time.Now())
+		orders := h.core.Plan(now)
 		waits := h.core.Waits()
+		var stand sched.Standing
+		show := shown.due(now)
+		if show {
+			stand = h.core.Standing(now)
+		}
 		h.mu.Unlock()
+		if show {
+			shown.show(h, now, stand)
+		}
 		for _, w := range waits {
 			h.log.Info("waits", "job", w.Job, "step", w.Step, "tasks", w.Tasks, "since", w.Since, "workers", w.Workers,
 				"closed", w.Closed, "shut", w.Shut, "full", w.Full, "harm", w.Harm)
--- /dev/null
+++ b/internal/batch/sched/standing.go
@@ -0,0 +1,38 @@
+package sched
+
+import "time"
+
+// Standing is what a holder has and knows, for its logs and metrics.
+type Standing struct {
+	Good    int           // workers whose last look was answered
+	Lost    int           // workers whose last look wasn't
+	Unheard int           // workers that this holder hasn't heard from
+	Held    int           // tasks held back because a worker that isn't reached may run them
+	Left    time.Duration // for which they are held back at most
+	Age     time.Duration // since this process was last confirmed as the holder
+}
+
+// Standing returns the state at a time.
+func (c *Core) Standing(now time.Time) Standing {
+	s := Standing{Age: now.Sub(later(c.sure, c.aided))}
+	for _, w := range c.ranks {
+		switch w.contact {
+		case ContactGood:
+			s.Good++
+		case ContactLost:
+			s.Lost++
+		default:
+			s.Unheard++
+		}
+	}
+	if !c.inDoubt(now) {
+		return s
+	}
+	s.Left = c.began.Add(c.opt.Doubt).Sub(now)
+	for _, st := range c.active {
+		if st.job.restored && !st.job.state.Final() {
+			s.Held += st.waiting
+		}
+	}
+	return s
+}
