--- a/internal/batch/drive/fleet_test.go
+++ b/internal/batch/drive/fleet_test.go
@@ -58,11 +58,6 @@
 	wg     sync.WaitGroup
 }
 
-const (
-	holderLease = 1500 * time.Millisecond
-	workerLease = 5 * time.Second
-)
-
 func newFleet(t *testing.T, hosts, workers int, rng *rand.Rand, work func(string) (time.Duration, sched.End)) *fleet {
 	f := &fleet{t: t, store: &multi.Service{}}
 	f.crew = fakecrew.New(workers, wire.Size{CPU: 16000, Mem: 64000}, rng, work)
@@ -101,12 +96,13 @@
 		return h.mode
 	})
 	crew := h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })
-	l := lead.New(lead.Options{Store: client, Name: h.name, Addr: h.name, Lease: holderLease, Log: logr.Discard(), Alive: h.f.alive})
+	l := lead.New(lead.Options{Store: client, Name: h.name, Addr: h.name, Lease: drive.HolderLease, Log: logr.Discard(), Alive: h.f.alive})
+	lease := drive.WorkerLease(fakecrew.MaxHold)
 	h.wg.Go(func() {
 		l.Run(ctx, func(t *lead.Tenure) {
 			_ = drive.Run(drive.Options{ // its error tells of the tenure's end
 				Store: client, Crew: crew, Codec: plain.Codec(), Tenure: t, Log: logr.Discard(),
-				Lease: workerLease, Doubt: 8 * time.Second, Held: holderLease, Sure: 3 * time.Second, Stop: 200 * time.Millisecond, Keep: time.Hour,
+				Lease: lease, Doubt: drive.Doubt(lease), Held: drive.HolderLease, Sure: drive.Unsure, Stop: fakecrew.MaxStop, Keep: time.Hour,
 			}, func(d *drive.Holder) { h.set(d, t.Term()) })
 			h.set(nil, 0)
 		})
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -291,6 +291,62 @@
 	b.state("old", sched.StateCompleted)
 }
 
+// A feed's run fails on a worker that the new holder reaches, while another worker is out of reach
+// since before the change of holder. The holder has seen the run, so nothing else can run this
+// task: it is started again at once. It used to wait with all that was taken over.
+func TestDoubtEndsForSeenRun(t *testing.T) {
+	b := newBench(t, 2, 2)
+	if err := b.core.Restore(b.now, "old", one("old", func(j *sched.Job) { j.Steps[0].Lasting = true }), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.Inherit(b.now, members(2))
+	b.look("w0", sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}})
+	b.look("w0", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndFailed}}})
+	if got := b.plan(sched.VerbStart); len(got) != 1 {
+		t.Errorf("started %v after its run had ended, want the task once", got)
+	}
+}
+
+// A worker has entered the directory and can't be reached yet as the holder changes. No former
+// holder can have given it anything, as its record doesn't name it: nothing waits for it.
+func TestNewWorkerHoldsNothingBack(t *testing.T) {
+	b := &bench{t: t, now: start()}
+	b.core = sched.New(sched.Options{Lease: lease, Doubt: doubt, Held: time.Hour, Sure: time.Hour, Term: 2}, b.now)
+	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.Inherit(b.now, members(1))
+	b.core.Roster(b.now, members(2))
+	b.look("w0", sched.Report{})
+	if got := b.plan(sched.VerbStart); len(got) != 1 {
+		t.Errorf("started %v, want the task taken over", got)
+	}
+}
+
+// A worker has been out of reach for so long that its lease has lapsed, and then the holder changes. What
+// ran there has ended, so the successor has nothing to wait for there. It isn't told of that worker.
+func TestLapsedWorkerIsNotHandedOn(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.core.Missed(b.now, "w1", 1)
+	b.after(doubt + lease)
+	b.plan(sched.VerbStart)
+	if got := b.core.Crew(); len(got) != 1 || got[0].ID != "w0" {
+		t.Errorf("handed on as workers that may hold runs: %v, want w0 only", got)
+	}
+	b.look("w1", sched.Report{})
+	if got := b.core.Crew(); len(got) != 2 {
+		t.Errorf("handed on once it is back: %v, want both", got)
+	}
+	b.core.Admit(b.now, one("j", func(j *sched.Job) { j.Steps[0].Label = "w1" }))
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v on a worker that the record doesn't name", got)
+	}
+	b.core.CrewStored(b.core.Crew())
+	if got := b.plan(sched.VerbStart); len(got) != 1 {
+		t.Errorf("started %v once the record names it, want the task", got)
+	}
+}
+
 // A cancelled job starts nothing and what runs of it is stopped; an order on its way then is
 // stopped too.
 func TestCancel(t *testing.T) {
--- a/internal/fake/crew/crew.go
+++ b/internal/fake/crew/crew.go
@@ -104,6 +104,12 @@
 	w.wake()
 }
 
+// Lose ends a worker for good: nothing runs there any more and nothing is answered.
+func (c *Crew) Lose(id string) {
+	c.Crash(id)
+	c.SetDark(id, true)
+}
+
 // Faults returns what must not have happened.
 func (c *Crew) Faults() []string {
 	c.mu.Lock()
@@ -127,7 +133,8 @@
 	w.woken = make(chan struct{})
 }
 
-func (w *worker) clock() time.Duration { return time.Since(w.began) }
+// clock is the worker's own, which runs as slow as clocks of workers may.
+func (w *worker) clock() time.Duration { return time.Since(w.began) * 98 / 100 }
 
 // lapse ends everything when the lease has run out.
 func (c *Crew) lapse(w *worker) {
@@ -152,11 +159,14 @@
 	if w.clock() > w.until {
 		w.stale = w.seq
 	}
-	w.until = max(w.until, min(until, w.clock()+maxHold))
+	w.until = max(w.until, min(until, w.clock()+MaxHold))
 }
 
 const (
-	maxHold = 6 * time.Second
+	// MaxHold is the longest lease that workers grant.
+	MaxHold = 6 * time.Second
+	// MaxStop is the longest time that a worker may take to stop a run.
+	MaxStop = 200 * time.Millisecond
 	// travel is a message's way.
 	travel = time.Millisecond
 	// unanswered is how long a caller waits for an answer that doesn't come.
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -54,18 +54,6 @@
 }
 
 const (
-	// holderLease is how long the others wait for a holder that is gone. Shorter leases lose
-	// the holder when the store is slow; the store allows no less than a second.
-	holderLease = 1200 * time.Millisecond
-	// workerLease is granted to workers at each look: long enough to outlast the loss of all
-	// processes and a change of holder, some 4 s, and short enough for the work of a lost worker
-	// to be placed anew in time.
-	workerLease = 5500 * time.Millisecond
-	// unsureFor is how long a holder that the store doesn't confirm goes on renewing workers'
-	// leases; a successor waits for it.
-	unsureFor = 3 * time.Second
-	// clockSlow is how slow a worker's clock may be.
-	clockSlow = 0.98
 	// linger is how long requests are taken after SIGTERM: the balancer asks every second
 	// and needs two misses.
 	linger = 2500 * time.Millisecond
@@ -95,7 +83,7 @@
 	h.desk = &Desk{log: log, name: set.Name, scope: scope}
 	h.lead = lead.New(lead.Options{
 		Store: out.Store, Name: set.Name, Addr: lis[0].Addr().String(),
-		Lease: max(holderLease, conf.Milliseconds(set.Store.Least)), Log: log, Alive: h.alive,
+		Lease: max(drive.HolderLease, conf.Milliseconds(set.Store.Least)), Log: log, Alive: h.alive,
 	})
 	h.desk.lead = h.lead
 	h.peer = &peers{lead: h.lead, links: &h.desk.links}
@@ -159,11 +147,10 @@
 	defer h.tenure.CompareAndSwap(t, nil)
 	defer h.desk.setOwn(nil)
 	h.wg.Go(func() { h.peer.aid(t) })
-	lease := min(workerLease, conf.Milliseconds(h.set.Bound.Hold)*9/10)
+	lease := drive.WorkerLease(conf.Milliseconds(h.set.Bound.Hold))
 	err := drive.Run(drive.Options{
 		Store: h.out.Store, Crew: h.out.Crew, Codec: h.out.Codec, Tenure: t, Log: h.log,
-		Lease: lease, Held: holderLease, Sure: unsureFor,
-		Doubt: unsureFor - holderLease + time.Duration(float64(lease)/clockSlow) + time.Second,
+		Lease: lease, Held: drive.HolderLease, Sure: drive.Unsure, Doubt: drive.Doubt(lease),
 		Stop:  conf.Milliseconds(h.set.Bound.Stop),
 		Keep:  2 * conf.Seconds(h.set.Bound.Keep),
 		Aided: h.peer.Aided,
