proc/front: a silent store is noticed, and one peer that it serves ends the backing of a holder

What callers see: the store is silent for eight seconds and more, and every lasting task on every worker stops; or two holders act and a task runs twice.

Cause: a peer told of the store by how its own last call had ended. A silent store cuts no watch off, so for ten seconds no call of a follower fails, and nobody backed the holder; the test of this outage played a store that refuses, by a stand-in whose watches ended when it fell silent. And what backed a holder was a majority of those heard of in the last 10 s, whatever the others said: one peer that the store serves can be the next holder, and after 10 s a holder cut off with a few followers had only these to ask.

Change: a peer that is asked asks the store (0.5 s at most); one that is served, or knows a newer holder, ends the backing; the followers that count are those of the store's last word. The stand-in's watches hang.

Found by reading what the time after a change of holder has to cover.

--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -94,6 +94,17 @@
 	return l.failing
 }
 
+// Asked reports whether the store answers this process, by a question of its own where the last
+// call was answered. A silent store cuts no watch off, so that for many seconds no call fails.
+func (l *Lead) Asked(ctx context.Context) bool {
+	if l.Failing() {
+		return false
+	}
+	_, err := l.opt.Store.Get(ctx, keyTerm)
+	l.note(err)
+	return !l.Failing()
+}
+
 func (l *Lead) note(err error) {
 	answered := err == nil
 	for _, known := range []error{store.ErrNotFound, store.ErrConflict, store.ErrLapsed, store.ErrCompacted} {
--- a/internal/fake/multi/multi.go
+++ b/internal/fake/multi/multi.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/plat/store"
 )
@@ -223,11 +225,15 @@
 	return p, nil
 }
 
-// Watch implements store.Multi.
+// Watch implements store.Multi. One that waits as the service falls silent hangs to its end: a
+// silent service cuts nothing off.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, limit time.Duration) ([]store.Change, uint64, error) {
 	end := time.Now().Add(limit)
 	for {
-		if err := c.enter(ctx); err != nil {
+		if err := c.enter(ctx); errors.Is(err, store.ErrUnknown) {
+			wait.For(ctx, time.Until(end))
+			return nil, after, err
+		} else if err != nil {
 			return nil, after, err
 		}
 		if after < c.s.floor {
--- a/internal/proc/front/desk.go
+++ b/internal/proc/front/desk.go
@@ -208,7 +208,10 @@
 
 // Outlook tells how the store looks from here; the argument isn't used.
 func (p *Peer) Outlook(_ int, out *Outlook) error {
+	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
+	defer cancel()
+	out.Failing = !p.d.lead.Asked(ctx)
 	h, _ := p.d.lead.Holder()
-	*out = Outlook{p.d.lead.Failing(), h.Term}
+	out.Term = h.Term
 	return nil
 }
--- a/internal/proc/front/peers.go
+++ b/internal/proc/front/peers.go
@@ -20,13 +20,18 @@
 	missesMost = 2
 	// reachKept is how long a holder that answered counts as reached: two calls may be lost.
 	reachKept = 1700 * time.Millisecond
-	// followKept is how long a follower that isn't heard any more counts.
+	// followLimit bounds a call that tells the holder of a follower.
+	followLimit = 300 * time.Millisecond
+	// followKept is how long a follower that isn't heard any more counts, while the store confirms the holder.
 	followKept = 10 * time.Second
 	// aidAfter is how long the store has to be silent for the peers to be asked, and aidEvery
 	// how often they are then.
 	aidAfter = 600 * time.Millisecond
 	aidEvery = 500 * time.Millisecond
-	aidLimit = 300 * time.Millisecond
+	// askLimit bounds a peer's own question to the store, above the answers of a slow one, and
+	// aidLimit that peer's answer.
+	askLimit = 500 * time.Millisecond
+	aidLimit = askLimit + 200*time.Millisecond
 )
 
 // peers are the processes that follow this one while it holds. When the store is silent they
@@ -53,13 +58,17 @@
 	p.seen[addr] = now
 }
 
-// known returns the followers heard of late.
-func (p *peers) known(now time.Time) []string {
+// known returns the followers: all that were heard of late at a time, or since.
+//
+// With the time of the store's last word they stay the same for as long as the holder needs them. If
+// those that have fallen silent dropped out, a holder cut off with a few of its followers would
+// have the backing of all that are left, while another holds on the far side.
+func (p *peers) known(at time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var all []string
-	for addr, at := range p.seen {
-		if now.Sub(at) > followKept {
+	for addr, seen := range p.seen {
+		if at.Sub(seen) > followKept {
 			delete(p.seen, addr)
 			continue
 		}
@@ -83,7 +92,7 @@
 		if h.Name == "" || h.Name == name {
 			continue
 		}
-		cctx, cancel := context.WithTimeout(ctx, aidLimit)
+		cctx, cancel := context.WithTimeout(ctx, followLimit)
 		l := p.links.To(h.Addr)
 		_, err := link.Call[string, int](cctx, l, "Peer.Follow", self)
 		cancel()
@@ -115,7 +124,8 @@
 		if now.Sub(t.Sure()) < aidAfter {
 			continue
 		}
-		if p.agree(t.Context(), t.Term(), p.known(now)) {
+		addrs := p.known(t.Sure())
+		if backed(t.Term(), p.ask(t.Context(), addrs), len(addrs)) {
 			p.mu.Lock()
 			p.aided = now
 			p.mu.Unlock()
@@ -123,23 +133,40 @@
 	}
 }
 
-// agree reports whether more than half of the followers answer that the store fails them too
-// and that they know of no newer holder. One that does ends it.
-func (p *peers) agree(ctx context.Context, term int64, addrs []string) bool {
+// ask returns the answers of those peers that give one.
+func (p *peers) ask(ctx context.Context, addrs []string) []Outlook {
 	ctx, cancel := context.WithTimeout(ctx, aidLimit)
 	defer cancel()
-	answers := make(chan bool, len(addrs))
+	type answer struct {
+		Outlook
+		err error
+	}
+	answers := make(chan answer, len(addrs))
 	for _, addr := range addrs {
 		go func() {
 			out, err := link.Call[int, Outlook](ctx, p.links.To(addr), "Peer.Outlook", 0)
-			answers <- err == nil && out.Failing && out.Term <= term
+			answers <- answer{out, err}
 		}()
 	}
-	yes := 0
+	var all []Outlook
 	for range addrs {
-		if <-answers {
-			yes++
+		if a := <-answers; a.err == nil {
+			all = append(all, a.Outlook)
+		}
+	}
+	return all
+}
+
+// backed reports whether a holder's peers back it, by the answers of some of all: more than half say
+// that the store fails them too, and nobody that it doesn't or that there is a newer holder.
+//
+// One peer that the store serves may have become the holder, or be about to; a majority that is
+// turned away with the present one doesn't know.
+func backed(term int64, answers []Outlook, all int) bool {
+	for _, a := range answers {
+		if !a.Failing || a.Term > term {
+			return false
 		}
 	}
-	return 2*yes > len(addrs)
+	return 2*len(answers) > all
 }
--- /dev/null
+++ b/internal/proc/front/peers_test.go
@@ -0,0 +1,47 @@
+package front
+
+import (
+	"testing"
+	"time"
+)
+
+// Two processes act as the holder, and a book is printed twice: the store turns the holder and most of its
+// peers away and serves one, which becomes the holder; the former one is backed by the rest, who
+// know no better, and goes on. One word against it has to end that.
+func TestBacked(t *testing.T) {
+	away, serves, newer := Outlook{true, 3}, Outlook{false, 3}, Outlook{true, 4}
+	for _, tt := range []struct {
+		name    string
+		answers []Outlook
+		all     int
+		want    bool
+	}{
+		{"away for all", []Outlook{away, away, away}, 3, true},
+		{"away, one is silent", []Outlook{away, away}, 3, true},
+		{"away, half are silent", []Outlook{away, away}, 4, false},
+		{"one is served", []Outlook{away, away, away, serves}, 4, false},
+		{"one knows a newer holder", []Outlook{away, away, newer}, 3, false},
+		{"nobody follows", nil, 0, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := backed(3, tt.answers, tt.all); got != tt.want {
+				t.Errorf("backed: %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
+
+// A holder is cut off with one of five followers. After some seconds the other four were forgotten,
+// and the one that was left was a majority.
+func TestFollowersStayWhileUnconfirmed(t *testing.T) {
+	p := &peers{}
+	sure := time.Now()
+	for _, addr := range []string{"a", "b", "c", "d", "e"} {
+		p.note(addr, sure.Add(-time.Second))
+	}
+	p.note("gone", sure.Add(-2*followKept))
+	p.note("a", sure.Add(2*followKept))
+	if got := p.known(sure); len(got) != 5 {
+		t.Errorf("%d followers count, want the 5 of the store's last word", len(got))
+	}
+}
