batch/sched: workers' leases count from the store's last word

What callers would see: a task runs twice.

Cause: a holder goes on for 3 s after the store's last word and granted 5.4 s from now on each look and start, so its last lease could end 8.9 s after that word. Its successor's wait (8.3 s from its claim) takes for granted that the claim came 1.2 s after the word, as when the holder's key runs out. Taken away at once (a store that turns the holder's host away may drop its key) the claim comes within 0.1 s.

Change: leases end one lease after the last confirmation (by the store, or by the peers in an outage for all), whenever they are granted; confirmations reach the core with each look too, not with plans only. Why it holds: a confirmation is older than any later claim, as it counts from its sending.

Ruled out: a longer wait (it's too long as it is); a shorter time to go on without the store (a slow store would stop starts).

--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -23,10 +23,7 @@
 		}
 		now := time.Now()
 		h.mu.Lock()
-		h.core.Confirm(h.opt.Tenure.Sure())
-		if h.opt.Aided != nil {
-			h.core.Aid(h.opt.Aided())
-		}
+		h.confirm()
 		orders := h.core.Plan(now)
 		waits := h.core.Waits()
 		var stand sched.Standing
@@ -51,6 +48,14 @@
 	}
 }
 
+// confirm tells the core how fresh the tenure is; h.mu is held.
+func (h *Holder) confirm() {
+	h.core.Confirm(h.opt.Tenure.Sure())
+	if h.opt.Aided != nil {
+		h.core.Aid(h.opt.Aided())
+	}
+}
+
 func (h *Holder) order(o sched.Order) {
 	sent := time.Now()
 	out := h.opt.Crew.Order(h.ctx, o, h.opt.Tenure.Term())
@@ -92,6 +97,7 @@
 	good := true
 	for h.ctx.Err() == nil {
 		h.mu.Lock()
+		h.confirm()
 		sent := time.Now()
 		l, ok := h.core.Look(sent, id)
 		if !ok {
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -7,7 +7,7 @@
 
 // Options sets a Core's bounds.
 type Options struct {
-	Lease time.Duration // granted to workers with each look; every run there ends when it runs out
+	Lease time.Duration // granted to workers, from this holder's last confirmation on; every run there ends when it runs out
 	Doubt time.Duration // after taking over: how long a former holder's orders may live on workers not reached
 	Stop  time.Duration // longest time that a worker takes to stop a run
 	Held  time.Duration // after a confirmation, for which no other process can be the holder
@@ -125,7 +125,12 @@
 // renewed must have ended. In an outage of the store for all there is no successor, and work
 // goes on.
 func (c *Core) acts(now time.Time) bool {
-	return now.Sub(later(c.sure, c.aided)) < c.opt.Sure
+	return c.age(now) < c.opt.Sure
+}
+
+// age returns how long ago this process was last confirmed as the holder.
+func (c *Core) age(now time.Time) time.Duration {
+	return now.Sub(later(c.sure, c.aided))
 }
 
 // alone reports whether no other process can be the holder. Only then is a worker that can't
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -76,11 +76,16 @@
 
 // grant returns the moment on the worker's clock until which its lease holds from now on, and
 // notes when it will have lapsed for sure. A worker whose clock isn't known gets none.
+//
+// The lease counts from this holder's last confirmation, not from now. A holder goes on for a while
+// without one, and with leases from then its successor, which can't tell when that was, started
+// tasks that still ran on workers out of its reach. So all that a former holder has granted ends
+// within one lease of the moment in which its successor was chosen.
 func (c *Core) grant(now time.Time, w *worker) time.Duration {
 	if w.contact != ContactGood {
 		return 0
 	}
-	until := w.clock.value + now.Sub(w.clock.at) + c.opt.Lease
+	until := w.clock.value + now.Sub(w.clock.at) + c.opt.Lease - c.age(now)
 	most := time.Duration(float64(until-w.clock.value) / slowest)
 	w.lapse = later(w.lapse, w.clock.at.Add(most+c.opt.Stop+lapseSlack))
 	return until.Truncate(time.Millisecond)
--- a/internal/batch/sched/standing.go
+++ b/internal/batch/sched/standing.go
@@ -14,7 +14,7 @@
 
 // Standing returns the state at a time.
 func (c *Core) Standing(now time.Time) Standing {
-	s := Standing{Age: now.Sub(later(c.sure, c.aided))}
+	s := Standing{Age: c.age(now)}
 	for _, w := range c.ranks {
 		switch w.contact {
 		case ContactGood:
--- a/internal/model/trial/policy.go
+++ b/internal/model/trial/policy.go
@@ -45,6 +45,7 @@
 func (p *product) Admit(now time.Time, j *sched.Job) { p.core.Admit(now, j) }
 
 func (p *product) Look(now time.Time, id string) (time.Duration, int64) {
+	p.core.Confirm(now)
 	l, _ := p.core.Look(now, id)
 	return l.Wait, l.Acked
 }
@@ -55,6 +56,7 @@
 }
 
 func (p *product) Plan(now time.Time) []sched.Order {
+	p.core.Confirm(now)
 	orders := p.core.Plan(now)
 	p.store()
 	return orders
