batch/sched: a lease has lapsed once the store has confirmed the holder after it ran out

What callers would see: a task runs twice.

A key that is taken away leaves room for a successor at once, which renews that worker's lease.

Change: they are given up by a word of after the lapse. It replaces the option Held. NO_SURE and NO_ALONE of before are gone with what they guarded: leases no longer depend on how long a holder goes on.

TestLapseNeedsConfirmation: before, the task is started on another worker 0.5 s after the word of before the lapse; after, only once confirmed.

--- a/docs/model/tenure.pml
+++ b/docs/model/tenure.pml
@@ -1,22 +1,25 @@
 /*
  * Tenures of a holder on the users' platform: one task, two workers, two hosts.
  *
- * The store gives the holder's key to one host under a lease (LEAD ticks). A holder starts tasks and
- * renews workers' leases for SURE ticks after the store's last word, and takes a worker's runs for
- * lapsed only while no other can hold (LEAD ticks). Orders may be carried out late, until their
+ * The store gives the holder's key to one host under a lease (LEAD ticks), and may take it away
+ * sooner. A holder starts tasks and renews workers' leases for SURE ticks after the store's last word, up to
+ * LEASE ticks after that word, and takes a worker's runs for lapsed only once the store has
+ * confirmed it after that. Orders may be carried out late, until their
  * time on the worker's clock. A new holder fences each worker it reaches, learns there what
  * runs, and waits DOUBT ticks for those it doesn't reach. Either host may lose the store or any
  * worker at any moment. What must hold: the task never runs on both workers.
  *
- * A guard is left out by -DNO_FENCE, NO_SURE, NO_ALONE, NO_DOUBT or NO_UNTIL; each gives a
- * counterexample.
+ * A guard is left out by -DNO_FENCE, NO_BASE (leases from now, not from the store's last word),
+ * NO_CONFIRM, NO_DOUBT or NO_UNTIL; each gives a counterexample.
  */
 #define LEAD 2
 #ifndef SURE
 #define SURE 3
 #endif
 #define LEASE 3
-#define DOUBT (SURE - LEAD + LEASE + 1)
+#ifndef DOUBT
+#define DOUBT LEASE
+#endif
 #define NONE 2
 #define TERMS 2
 
@@ -32,7 +35,6 @@
 
 byte mine[2];           /* term of each host's tenure, 0 is none */
 byte sure[2];           /* ticks for which each host may act */
-byte held[2];           /* ticks for which no other can hold */
 byte doubt[2];
 byte place[2];          /* worker on which each host believes that the task runs */
 byte bound[4];          /* host * 2 + worker: ticks until its runs there have lapsed by the host's count */
@@ -40,20 +42,21 @@
 
 #define ONCE assert(!(runs[0] && runs[1]))
 
-#ifdef NO_SURE
-#define ACTS(h) (true)
-#else
 #define ACTS(h) (sure[h] > 0)
+#ifdef NO_BASE
+#define GRANT(h) LEASE
+#else
+#define GRANT(h) (SURE - sure[h] >= LEASE -> 0 : LEASE - (SURE - sure[h]))
 #endif
 #ifdef NO_DOUBT
 #define CLEAR(h) (true)
 #else
 #define CLEAR(h) (doubt[h] == 0 || (fenced[h * 2] && fenced[h * 2 + 1]))
 #endif
-#ifdef NO_ALONE
-#define ALONE(h) (true)
+#ifdef NO_CONFIRM
+#define CONFIRMED(h) ACTS(h)
 #else
-#define ALONE(h) (held[h] > 0)
+#define CONFIRMED(h) (lead == h && term == mine[h])
 #endif
 
 #define GREATER(a, b) ((a) > (b) -> (a) : (b))
@@ -73,7 +76,7 @@
 inline claim(h) {
   term++;
   lead = h; leadlease = LEAD;
-  mine[h] = term; sure[h] = SURE; held[h] = LEAD; doubt[h] = DOUBT;
+  mine[h] = term; sure[h] = SURE; doubt[h] = DOUBT;
   place[h] = NONE;
   fenced[h * 2] = false; fenced[h * 2 + 1] = false;
   bound[h * 2] = DOUBT; bound[h * 2 + 1] = DOUBT
@@ -90,7 +93,7 @@
     :: else
     fi;
     if
-    :: ACTS(h) -> lease[w] = LEASE; bound[h * 2 + w] = LEASE
+    :: ACTS(h) -> lease[w] = GREATER(lease[w], GRANT(h)); bound[h * 2 + w] = GREATER(bound[h * 2 + w], GRANT(h))
     :: else
     fi
   fi
@@ -101,23 +104,23 @@
   do
   :: atomic { mine[h] == 0 && lead == NONE && term < TERMS -> claim(h) }
   :: atomic { mine[h] > 0 && lead == h && term == mine[h] -> /* the store answers */
-       leadlease = LEAD; sure[h] = SURE; held[h] = LEAD }
+       leadlease = LEAD; sure[h] = SURE }
   :: atomic { mine[h] > 0 && lead != NONE && lead != h -> mine[h] = 0 } /* or tells of another */
   :: atomic { mine[h] > 0 -> select(w : 0 .. 1); look(h, w); w = 0 }
   :: atomic { /* start */
-       (mine[h] > 0 && place[h] == NONE && ACTS(h) && CLEAR(h)) -> select(w : 0 .. 1);
+       (mine[h] > 0 && place[h] == NONE && GRANT(h) > 0 && ACTS(h) && CLEAR(h)) -> select(w : 0 .. 1);
        if
        :: fenced[h * 2 + w] && latefence[w] == 0 ->
-         place[h] = w; bound[h * 2 + w] = LEASE;
+         place[h] = w; bound[h * 2 + w] = GREATER(bound[h * 2 + w], GRANT(h));
          if
-         :: carry(w, mine[h], LEASE)
-         :: latefence[w] = mine[h]; lateuntil[w] = LEASE
+         :: carry(w, mine[h], GRANT(h))
+         :: latefence[w] = mine[h]; lateuntil[w] = GRANT(h)
          fi
        :: else
        fi;
        w = 0 }
   :: atomic { /* the worker can't be reached and its lease has lapsed */
-       (mine[h] > 0 && place[h] != NONE && bound[h * 2 + place[h]] == 0 && ALONE(h)) -> place[h] = NONE }
+       (mine[h] > 0 && place[h] != NONE && bound[h * 2 + place[h]] == 0 && CONFIRMED(h)) -> place[h] = NONE }
   :: term == TERMS && mine[h] == 0 -> break
   od
 }
@@ -136,7 +139,7 @@
        DOWN(leadlease);
        if :: leadlease == 0 -> lead = NONE :: else fi;
        for (i : 0 .. 1) {
-         DOWN(sure[i]); DOWN(held[i]); DOWN(doubt[i]);
+         DOWN(sure[i]); DOWN(doubt[i]);
          DOWN(lease[i]);
          if :: lease[i] == 0 -> runs[i] = false :: else fi;
 #ifndef NO_UNTIL
@@ -146,6 +149,7 @@
        }
        for (i : 0 .. 3) { DOWN(bound[i]) }
        i = 0 }
+  :: atomic { lead != NONE -> lead = NONE; leadlease = 0 } /* the store takes the key away */
   :: atomic { latefence[0] > 0 -> carry(0, latefence[0], LATE(0)); latefence[0] = 0 }
   :: atomic { latefence[1] > 0 -> carry(1, latefence[1], LATE(1)); latefence[1] = 0 }
   od
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -10,7 +10,6 @@
 	Lease time.Duration // granted to workers, from this holder's last confirmation on; every run there ends when it runs out
 	Doubt time.Duration // after taking over: how long a former holder's orders may live on workers not reached
 	Stop  time.Duration // longest time that a worker takes to stop a run
-	Held  time.Duration // after a confirmation, for which no other process can be the holder
 	Sure  time.Duration // after a confirmation, for which tasks are started and leases granted
 	Term  int64         // of this holder, in the high part of every run number
 }
@@ -133,13 +132,6 @@
 	return now.Sub(later(c.sure, c.aided))
 }
 
-// alone reports whether no other process can be the holder. Only then is a worker that can't
-// be reached surely not renewed by another: with a successor at work on the far side of a
-// cut, its tasks run on there while they look lapsed from here.
-func (c *Core) alone(now time.Time) bool {
-	return now.Sub(c.sure) < c.opt.Held
-}
-
 // Configure takes a configuration; an older one than the present changes nothing.
 func (c *Core) Configure(conf Config) {
 	if conf.Version >= c.conf.Version {
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -27,7 +27,7 @@
 func newBench(t *testing.T, term int64, n int) *bench {
 	t.Helper()
 	b := &bench{t: t, now: start()}
-	b.core = sched.New(sched.Options{Lease: lease, Doubt: doubt, Held: time.Hour, Sure: time.Hour, Term: term}, b.now)
+	b.core = sched.New(sched.Options{Lease: lease, Doubt: doubt, Sure: time.Hour, Term: term}, b.now)
 	b.core.Roster(b.now, members(n))
 	return b
 }
@@ -272,6 +272,24 @@
 	b.state("j", sched.StateRunning)
 }
 
+// The store takes the holder's key away, another holder takes over and renews a worker's lease; the former one
+// doesn't reach that worker and, confirmed a moment ago, takes its runs for lapsed. A book is printed twice. A lease
+// has lapsed only once the store has confirmed the holder after it ran out: nobody else can have renewed it then.
+func TestLapseNeedsConfirmation(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.core.Admit(b.now, one("j", nil))
+	o := b.plan(sched.VerbStart)[0]
+	b.core.Missed(b.now, o.Life.ID, 1)
+	b.after(doubt - 500*time.Millisecond)
+	b.now = b.now.Add(time.Second)
+	if got := b.core.Plan(b.now); len(got) != 0 {
+		t.Errorf("ordered %v by a confirmation of before the lapse", got)
+	}
+	if got := b.plan(sched.VerbStart); len(got) != 1 {
+		t.Errorf("started %v once confirmed, want the task", got)
+	}
+}
+
 // A holder takes over while a worker is out of reach. A task of before may run there, so it
 // waits until the worker is reached or every lease of then has ended; new jobs don't wait.
 func TestDoubt(t *testing.T) {
@@ -315,7 +333,7 @@
 // holder can have given it anything, as its record doesn't name it: nothing waits for it.
 func TestNewWorkerHoldsNothingBack(t *testing.T) {
 	b := &bench{t: t, now: start()}
-	b.core = sched.New(sched.Options{Lease: lease, Doubt: doubt, Held: time.Hour, Sure: time.Hour, Term: 2}, b.now)
+	b.core = sched.New(sched.Options{Lease: lease, Doubt: doubt, Sure: time.Hour, Term: 2}, b.now)
 	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -108,12 +108,13 @@
 
 // sweep gives up the runs of workers whose lease has surely lapsed and drops workers that
 // are gone.
+//
+// The store's word that this process holds has to be of after the lapse. Of before, another holder may have
+// been chosen since, on the far side of a cut, and renew the lease: the tasks run on there
+// while they look lapsed from here.
 func (c *Core) sweep(now time.Time) {
-	if !c.alone(now) {
-		return
-	}
 	for _, w := range slices.Clone(c.ranks) {
-		if w.contact == ContactGood || now.Before(w.lapse) {
+		if w.contact == ContactGood || now.Before(w.lapse) || c.sure.Before(w.lapse) {
 			continue
 		}
 		kept := false
--- a/internal/model/trial/policy.go
+++ b/internal/model/trial/policy.go
@@ -34,7 +34,7 @@
 )
 
 func newProduct(now time.Time) Policy {
-	return &product{sched.New(sched.Options{Lease: coreLease, Stop: coreStop, Held: always, Sure: always, Term: 1}, now)}
+	return &product{sched.New(sched.Options{Lease: coreLease, Stop: coreStop, Sure: always, Term: 1}, now)}
 }
 
 func (p *product) Join(now time.Time, members []sched.Member) {
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -150,7 +150,7 @@
 	lease := drive.WorkerLease(conf.Milliseconds(h.set.Bound.Hold))
 	err := drive.Run(drive.Options{
 		Store: h.out.Store, Crew: h.out.Crew, Codec: h.out.Codec, Tenure: t, Log: h.log,
-		Lease: lease, Held: drive.HolderLease, Sure: drive.Unsure, Doubt: drive.Doubt(lease),
+		Lease: lease, Sure: drive.Unsure, Doubt: drive.Doubt(lease),
 		Stop:  conf.Milliseconds(h.set.Bound.Stop),
 		Keep:  2 * conf.Seconds(h.set.Bound.Keep),
 		Aided: h.peer.Aided,
