--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -46,7 +46,6 @@
 	Crew   Crew
 	Codec  Codec
 	Lease  time.Duration // granted to workers
-	Doubt  time.Duration // see sched.Options
 	Sure   time.Duration // see sched.Options
 	Stop   time.Duration // longest time that a worker takes to stop a run
 	Keep   time.Duration // for which ended jobs are known
@@ -181,7 +180,7 @@
 
 func (h *Holder) tryLoad(began time.Time) ([]*feed, error) {
 	core := sched.New(sched.Options{
-		Lease: h.opt.Lease, Doubt: h.opt.Doubt, Stop: h.opt.Stop, Sure: h.opt.Sure, Term: h.opt.Tenure.Term(),
+		Lease: h.opt.Lease, Stop: h.opt.Stop, Sure: h.opt.Sure, Term: h.opt.Tenure.Term(),
 	}, began)
 	crew, err := h.readCrew()
 	if err != nil {
--- a/internal/batch/drive/fleet_test.go
+++ b/internal/batch/drive/fleet_test.go
@@ -97,12 +97,11 @@
 	})
 	crew := h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })
 	l := lead.New(lead.Options{Store: client, Name: h.name, Addr: h.name, Lease: drive.HolderLease, Log: logr.Discard(), Alive: h.f.alive})
-	lease := drive.WorkerLease(fakecrew.MaxHold)
 	h.wg.Go(func() {
 		l.Run(ctx, func(t *lead.Tenure) {
 			_ = drive.Run(drive.Options{ // its error tells of the tenure's end
 				Store: client, Crew: crew, Codec: plain.Codec(), Tenure: t, Log: logr.Discard(),
-				Lease: lease, Doubt: drive.Doubt(lease), Sure: drive.Unsure, Stop: fakecrew.MaxStop, Keep: time.Hour,
+				Lease: drive.WorkerLease(fakecrew.MaxHold), Sure: drive.Unsure, Stop: fakecrew.MaxStop, Keep: time.Hour,
 			}, func(d *drive.Holder) { h.set(d, t.Term()) })
 			h.set(nil, 0)
 		})
--- a/internal/batch/sched/bench_test.go
+++ b/internal/batch/sched/bench_test.go
@@ -15,7 +15,7 @@
 // Per plan: 398 us when each try counted a worker's runs anew, 84 us with the outlook kept,
 // 109 us with loads told ahead, which lasts for 200 ms.
 func BenchmarkPlan(b *testing.B) {
-	core := sched.New(sched.Options{Lease: lease, Doubt: doubt, Sure: time.Hour, Term: 1}, start())
+	core := sched.New(sched.Options{Lease: lease, Sure: time.Hour, Term: 1}, start())
 	core.Roster(start(), members(48))
 	core.CrewStored(core.Crew())
 	now := start()
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -8,7 +8,6 @@
 // Options sets a Core's bounds.
 type Options struct {
 	Lease time.Duration // granted to workers, from this holder's last confirmation on; every run there ends when it runs out
-	Doubt time.Duration // after taking over: how long a former holder's orders may live on workers not reached
 	Stop  time.Duration // longest time that a worker takes to stop a run
 	Sure  time.Duration // after a confirmation, for which tasks are started and leases granted
 	Term  int64         // of this holder, in the high part of every run number
@@ -119,6 +118,18 @@
 	}
 }
 
+// clear returns when all that a former holder has granted to workers has ended: its last confirmation is
+// older than this holder's term, and its leases count from there.
+func (c *Core) clear() time.Time {
+	return c.began.Add(c.lapses(c.opt.Lease))
+}
+
+// lapses returns how long after its reading a worker's clock may take to pass a span, and the worker to
+// end all that runs then.
+func (c *Core) lapses(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/slowest) + c.opt.Stop + lapseSlack
+}
+
 // acts reports whether this holder may start tasks and renew leases. A holder that is cut off
 // doesn't know of its successor, which waits until what the former one has started and
 // renewed must have ended. In an outage of the store for all there is no successor, and work
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -18,7 +18,9 @@
 
 const (
 	lease = 5 * time.Second
-	doubt = 7 * time.Second
+	// doubt is how long after a change of holder all that the former one has granted has ended: a lease by
+	// a clock that is 2 % slow, and what a worker takes to notice.
+	doubt = lease*100/98 + 100*time.Millisecond
 )
 
 func start() time.Time { return time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC) }
@@ -27,7 +29,7 @@
 func newBench(t *testing.T, term int64, n int) *bench {
 	t.Helper()
 	b := &bench{t: t, now: start()}
-	b.core = sched.New(sched.Options{Lease: lease, Doubt: doubt, Sure: time.Hour, Term: term}, b.now)
+	b.core = sched.New(sched.Options{Lease: lease, Sure: time.Hour, Term: term}, b.now)
 	b.core.Roster(b.now, members(n))
 	return b
 }
@@ -333,7 +335,7 @@
 // holder can have given it anything, as its record doesn't name it: nothing waits for it.
 func TestNewWorkerHoldsNothingBack(t *testing.T) {
 	b := &bench{t: t, now: start()}
-	b.core = sched.New(sched.Options{Lease: lease, Doubt: doubt, Sure: time.Hour, Term: 2}, b.now)
+	b.core = sched.New(sched.Options{Lease: lease, Sure: time.Hour, Term: 2}, b.now)
 	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -30,7 +30,7 @@
 const (
 	// lookIdle is the longest wait that workers allow, less their answer's way: the lease
 	// must be renewed long before it runs out.
-	lookIdle = 1800 * time.Millisecond
+	lookIdle = 1400 * time.Millisecond
 	// lookShared is for a worker where tasks that fill run beside one that serves: its tail
 	// is a figure of half a second, and pacing has to follow within a few of them.
 	lookShared = 700 * time.Millisecond
@@ -86,8 +86,7 @@
 		return 0
 	}
 	until := w.clock.value + now.Sub(w.clock.at) + c.opt.Lease - c.age(now)
-	most := time.Duration(float64(until-w.clock.value) / slowest)
-	w.lapse = later(w.lapse, w.clock.at.Add(most+c.opt.Stop+lapseSlack))
+	w.lapse = later(w.lapse, w.clock.at.Add(c.lapses(until-w.clock.value)))
 	return until.Truncate(time.Millisecond)
 }
 
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -51,7 +51,7 @@
 // inDoubt reports whether a former holder's orders may still live on workers that haven't
 // been reached: until then a task taken over may run there.
 func (c *Core) inDoubt(now time.Time) bool {
-	if !now.Before(c.began.Add(c.opt.Doubt)) {
+	if !now.Before(c.clear()) {
 		return false
 	}
 	for _, w := range c.ranks {
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -34,7 +34,7 @@
 		c.rebirth(now, w, m.Born)
 	}
 	if w == nil {
-		w = &worker{runs: map[runKey]*run{}, lapse: c.began.Add(c.opt.Doubt)}
+		w = &worker{runs: map[runKey]*run{}, lapse: c.clear()}
 		c.workers[m.ID] = w
 		w.ID = m.ID
 		c.rank()
--- a/internal/batch/sched/standing.go
+++ b/internal/batch/sched/standing.go
@@ -28,7 +28,7 @@
 	if !c.inDoubt(now) {
 		return s
 	}
-	s.Left = c.began.Add(c.opt.Doubt).Sub(now)
+	s.Left = c.clear().Sub(now)
 	for _, st := range c.active {
 		if st.job.restored && !st.job.state.Final() {
 			s.Held += st.waiting
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -147,10 +147,9 @@
 	defer h.tenure.CompareAndSwap(t, nil)
 	defer h.desk.setOwn(nil)
 	h.wg.Go(func() { h.peer.aid(t) })
-	lease := drive.WorkerLease(conf.Milliseconds(h.set.Bound.Hold))
 	err := drive.Run(drive.Options{
 		Store: h.out.Store, Crew: h.out.Crew, Codec: h.out.Codec, Tenure: t, Log: h.log,
-		Lease: lease, Sure: drive.Unsure, Doubt: drive.Doubt(lease),
+		Lease: drive.WorkerLease(conf.Milliseconds(h.set.Bound.Hold)), Sure: drive.Unsure,
 		Stop:  conf.Milliseconds(h.set.Bound.Stop),
 		Keep:  2 * conf.Seconds(h.set.Bound.Keep),
 		Aided: h.peer.Aided,
