batch/sched: a task whose run the new holder has seen doesn't wait for workers out of reach

What callers saw: a lasting task that failed seconds after a change of holder stood still for the rest of the wait, with the other tasks of its job.

Cause: the wait held back every job taken over. What it is against is a run on a worker that isn't reached; of a task that was seen running there is none, as no holder starts a second run beside a first.

Change: the wait is by task. A gang waits whole, as before.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -96,6 +96,7 @@
 	done  bool
 	run   *run
 	n     int64 // runs ordered in this term
+	seen  bool  // a run of it was seen alive in this term: no former holder's can be elsewhere
 	avoid string
 }
 
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -187,6 +187,7 @@
 	}
 	r.task = t
 	t.run = r
+	t.seen = true
 	t.stage.waiting--
 	t.stage.job.begun = true
 	w.add(r)
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -40,9 +40,7 @@
 			continue
 		}
 		rest = append(rest, s)
-		if !doubt || !s.job.restored {
-			orders = c.placeStage(now, s, full, orders)
-		}
+		orders = c.placeStage(now, s, doubt && s.job.restored, full, orders)
 	}
 	c.active = rest
 	return orders
@@ -129,16 +127,20 @@
 	return s.due
 }
 
-func (c *Core) placeStage(now time.Time, s *stage, full misfits, orders []Order) []Order {
+// placeStage places the tasks of a stage; with doubt only those of which this holder has seen a run.
+func (c *Core) placeStage(now time.Time, s *stage, doubt bool, full misfits, orders []Order) []Order {
 	k := s.kind()
 	if full.has(k, s.spec.Size) {
 		return orders
 	}
 	if s.spec.Gang {
+		if doubt {
+			return orders
+		}
 		return c.placeGang(now, s, orders)
 	}
 	for _, t := range s.tasks {
-		if t.done || t.run != nil {
+		if t.done || t.run != nil || doubt && !t.seen {
 			continue
 		}
 		w := c.pick(now, t, "")
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -23,8 +23,8 @@
 	for _, m := range crew {
 		if c.workers[m.ID] == nil {
 			c.join(now, m, false)
-			c.workers[m.ID].stored = true
 		}
+		c.workers[m.ID].stored = true
 	}
 }
 
--- a/internal/batch/sched/standing.go
+++ b/internal/batch/sched/standing.go
@@ -12,6 +12,17 @@
 	Age     time.Duration // since this process was last confirmed as the holder
 }
 
+// unseen returns how many tasks wait of which this holder has seen no run.
+func (s *stage) unseen() int {
+	n := 0
+	for _, t := range s.tasks {
+		if !t.done && t.run == nil && !t.seen {
+			n++
+		}
+	}
+	return n
+}
+
 // Standing returns the state at a time.
 func (c *Core) Standing(now time.Time) Standing {
 	s := Standing{Age: c.age(now)}
@@ -31,7 +42,7 @@
 	s.Left = c.clear().Sub(now)
 	for _, st := range c.active {
 		if st.job.restored && !st.job.state.Final() {
-			s.Held += st.waiting
+			s.Held += st.unseen()
 		}
 	}
 	return s
