batch/sched: only workers that the record named are waited for after a change of holder

What callers saw: nothing taken over started for seconds because a worker that had just entered the directory couldn't be reached yet.

Cause: any worker that the holder hadn't heard from counted. A worker gets no start before the store's record names it, so one that the record didn't name as the holder took over can run nothing of a former holder.

Change: workers of the record are marked, for good: another life of one may have got a former holder's order.

--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -24,7 +24,8 @@
 		if c.workers[m.ID] == nil {
 			c.join(now, m, false)
 		}
-		c.workers[m.ID].stored = true
+		w := c.workers[m.ID]
+		w.stored, w.heir = true, true
 	}
 }
 
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -85,6 +85,7 @@
 	out     bool      // its failure domain is taken out
 	leaves  time.Time // when it may leave; zero: it doesn't drain
 	stored  bool      // in the store's record of workers that may hold runs
+	heir    bool      // the record named it as this holder took over; another life of it may have got an order too
 	contact Contact
 	lapse   time.Time // when every run there has ended unless the lease is renewed
 	acked   int64     // ends up to here are recorded and may be forgotten there
