batch/sched: a worker whose runs have lapsed isn't handed on as one that may hold runs

What callers saw: after each change of holder nothing taken over started for seconds, because of a worker cut off long ago.

Cause: the record named every listed worker. Out of reach for longer than its lease a worker runs nothing, and the next holder, which can't reach it either, waited for it anew, as did the one after that.

Change: such a worker is left out of the record until it is heard of again, and gets no start before a record names it again. It loses that right as the record without it is gathered: one that came back while that record was being stored would get a start that the next holder doesn't wait for.

--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	h.log.Info("took over", "jobs", len(h.core.Jobs()), "workers", len(h.core.Crew()), "took", time.Since(began))
+	h.log.Info("took over", "jobs", len(h.core.Jobs()), "workers", len(h.core.Workers()), "took", time.Since(began))
 	ready(h)
 	for _, f := range feeds {
 		h.wg.Go(func() { f.run(h.ctx) })
--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -85,7 +85,7 @@
 func (h *Holder) look() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, m := range h.core.Crew() {
+	for _, m := range h.core.Workers() {
 		if !h.lookers[m.ID] {
 			h.lookers[m.ID] = true
 			h.wg.Go(func() { h.lookAt(m.ID) })
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -188,11 +188,25 @@
 	return nil
 }
 
+// Workers returns every worker known, in the order of their ids.
+func (c *Core) Workers() []Member {
+	var all []Member
+	for _, w := range c.ranks {
+		all = append(all, w.Member)
+	}
+	return all
+}
+
 // Crew returns every worker that may hold runs, in the order of their ids: what a next
-// holder has to reach.
+// holder has to reach. Where all runs have lapsed there is nothing to wait for. Such a worker gets
+// no task, should it come back, until it has been stored again.
 func (c *Core) Crew() []Member {
 	var all []Member
 	for _, w := range c.ranks {
+		if w.void && len(w.list) == 0 {
+			w.stored = false
+			continue
+		}
 		all = append(all, w.Member)
 	}
 	return all
