--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -274,6 +274,28 @@
 	b.state("j", sched.StateRunning)
 }
 
+// A worker loses power. Until a look at it fails, it still gets starts, each with a new lease: its feeds
+// waited until the last of these leases must have run out, and stood still for longer than operators
+// allow. What has been granted when a worker is last heard of bounds the wait.
+func TestStartsDontProlongLapse(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.core.Admit(b.now, one("feed", func(j *sched.Job) { j.Steps[0].Lasting = true }))
+	o := b.plan(sched.VerbStart)[0]
+	b.look(o.Life.ID, sched.Report{Running: []sched.Running{running(o)}})
+	b.core.Look(b.now, o.Life.ID)
+	lost := b.now
+	b.after(1400 * time.Millisecond)
+	b.core.Admit(b.now, one("book", func(j *sched.Job) { j.Steps[0].Label = o.Life.ID }))
+	for _, s := range b.core.Plan(b.now) {
+		b.core.Answer(b.now, s, sched.OutcomeUnknown)
+	}
+	b.core.Missed(b.now, o.Life.ID, 1)
+	b.after(doubt + 100*time.Millisecond - b.now.Sub(lost))
+	if got := b.plan(sched.VerbStart); len(got) != 1 || got[0].Task.Job != "feed" {
+		t.Errorf("started %v once the lease of before the loss had run out, want the feed", got)
+	}
+}
+
 // The store takes the holder's key away, another holder takes over and renews a worker's lease; the former one
 // doesn't reach that worker and, confirmed a moment ago, takes its runs for lapsed. A book is printed twice. A lease
 // has lapsed only once the store has confirmed the holder after it ran out: nobody else can have renewed it then.
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -26,6 +26,11 @@
 	at    time.Time // when the answer arrived
 }
 
+// now returns what the clock shows at t if it runs as ours does.
+func (k clock) now(t time.Time) time.Duration {
+	return k.value + t.Sub(k.at)
+}
+
 // Times between two looks at a worker; a look that waits is answered at once by an end.
 const (
 	// lookIdle is the longest wait that workers allow, less their answer's way: the lease
@@ -85,11 +90,23 @@
 	if w.contact != ContactGood {
 		return 0
 	}
-	until := w.clock.value + now.Sub(w.clock.at) + c.opt.Lease - c.age(now)
+	until := w.clock.now(now) + c.opt.Lease - c.age(now)
+	w.until = max(w.until, until)
 	w.lapse = later(w.lapse, w.clock.at.Add(c.lapses(until-w.clock.value)))
 	return until.Truncate(time.Millisecond)
 }
 
+// lend returns the lease for a start: the one that the worker has by its looks, if enough of that is left.
+//
+// A worker that has lost power still gets starts until a look at it fails. With a new lease in each, what ran
+// there had to wait until the last of these had run out.
+func (c *Core) lend(now time.Time, w *worker) time.Duration {
+	if w.until-w.clock.now(now) >= c.opt.Lease/2 {
+		return w.until.Truncate(time.Millisecond)
+	}
+	return c.grant(now, w)
+}
+
 // lapseSlack is for a worker's noticing that its lease has run out.
 const lapseSlack = 100 * time.Millisecond
 
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -70,6 +70,7 @@
 	w.bad = health{}
 	w.share = sharing{}
 	w.clock = clock{}
+	w.until = 0
 	w.outlook.fresh = false
 }
 
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -87,9 +87,10 @@
 	stored  bool      // in the store's record of workers that may hold runs
 	heir    bool      // the record named it as this holder took over; another life of it may have got an order too
 	contact Contact
-	lapse   time.Time // when every run there has ended unless the lease is renewed
-	acked   int64     // ends up to here are recorded and may be forgotten there
-	heard   int64     // ends up to here have been handled
+	until   time.Duration // the lease granted to this life, on its clock
+	lapse   time.Time     // when every run there has ended unless the lease is renewed
+	acked   int64         // ends up to here are recorded and may be forgotten there
+	heard   int64         // ends up to here have been handled
 
 	runs  map[runKey]*run
 	list  []*run    // the same, in the order in which they came
