batch/sched: a worker that starts anew isn't waited for 20 s

What callers saw: lasting tasks of a worker that had started anew and couldn't be reached, or was lost soon after, stood still for 20 s.

Cause: the wait for orders that the new life may carry out late (2 to 12 s, and the lease they bring) was the worker's, not the order's. It held runs that the former life itself had shown, and all that the new life was given later.

Change: runs that the former life's reports have shown are given up as it's known to have ended; the wait is for the others only, each for itself; the new life's lease counts from its own looks.

Tried and dropped: giving up all answered runs.

TestRebornIsNotWaitedFor: both cases not started before, started after.

--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -296,6 +296,49 @@
 	}
 }
 
+// A worker starts anew under its id, and its feeds stand still for 20 s: once because the new life can't be reached,
+// once because it is lost soon after it was given feeds of its own. What an unanswered order may
+// still bring to life there was waited for, though every order had been answered.
+func TestRebornIsNotWaitedFor(t *testing.T) {
+	feed := func(j *sched.Job) { j.Steps[0].Lasting = true }
+	for _, tt := range []struct {
+		name string
+		lose func(b *bench, id string) // has the worker start anew, and be lost
+	}{
+		{"new life out of reach", func(b *bench, id string) {}},
+		{"new life reached and lost", func(b *bench, id string) {
+			b.look(id, sched.Report{Born: 2})
+			b.core.CrewStored(b.core.Crew())
+			if got := b.plan(sched.VerbStart); len(got) != 1 || got[0].Life.ID != id {
+				b.t.Fatalf("started %v, want the feed again in the new life", got)
+			}
+			b.core.Missed(b.now, id, 2)
+			b.after(doubt + 100*time.Millisecond)
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t, 1, 2).open()
+			b.core.Admit(b.now, one("feed", feed))
+			o := b.plan(sched.VerbStart)[0]
+			b.look(o.Life.ID, sched.Report{Running: []sched.Running{running(o)}})
+			all := members(2)
+			for i := range all {
+				if all[i].ID == o.Life.ID {
+					all[i].Born = 2
+				}
+			}
+			b.core.Roster(b.now, all)
+			tt.lose(b, o.Life.ID)
+			for _, got := range b.plan(sched.VerbStart) {
+				if got.Task.Job == "feed" {
+					return
+				}
+			}
+			t.Error("the feed isn't started on the other worker")
+		})
+	}
+}
+
 // The store takes the holder's key away, another holder takes over and renews a worker's lease; the former one
 // doesn't reach that worker and, confirmed a moment ago, takes its runs for lapsed. A book is printed twice. A lease
 // has lapsed only once the store has confirmed the holder after it ran out: nobody else can have renewed it then.
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -138,7 +138,7 @@
 		}
 		w.heard = f.Seq
 	}
-	w.void = false
+	w.void, w.fresh = false, false
 	if len(rep.Finished) < maxEnds {
 		c.inventory(sent, now, w, rep)
 	}
@@ -164,6 +164,7 @@
 			r = c.adopt(now, w, key)
 		}
 		r.see(now, row)
+		r.shown = r.shown || r.born == w.Born
 		if r.task != nil && row.Save != "" && r.task.run == r {
 			c.keepSave(r.task, row.Save)
 		}
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -55,14 +55,20 @@
 	w.out = c.zones[m.Zone]
 }
 
-// rebirth notes that a worker has started anew under its id. The next look tells what runs in
-// its new life: an order given to the former one may have been carried out by this one, whose
-// fence is unset, so nothing is taken for ended before. Nor has its lease lapsed by the former
-// life's count: the ends of the new one would be passed over as of before a lapse, and be
-// acknowledged uncounted.
+// rebirth notes that a worker has started anew under its id. What its former life has shown to run has ended
+// with that. Any other order may have been carried out by the new one, or may be, as its fence is
+// unset, also where it was answered: answers don't name a life. Such runs stay until a look at
+// the new life, a stop or their time settles them. No lease of the new life has lapsed
+// before it is heard of: its ends would be passed over as of before a lapse, and be acknowledged uncounted.
 func (c *Core) rebirth(now time.Time, w *worker, born int64) {
+	for _, r := range w.all() {
+		if r.shown {
+			c.free(r)
+		}
+	}
 	w.Born = born
-	w.lapse = later(w.lapse, now.Add(lateMost))
+	w.lapse = now
+	w.fresh = true
 	w.acked, w.heard = 0, 0
 	w.contact = ContactNone
 	w.stored = false
@@ -127,7 +133,7 @@
 			}
 			c.free(r)
 		}
-		w.void = true
+		w.void = !w.fresh
 		if !w.listed && !kept {
 			delete(c.workers, w.ID)
 			c.rank()
@@ -140,8 +146,7 @@
 // the clock has begun anew. Only a stop settles it, or the time after which no order is
 // carried out any more.
 func (r *run) adrift(now time.Time, w *worker) bool {
-	open := r.state == RunSent || r.state == RunUnsure || r.state == RunStopping
-	return open && r.born != w.Born && now.Sub(r.began) < lateMost
+	return !r.shown && r.state != RunStopped && r.born != w.Born && now.Sub(r.began) < lateMost
 }
 
 // lateMost is above the time after which workers carry out an order that they left
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -82,6 +82,7 @@
 	Member
 	listed  bool      // in the directory
 	void    bool      // its runs were given up after a lapse and it hasn't been heard since
+	fresh   bool      // it has started anew and hasn't been heard since
 	out     bool      // its failure domain is taken out
 	leaves  time.Time // when it may leave; zero: it doesn't drain
 	stored  bool      // in the store's record of workers that may hold runs
@@ -128,6 +129,7 @@
 	worker *worker
 	state  RunState
 	born   int64     // life of the worker that was meant
+	shown  bool      // a report of that life has shown it
 	sent   time.Time // of the newest order about it
 	began  time.Time // first seen or ordered
 	sure   time.Time // since when it was known to be there, or its stop to be acknowledged
