ctrl/lead: a renewal without an answer leaves time for the next one

What callers saw: all is taken over by another host for nothing, and what isn't running waits.

Cause: a renewal on a connection that had gone silent hung for a call's whole limit of 1 s, of a lease of 1.2 s, and the next one came after it.

--- a/internal/ctrl/lead/tenure.go
+++ b/internal/ctrl/lead/tenure.go
@@ -171,7 +171,7 @@
 		lease := t.lease
 		t.mu.Unlock()
 		sent := time.Now()
-		err := t.lead.opt.Store.Renew(t.ctx, lease)
+		err := t.renew(lease)
 		t.lead.note(err)
 		switch {
 		case err == nil:
@@ -183,6 +183,14 @@
 	}
 }
 
+// renew renews a lease, for less than half of its time: a connection to the store may go silent,
+// and on the next one there must be time left.
+func (t *Tenure) renew(lease string) error {
+	ctx, cancel := context.WithTimeout(t.ctx, t.lead.opt.Lease/renewalTries)
+	defer cancel()
+	return t.lead.opt.Store.Renew(ctx, lease)
+}
+
 // vanished tells that the holder's key is gone.
 func (t *Tenure) vanished() {
 	select {
--- /dev/null
+++ b/internal/ctrl/lead/tenure_test.go
@@ -0,0 +1,74 @@
+package lead_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/ctrl/lead"
+	"bramleysail.example/bramleysail/internal/fake/multi"
+	"bramleysail.example/bramleysail/internal/plat/store"
+)
+
+// clientLimit is the time after which a host's client gives a call of the store up.
+const clientLimit = time.Second
+
+// silent is a way to the store on which some renewals get no answer, as on a connection that has gone
+// silent: the next one is made on a new connection.
+type silent struct {
+	store.Multi
+	hang atomic.Int64 // renewals to come that get none
+}
+
+func (s *silent) Renew(ctx context.Context, lease string) error {
+	if s.hang.Add(-1) >= 0 {
+		wait.For(ctx, clientLimit)
+		return store.ErrUnknown
+	}
+	return s.Multi.Renew(ctx, lease)
+}
+
+// A holder's connection to the store goes silent, without a reset. Its renewal hung for as long as a call may
+// take, which is nearly the whole lease: it lost its key, and all workers were taken over by
+// another host for nothing. The next renewal, on a new connection, comes in time.
+func TestSilentRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := &multi.Service{}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var wg sync.WaitGroup
+		var ways []*silent
+		var terms sync.Map
+		for i := range 2 {
+			way := &silent{Multi: service.Client(nil)}
+			ways = append(ways, way)
+			l := lead.New(lead.Options{Store: way, Name: fmt.Sprint(i), Addr: fmt.Sprint(i), Lease: 1200 * time.Millisecond, Log: logr.Discard()})
+			wg.Go(func() {
+				l.Run(ctx, func(t *lead.Tenure) {
+					terms.Store(t.Term(), true)
+					<-t.Context().Done()
+				})
+			})
+		}
+		for range 20 {
+			time.Sleep(1700 * time.Millisecond)
+			for _, w := range ways {
+				w.hang.Store(1)
+			}
+		}
+		cancel()
+		wg.Wait()
+		n := 0
+		terms.Range(func(any, any) bool { n++; return true })
+		if n != 1 {
+			t.Errorf("%d terms while single renewals got no answer, want one", n)
+		}
+	})
+}
