drive: a test of a weak host that wins the holder's key (red)

Cause: nothing in the choice of the holder looks at what a host can carry, so a host with a fraction of the processor that the workers need may become the holder.

The fleet of the tests gets hosts whose processors are queues: each call of the crew or the store takes a turn there on its way out and one on its way back.

A trace of the holders shows the order of the incident: a weak host wins, its leases and orders are late, it loses its key after 1 to 3 s, and the next weak host takes over, until a strong one wins.

--- a/internal/batch/drive/fleet_test.go
+++ b/internal/batch/drive/fleet_test.go
@@ -49,6 +49,7 @@
 	f    *fleet
 	name string
 	zone string
+	turn time.Duration // see processor
 
 	mu     sync.Mutex
 	mode   multi.Mode
@@ -68,12 +69,18 @@
 	f.crew = fakecrew.New(workers, wire.Size{CPU: 16000, Mem: 64000}, rng, work)
 	f.configure(sched.Config{Version: 1, Queues: []sched.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Tries: 3, Stretch: 2, Aim: time.Second}}})
 	f.list()
-	for i := range hosts {
-		h := &host{f: f, name: fmt.Sprintf("host%d", i), zone: fmt.Sprintf("z%d", i%3)}
+	f.add(hosts, 0)
+	return f
+}
+
+// add starts n further hosts whose processors need so long for a turn.
+func (f *fleet) add(n int, turn time.Duration) {
+	for range n {
+		i := len(f.hosts)
+		h := &host{f: f, name: fmt.Sprintf("host%d", i), zone: fmt.Sprintf("z%d", i%3), turn: turn}
 		f.hosts = append(f.hosts, h)
 		h.start()
 	}
-	return f
 }
 
 func (f *fleet) configure(c sched.Config) {
@@ -92,15 +99,16 @@
 func (h *host) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	client := h.f.store.Client(func() multi.Mode {
+	cpu := &processor{turn: h.turn}
+	client := &slowStore{cpu: cpu, Multi: h.f.store.Client(func() multi.Mode {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if h.f.apart(h.zone, "store") {
 			return multi.ModeSilent
 		}
 		return h.mode
-	})
-	crew := h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })
+	})}
+	crew := &slowCrew{cpu: cpu, Crew: h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })}
 	l := lead.New(lead.Options{Store: client, Name: h.name, Addr: h.name, Lease: holderLease, Log: logr.Discard(), Alive: h.f.alive})
 	h.wg.Go(func() {
 		l.Run(ctx, func(t *lead.Tenure) {
