lead, front: a vacant key is left to hosts that can carry more

Cause: any host could win the race for a lost holder's key. One of 0.11 of a core that won it with 350 workers starved, lost its key after 6 to 11 s and left it to the next weak one, while two thirds of a thousand runs lapsed.

The settings' limits reach the host through the template ([limit]); front/carry.go works out how many workers they carry. The needs a worker are chosen above what was seen of a holder of 350 (0.2 to 0.45 of a core, 80 MB, some 1,500 connections, 0.8 MB/s at a takeover): 1.2 millicores, 0.25 MiB over 20, 5 descriptors over 200, 20 kbit/s. So 0.8 of a core carries 666 workers, 0.11 carries 91. The holder records the number of workers (lead/load), in the transaction of the record crew and only when it has changed; hosts that have all just started read it too.

lead reads its three keys in one call now, so that a claim needs no read of the term; a host that carries less than the load waits 1 s x (1 - carries / load) in a watch of the key, not asleep: it knows of the new holder at once, as its callers need it. A claim takes four calls at most after the vacancy is known (watch, read, open, commit), as before (read, get, open, commit). Only where the load becomes known with that read is it one more.

Where all hosts are weak the one that carries most takes over, up to 1 s later than before. Not covered: at the very first start no load is known and any host may become the holder.

TestTemplate has the template's keys checked against the settings.

--- a/internal/base/conf/host.go
+++ b/internal/base/conf/host.go
@@ -16,6 +16,7 @@
 	Listen  HostListen `toml:"listen"`
 	Store   HostStore  `toml:"store"`
 	Bound   Bound      `toml:"bound"`
+	Limit   HostLimit  `toml:"limit"`
 	Log     Log        `toml:"log"`
 	Metrics string     `toml:"metrics"` // host:port
 }
@@ -42,6 +43,15 @@
 	Keep  float64 `toml:"keep"`  // seconds for which an ended job is known
 }
 
+// HostLimit is what the machine gives the process; 0: not known.
+type HostLimit struct {
+	Share  float64 `toml:"share"`  // of a core
+	Cores  float64 `toml:"cores"`  // how many times as fast as one core
+	Memory float64 `toml:"memory"` // MiB
+	Files  float64 `toml:"files"`  // open descriptors
+	Link   float64 `toml:"link"`   // Mbit/s
+}
+
 // Milliseconds returns n milliseconds.
 func Milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
@@ -89,6 +99,17 @@
 			f = append(f, fmt.Sprintf("%s: must be above 0, is %v", b.key, b.value))
 		}
 	}
+	for _, l := range []struct {
+		key   string
+		value float64
+	}{
+		{"limit.share", h.Limit.Share}, {"limit.cores", h.Limit.Cores}, {"limit.memory", h.Limit.Memory},
+		{"limit.files", h.Limit.Files}, {"limit.link", h.Limit.Link},
+	} {
+		if !(l.value >= 0) {
+			f = append(f, fmt.Sprintf("%s: must not be below 0, is %v", l.key, l.value))
+		}
+	}
 	if h.Name == "" {
 		f = append(f, "name: must not be empty")
 	}
--- a/internal/base/conf/host_test.go
+++ b/internal/base/conf/host_test.go
@@ -1,6 +1,8 @@
 package conf_test
 
 import (
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -10,7 +12,8 @@
 // The operators' settings file is wrong: each fault is named and nothing starts.
 func TestHost(t *testing.T) {
 	good := "name = \"a\"\nmetrics = \"127.0.0.1:1\"\n[listen]\ncaller = \"127.0.0.1:2\"\nready = \"127.0.0.1:3\"\npeer = \"127.0.0.1:4\"\n" +
-		"[store]\naddr = \"127.0.0.1:5\"\nleast = 1000\n[bound]\nhold = 6000\nstop = 200\ngrace = 6\nkeep = 120\n"
+		"[store]\naddr = \"127.0.0.1:5\"\nleast = 1000\n[bound]\nhold = 6000\nstop = 200\ngrace = 6\nkeep = 120\n" +
+		"[limit]\nshare = 0.4\ncores = 1\nmemory = 284\nfiles = 4100\nlink = 1000.0\n"
 	if _, err := conf.ParseHost(good); err != nil {
 		t.Fatal(err)
 	}
@@ -18,6 +21,8 @@
 		{"no port", `caller = "127.0.0.1:2"`, `caller = "127.0.0.1"`, "listen.caller"},
 		{"unknown key", `name = "a"`, "name = \"a\"\nnmae = 1", "nmae"},
 		{"zero", "hold = 6000", "hold = 0", "bound.hold"},
+		{"below zero", "memory = 284", "memory = -1", "limit.memory"},
+		{"no number", "link = 1000.0", "link = nan", "limit.link"},
 		{"no name", `name = "a"`, `name = ""`, "name"},
 		{"no TOML", "hold = 6000", "hold = ", "hold"},
 	} {
@@ -27,3 +32,20 @@
 		}
 	}
 }
+
+// A key of the template that the settings don't know: no process starts on any host.
+func TestTemplate(t *testing.T) {
+	text, err := os.ReadFile("../../../deploy/host.toml.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	filled := regexp.MustCompile(`\{\{[^}]*\|json\}\}`).ReplaceAllString(string(text), `"127.0.0.1:1"`)
+	filled = regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllString(filled, "1")
+	h, err := conf.ParseHost(filled)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := (conf.HostLimit{Share: 1, Cores: 1, Memory: 1, Files: 1, Link: 1}); h.Limit != want {
+		t.Errorf("limits %+v, want %+v", h.Limit, want)
+	}
+}
--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -18,6 +18,7 @@
 	subs    []*submission
 	batch   *sched.Batch
 	crew    []sched.Member
+	load    int // the number of workers, as recorded with this write
 	waiters []chan struct{}
 }
 
@@ -76,7 +77,8 @@
 	defer h.mu.Unlock()
 	r := &round{}
 	room := lead.MaxWrites
-	if crew := h.core.Crew(); !same(crew, h.crew) {
+	crew := h.core.Crew()
+	if !same(crew, h.crew) {
 		data, err := json.Marshal(crew)
 		if err != nil {
 			return nil, errors.Wrap(err, "drive")
@@ -85,6 +87,10 @@
 		r.writes = append(r.writes, store.Write{Key: keyCrew, Value: data})
 		room--
 	}
+	if r.load = len(crew); r.load != h.counted {
+		r.writes = append(r.writes, lead.LoadWrite(r.load))
+		room--
+	}
 	// Half of the room is kept for progress: a flood of hand-ins mustn't keep ends from being stored.
 	n := min(len(h.subs), room/2)
 	r.subs, h.subs = h.subs[:n:n], h.subs[n:]
@@ -149,6 +155,7 @@
 		h.crew = r.crew
 		h.core.CrewStored(r.crew)
 	}
+	h.counted = r.load
 	close(h.stored)
 	h.stored = make(chan struct{})
 	h.mu.Unlock()
--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -108,6 +108,7 @@
 	stored  chan struct{}              // closed with each write
 	busy    time.Time                  // since when a write is under way
 	crew    []sched.Member             // as recorded
+	counted int                        // number of workers, as recorded
 	upkeep  map[string]bool            // rounds that were told of in the log
 	learned time.Time                  // when what has been learned was last recorded
 }
@@ -134,6 +135,7 @@
 		waiting: map[string][]chan struct{}{},
 		stored:  make(chan struct{}),
 		upkeep:  map[string]bool{},
+		counted: opt.Tenure.Load(),
 	}
 	if h.opt.Scope == nil {
 		h.opt.Scope = tally.NoopScope
--- a/internal/batch/drive/fleet_test.go
+++ b/internal/batch/drive/fleet_test.go
@@ -46,10 +46,11 @@
 
 // host is one process that may hold.
 type host struct {
-	f    *fleet
-	name string
-	zone string
-	turn time.Duration // see processor
+	f       *fleet
+	name    string
+	zone    string
+	turn    time.Duration // see processor
+	carries int           // see lead.Options
 
 	mu     sync.Mutex
 	mode   multi.Mode
@@ -69,15 +70,15 @@
 	f.crew = fakecrew.New(workers, wire.Size{CPU: 16000, Mem: 64000}, rng, work)
 	f.configure(sched.Config{Version: 1, Queues: []sched.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Tries: 3, Stretch: 2, Aim: time.Second}}})
 	f.list()
-	f.add(hosts, 0)
+	f.add(hosts, 0, 0)
 	return f
 }
 
-// add starts n further hosts whose processors need so long for a turn.
-func (f *fleet) add(n int, turn time.Duration) {
+// add starts n further hosts whose processors need so long for a turn and which carry so many workers.
+func (f *fleet) add(n int, turn time.Duration, carries int) {
 	for range n {
 		i := len(f.hosts)
-		h := &host{f: f, name: fmt.Sprintf("host%d", i), zone: fmt.Sprintf("z%d", i%3), turn: turn}
+		h := &host{f: f, name: fmt.Sprintf("host%d", i), zone: fmt.Sprintf("z%d", i%3), turn: turn, carries: carries}
 		f.hosts = append(f.hosts, h)
 		h.start()
 	}
@@ -109,7 +110,7 @@
 		return h.mode
 	})}
 	crew := &slowCrew{cpu: cpu, Crew: h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })}
-	l := lead.New(lead.Options{Store: client, Name: h.name, Addr: h.name, Lease: holderLease, Log: logr.Discard(), Alive: h.f.alive})
+	l := lead.New(lead.Options{Store: client, Name: h.name, Addr: h.name, Lease: holderLease, Log: logr.Discard(), Alive: h.f.alive, Carries: h.carries})
 	h.wg.Go(func() {
 		l.Run(ctx, func(t *lead.Tenure) {
 			_ = drive.Run(drive.Options{ // its error tells of the tenure's end
--- a/internal/batch/drive/weak_test.go
+++ b/internal/batch/drive/weak_test.go
@@ -15,6 +15,9 @@
 	strongTurn = time.Millisecond
 	weakTurn   = 8 * time.Millisecond
 
+	strongCarries = 800 // workers
+	weakCarries   = 100
+
 	weakWorkers = 150
 	weakTasks   = 100
 	// withoutRun is how long a lasting task may be without a run while there is room.
@@ -28,9 +31,9 @@
 func TestWeakHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 0, weakWorkers, source(1), seconds(time.Hour))
-		f.add(2, strongTurn)
+		f.add(2, strongTurn, strongCarries)
 		time.Sleep(3 * time.Second) // one of these holds
-		f.add(12, weakTurn)
+		f.add(12, weakTurn, weakCarries)
 		lasting := sched.Step{Count: weakTasks, Size: step(1).Size, Lasting: true}
 		if r := f.submit("a", lasting); r.Result != drive.ResultDone {
 			t.Fatalf("submit: %+v", r)
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -23,6 +23,7 @@
 	keyPrefix = "lead/"
 	keyHolder = keyPrefix + "holder" // who holds; bound to the holder's lease
 	keyTerm   = keyPrefix + "term"   // the newest term
+	keyLoad   = keyPrefix + "load"   // what the newest holder carries
 	keyChain  = "chain"              // the newest write of the holder
 )
 
@@ -31,6 +32,10 @@
 	watchFor = 10 * time.Second
 	// claimSpread parts the claims of processes that see the holder's key vanish together.
 	claimSpread = 80 * time.Millisecond
+	// patienceMost is how long a vacant key is left to others by a process that can carry next to
+	// nothing of the load. A process that can carry it has claimed and is seen well within that, and
+	// what runs on the workers outlasts it.
+	patienceMost = time.Second
 	// retryPause is between calls that the store refused or didn't answer.
 	retryPause = 100 * time.Millisecond
 	// spareTries times retryPause is what a former holder at work has to put its key back.
@@ -59,6 +64,9 @@
 	// Alive asks the holder directly whether it is at work; it is consulted before its key,
 	// which may have vanished with the store's outage, is claimed.
 	Alive func(ctx context.Context, h Holder) bool
+	// Carries is how much load this process can carry as the holder, in the measure of LoadWrite;
+	// 0: not known. One that carries less than there is leaves a vacant key for a while to others.
+	Carries int
 }
 
 // Lead follows who the holder is and claims to be it where there is none.
@@ -67,6 +75,7 @@
 
 	mu      sync.Mutex
 	holder  Holder
+	record  record
 	former  Holder // before the key vanished
 	tenure  *Tenure
 	changed chan struct{}
@@ -75,6 +84,13 @@
 	resumed time.Time // when the store answered again after failing
 }
 
+// record is what the store says besides who holds.
+type record struct {
+	term    int64
+	termRev uint64 // 0: there was no holder yet
+	load    int    // 0: not known
+}
+
 // New returns a Lead; Run has it work.
 func New(opt Options) *Lead {
 	return &Lead{opt: opt, changed: make(chan struct{})}
@@ -146,27 +162,49 @@
 		}
 		for ctx.Err() == nil {
 			if l.vacant() {
-				l.claim(ctx, &wg, serve)
+				rev = l.claim(ctx, rev, &wg, serve)
 			}
-			if rev, err = l.follow(ctx, rev); err != nil {
+			if rev, err = l.follow(ctx, rev, watchFor); err != nil {
 				break
 			}
 		}
 	}
 }
 
-// read reads the holder's key and returns the revision to watch from.
+// read reads who holds, the term and the load, and returns the revision to watch from.
 func (l *Lead) read(ctx context.Context) (uint64, error) {
-	p, err := l.opt.Store.Range(ctx, keyHolder)
+	p, err := l.opt.Store.Range(ctx, keyPrefix)
 	l.note(err)
 	if err != nil {
 		return 0, err
 	}
-	if len(p.Entries) == 0 {
+	var holder *store.Entry
+	var rec record
+	for i, e := range p.Entries {
+		switch e.Key {
+		case keyHolder:
+			holder = &p.Entries[i]
+		case keyTerm:
+			rec.termRev = e.Rev
+			if err := json.Unmarshal(e.Value, &rec.term); err != nil {
+				l.opt.Log.Error(err, "term not understood")
+				return 0, errors.Wrap(err, "lead: term")
+			}
+		case keyLoad:
+			if err := json.Unmarshal(e.Value, &rec.load); err != nil {
+				l.opt.Log.Error(err, "load not understood, taken as unknown")
+				rec.load = 0
+			}
+		}
+	}
+	l.mu.Lock()
+	l.record = rec
+	l.mu.Unlock()
+	if holder == nil {
 		l.set(Holder{}, p.Rev)
 		return p.Rev, nil
 	}
-	return p.Rev, l.take(p.Entries[0])
+	return p.Rev, l.take(*holder)
 }
 
 func (l *Lead) take(e store.Entry) error {
@@ -179,10 +217,12 @@
 	return nil
 }
 
-func (l *Lead) follow(ctx context.Context, rev uint64) (uint64, error) {
+// follow waits up to limit for changes of the holder's key after a revision and returns the next one
+// to watch from. What is known then has been confirmed by the store.
+func (l *Lead) follow(ctx context.Context, rev uint64, limit time.Duration) (uint64, error) {
 	wctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	changes, next, err := l.opt.Store.Watch(wctx, keyHolder, rev, watchFor)
+	changes, next, err := l.opt.Store.Watch(wctx, keyHolder, rev, limit)
 	l.note(err)
 	if err != nil {
 		return 0, err
@@ -214,16 +254,73 @@
 	l.resting = time.Now().Add(d)
 }
 
-// claim tries to become the holder.
-func (l *Lead) claim(ctx context.Context, wg *sync.WaitGroup, serve func(*Tenure)) {
+// patience returns how long a vacant key is left to processes that can carry more.
+//
+// The failure it guards against: a process that can't do the work of the load wins the race for
+// the key. Starved, it is late with orders and with the leases of workers, whose runs lapse, and
+// loses its own lease; then the next such process wins. With patience, whoever can carry the load
+// has claimed before, and where nobody can, the one that can carry most does.
+func (l *Lead) patience() time.Duration {
+	l.mu.Lock()
+	load := l.record.load
+	l.mu.Unlock()
+	if l.opt.Carries <= 0 || l.opt.Carries >= load {
+		return 0
+	}
+	short := 1 - float64(l.opt.Carries)/float64(load)
+	return time.Duration(short * float64(patienceMost))
+}
+
+// yield leaves a vacant key to others for this process's patience. It watches meanwhile, so that
+// a new holder is known here at once, and returns the revision to watch from and whether the
+// key is still vacant by the store's newest word.
+func (l *Lead) yield(ctx context.Context, rev uint64) (uint64, bool) {
+	began := time.Now()
+	for told := false; ; {
+		patience := l.patience()
+		left := patience - time.Since(began)
+		var next uint64
+		var err error
+		if left > 0 {
+			if !told {
+				l.opt.Log.Info("claim waits", "patience", patience, "carries", l.opt.Carries, "load", l.load())
+				told = true
+			}
+			next, err = l.follow(ctx, rev, left)
+		} else {
+			next, err = l.read(ctx)
+		}
+		if err != nil {
+			return rev, false
+		}
+		rev = next
+		if !l.vacant() {
+			return rev, false
+		}
+		// The load may have become known only now.
+		if l.patience() <= time.Since(began) {
+			return rev, true
+		}
+	}
+}
+
+func (l *Lead) load() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.record.load
+}
+
+// claim tries to become the holder; it returns the revision to watch from.
+func (l *Lead) claim(ctx context.Context, rev uint64, wg *sync.WaitGroup, serve func(*Tenure)) uint64 {
 	l.mu.Lock()
 	rest := time.Until(l.resting)
 	l.mu.Unlock()
 	if !wait.For(ctx, max(rest, rand.N(claimSpread))) {
-		return
+		return rev
 	}
-	if _, err := l.read(ctx); err != nil || !l.vacant() || l.spare(ctx) {
-		return
+	rev, vacant := l.yield(ctx, rev)
+	if !vacant || l.spare(ctx) {
+		return rev
 	}
 	t, err := l.try(ctx)
 	if err != nil {
@@ -234,13 +331,13 @@
 		if _, err := l.read(ctx); err != nil {
 			wait.For(ctx, retryPause)
 		}
-		return
+		return rev
 	}
 	l.mu.Lock()
 	l.tenure = t
 	l.mu.Unlock()
 	l.set(t.claim, t.rev)
-	l.opt.Log.Info("holder", "term", t.claim.Term)
+	l.opt.Log.Info("holder", "term", t.claim.Term, "carries", l.opt.Carries, "load", t.load, "patience", l.patience())
 	wg.Go(func() {
 		serve(t)
 		l.mu.Lock()
@@ -250,6 +347,7 @@
 		l.mu.Unlock()
 	})
 	wg.Go(func() { t.keep() })
+	return rev
 }
 
 // spare reports whether the former holder has its key back. After an outage of the store, in
@@ -275,21 +373,14 @@
 }
 
 func (l *Lead) try(ctx context.Context) (*Tenure, error) {
-	var term int64
-	e, err := l.opt.Store.Get(ctx, keyTerm)
-	switch {
-	case err == nil:
-		if err := json.Unmarshal(e.Value, &term); err != nil {
-			return nil, errors.Wrap(err, "lead: term")
-		}
-	case !errors.Is(err, store.ErrNotFound):
-		return nil, err
-	}
+	l.mu.Lock()
+	rec := l.record
+	l.mu.Unlock()
 	lease, err := l.opt.Store.Open(ctx, l.opt.Lease)
 	if err != nil {
 		return nil, err
 	}
-	h := Holder{l.opt.Name, l.opt.Addr, term + 1, uuid.NewString()}
+	h := Holder{l.opt.Name, l.opt.Addr, rec.term + 1, uuid.NewString()}
 	value, err := json.Marshal(h)
 	if err != nil {
 		return nil, errors.Wrap(err, "lead")
@@ -300,7 +391,7 @@
 	}
 	sent := time.Now()
 	rev, err := l.opt.Store.Commit(ctx, store.Txn{
-		If: []store.Cond{{Key: keyHolder}, {Key: keyTerm, Rev: e.Rev}},
+		If: []store.Cond{{Key: keyHolder}, {Key: keyTerm, Rev: rec.termRev}},
 		Do: []store.Write{
 			{Key: keyHolder, Value: value, Lease: lease},
 			{Key: keyTerm, Value: next},
@@ -314,7 +405,7 @@
 		return nil, err
 	}
 	tctx, cancel := context.WithCancel(ctx)
-	return &Tenure{lead: l, claim: h, lease: lease, from: rev, rev: rev, ctx: tctx, end: cancel, sure: sent, gone: make(chan struct{}, 1), write: make(chan struct{}, 1)}, nil
+	return &Tenure{lead: l, claim: h, lease: lease, from: rev, rev: rev, ctx: tctx, end: cancel, sure: sent, load: rec.load, gone: make(chan struct{}, 1), write: make(chan struct{}, 1)}, nil
 }
 
 // settle finds out whether a claim without an answer took effect.
--- /dev/null
+++ b/internal/ctrl/lead/patience_test.go
@@ -0,0 +1,114 @@
+package lead_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"bramleysail.example/bramleysail/internal/ctrl/lead"
+	"bramleysail.example/bramleysail/internal/fake/multi"
+)
+
+// race starts processes that carry so much, with a load in the store, and returns who claims, by
+// its number, and after what time. The key is vacant from the start on.
+func race(t *testing.T, load string, carries ...int) (int, time.Duration) {
+	s := &multi.Service{}
+	if load != "" {
+		s.Put("lead/load", []byte(load))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	began := time.Now()
+	won := make(chan int, len(carries))
+	for i, c := range carries {
+		l := lead.New(lead.Options{Store: s.Client(nil), Name: fmt.Sprint(i), Lease: time.Second, Log: logr.Discard(), Carries: c})
+		wg.Go(func() {
+			l.Run(ctx, func(t *lead.Tenure) {
+				won <- i
+				<-t.Context().Done()
+			})
+		})
+	}
+	first := <-won
+	took := time.Since(began)
+	time.Sleep(3 * time.Second)
+	if len(won) > 0 {
+		t.Errorf("%d took the key of %d", <-won, first)
+	}
+	cancel()
+	wg.Wait()
+	return first, took
+}
+
+// All processes start at once, or see the holder lost: whoever can carry the load claims, before
+// those that would starve under it. Where nobody can or nothing is known, the key mustn't stay
+// vacant for it.
+func TestPatience(t *testing.T) {
+	const atOnce = 200 * time.Millisecond
+	for _, tt := range []struct {
+		name    string
+		load    string
+		carries []int
+		first   int // -1: any
+		within  time.Duration
+	}{
+		{"no load known", "", []int{1, 1, 1, 1}, -1, atOnce},
+		{"load of none", "0", []int{1, 1, 1, 1}, -1, atOnce},
+		{"load not understood", "x", []int{1, 1, 1, 1}, -1, atOnce},
+		{"nobody knows what it carries", "350", []int{0, 0, 0, 0}, -1, atOnce},
+		{"all carry it", "350", []int{350, 400, 666}, -1, atOnce},
+		{"one carries it", "350", []int{91, 91, 91, 91, 91, 666, 91}, 5, atOnce},
+		{"nobody carries it", "350", []int{91, 91, 200, 91, 91}, 2, time.Second},
+		{"one that carries next to nothing", "350", []int{1}, 0, 1200 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first, took := race(t, tt.load, tt.carries...)
+				if tt.first >= 0 && first != tt.first {
+					t.Errorf("%d claims, want %d", first, tt.first)
+				}
+				if took > tt.within {
+					t.Errorf("it takes %s, want %s at most", took, tt.within)
+				}
+			})
+		})
+	}
+}
+
+// The load becomes known only after a process has begun to follow: the workers have joined since.
+// It is as patient then as with the load known before, and hears of the new holder at once.
+func TestPatienceFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &multi.Service{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		s.Put("lead/holder", []byte(`{"name":"old","term":1}`))
+		s.Put("lead/term", []byte("1"))
+		l := lead.New(lead.Options{Store: s.Client(nil), Name: "weak", Lease: time.Second, Log: logr.Discard(), Carries: 91})
+		wg.Go(func() { l.Run(ctx, func(t *lead.Tenure) { <-t.Context().Done() }) })
+		time.Sleep(time.Second)
+		s.Put("lead/load", []byte("350"))
+		s.Revoke("lead/holder")
+		time.Sleep(600 * time.Millisecond)
+		if h, _ := l.Holder(); h.Name != "" {
+			t.Errorf("%s claims", h.Name)
+		}
+		s.Put("lead/holder", []byte(`{"name":"strong","term":2}`))
+		time.Sleep(20 * time.Millisecond)
+		if h, _ := l.Holder(); h.Name != "strong" {
+			t.Errorf("holder %q, want strong", h.Name)
+		}
+		s.Revoke("lead/holder")
+		time.Sleep(1200 * time.Millisecond)
+		if h, _ := l.Holder(); h.Name != "weak" {
+			t.Errorf("holder %q, want weak", h.Name)
+		}
+		cancel()
+		wg.Wait()
+	})
+}
--- a/internal/ctrl/lead/tenure.go
+++ b/internal/ctrl/lead/tenure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"sync"
 	"time"
 
@@ -40,6 +41,7 @@
 	lead  *Lead
 	claim Holder
 	from  uint64        // revision of the claim
+	load  int           // as recorded at the claim
 	gone  chan struct{} // the holder's key has vanished
 	ctx   context.Context
 	end   context.CancelFunc
@@ -59,6 +61,15 @@
 // Term returns the tenure's term.
 func (t *Tenure) Term() int64 { return t.claim.Term }
 
+// Load returns the load that was recorded at the claim, 0 if none was.
+func (t *Tenure) Load() int { return t.load }
+
+// LoadWrite returns the write that records how much the holder carries. Processes that may claim
+// later compare it with what they can carry.
+func LoadWrite(load int) store.Write {
+	return store.Write{Key: keyLoad, Value: strconv.AppendInt(nil, int64(load), 10)}
+}
+
 // Sure returns when the store last confirmed the tenure.
 func (t *Tenure) Sure() time.Time {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/proc/front/carry.go
@@ -0,0 +1,40 @@
+package front
+
+import (
+	"math"
+
+	"bramleysail.example/bramleysail/internal/base/conf"
+)
+
+// What a holder needs for each worker.
+const (
+	coresEach  = 0.0012 // of a core
+	memoryEach = 0.25   // MiB
+	filesEach  = 5      // descriptors: connections for looks and orders
+	linkEach   = 0.02   // Mbit/s, of a takeover, when all workers are asked at once
+)
+
+// What any process needs besides.
+const (
+	memoryBase = 20  // MiB
+	filesBase  = 200 // descriptors
+)
+
+// carries returns how many workers a process can hold within its limits; 0: not known.
+func carries(l conf.HostLimit) int {
+	least := math.Inf(1)
+	for _, need := range []struct{ has, base, each float64 }{
+		{l.Share * l.Cores, 0, coresEach},
+		{l.Memory, memoryBase, memoryEach},
+		{l.Files, filesBase, filesEach},
+		{l.Link, 0, linkEach},
+	} {
+		if need.has > 0 {
+			least = min(least, (need.has-need.base)/need.each)
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return max(int(least), 1) // one that can carry nothing isn't one of which nothing is known
+}
--- /dev/null
+++ b/internal/proc/front/carry_test.go
@@ -0,0 +1,35 @@
+package front
+
+import (
+	"testing"
+
+	"bramleysail.example/bramleysail/internal/base/conf"
+)
+
+func TestCarries(t *testing.T) {
+	roomy := conf.HostLimit{Share: 0.8, Cores: 1, Memory: 536, Files: 8192, Link: 200}
+	with := func(change func(l *conf.HostLimit)) conf.HostLimit {
+		l := roomy
+		change(&l)
+		return l
+	}
+	for _, tt := range []struct {
+		name string
+		l    conf.HostLimit
+		want int
+	}{
+		{"nothing known", conf.HostLimit{}, 0},
+		{"bound by processor", roomy, 666},
+		{"a tenth of a core", with(func(l *conf.HostLimit) { l.Share = 0.11 }), 91},
+		{"two cores", with(func(l *conf.HostLimit) { l.Cores = 2 }), 1333},
+		{"bound by memory", with(func(l *conf.HostLimit) { l.Memory = 70 }), 200},
+		{"bound by descriptors", with(func(l *conf.HostLimit) { l.Files = 700 }), 100},
+		{"bound by link", with(func(l *conf.HostLimit) { l.Link = 1 }), 50},
+		{"less memory than it needs for itself", with(func(l *conf.HostLimit) { l.Memory = 16 }), 1},
+		{"processor not known", with(func(l *conf.HostLimit) { l.Share = 0 }), 1598},
+	} {
+		if got := carries(tt.l); got != tt.want {
+			t.Errorf("%s: %d workers, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -96,6 +96,7 @@
 	h.lead = lead.New(lead.Options{
 		Store: out.Store, Name: set.Name, Addr: lis[0].Addr().String(),
 		Lease: max(holderLease, conf.Milliseconds(set.Store.Least)), Log: log, Alive: h.alive,
+		Carries: carries(set.Limit),
 	})
 	h.desk.lead = h.lead
 	h.peer = &peers{lead: h.lead, links: &h.desk.links}
@@ -111,7 +112,7 @@
 	h.cancel = cancel
 	h.wg.Go(func() { h.lead.Run(ctx, h.hold) })
 	h.wg.Go(func() { h.peer.follow(ctx, lis[0].Addr().String(), set.Name) })
-	log.Info("start", "zone", set.Zone, "caller", lis[1].Addr(), "peer", lis[0].Addr())
+	log.Info("start", "zone", set.Zone, "carries", carries(set.Limit), "caller", lis[1].Addr(), "peer", lis[0].Addr())
 	return h, nil
 }
 
