lead: a resting process hears of the next holder at once

Cause: a process that rests from claiming (it stops, for one) slept through its rest when the key was vacant, and didn't watch. Its callers were refused for as long, up to the whole grace of a stop.

Rest and patience are waited for in the same watch of the key now.

--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -261,9 +261,7 @@
 // loses its own lease; then the next such process wins. With patience, whoever can carry the load
 // has claimed before, and where nobody can, the one that can carry most does.
 func (l *Lead) patience() time.Duration {
-	l.mu.Lock()
-	load := l.record.load
-	l.mu.Unlock()
+	load := l.load()
 	if l.opt.Carries <= 0 || l.opt.Carries >= load {
 		return 0
 	}
@@ -271,25 +269,25 @@
 	return time.Duration(short * float64(patienceMost))
 }
 
-// yield leaves a vacant key to others for this process's patience. It watches meanwhile, so that
-// a new holder is known here at once, and returns the revision to watch from and whether the
-// key is still vacant by the store's newest word.
+func (l *Lead) load() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.record.load
+}
+
+// yield leaves a vacant key to others for this process's rest and patience. It watches meanwhile:
+// callers are refused here for as long as a new holder isn't known. It returns the revision to
+// watch from and whether the key is still vacant by the store's newest word.
 func (l *Lead) yield(ctx context.Context, rev uint64) (uint64, bool) {
 	began := time.Now()
-	for told := false; ; {
+	told := false
+	for {
 		patience := l.patience()
-		left := patience - time.Since(began)
-		var next uint64
-		var err error
-		if left > 0 {
-			if !told {
-				l.opt.Log.Info("claim waits", "patience", patience, "carries", l.opt.Carries, "load", l.load())
-				told = true
-			}
-			next, err = l.follow(ctx, rev, left)
-		} else {
-			next, err = l.read(ctx)
+		if patience > 0 && !told {
+			l.opt.Log.Info("claim waits", "patience", patience, "carries", l.opt.Carries, "load", l.load())
+			told = true
 		}
+		next, err := l.await(ctx, rev, l.left(began))
 		if err != nil {
 			return rev, false
 		}
@@ -298,24 +296,31 @@
 			return rev, false
 		}
 		// The load may have become known only now.
-		if l.patience() <= time.Since(began) {
+		if l.left(began) <= 0 {
 			return rev, true
 		}
 	}
 }
 
-func (l *Lead) load() int {
+// left returns how long this process goes on leaving a key to others that it has found vacant at began.
+func (l *Lead) left(began time.Time) time.Duration {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.record.load
+	rest := time.Until(l.resting)
+	l.mu.Unlock()
+	return max(rest, l.patience()-time.Since(began))
+}
+
+// await follows the holder's key for a while, or reads it if there is no time to wait.
+func (l *Lead) await(ctx context.Context, rev uint64, d time.Duration) (uint64, error) {
+	if d <= 0 {
+		return l.read(ctx)
+	}
+	return l.follow(ctx, rev, min(d, watchFor))
 }
 
 // claim tries to become the holder; it returns the revision to watch from.
 func (l *Lead) claim(ctx context.Context, rev uint64, wg *sync.WaitGroup, serve func(*Tenure)) uint64 {
-	l.mu.Lock()
-	rest := time.Until(l.resting)
-	l.mu.Unlock()
-	if !wait.For(ctx, max(rest, rand.N(claimSpread))) {
+	if !wait.For(ctx, rand.N(claimSpread)) {
 		return rev
 	}
 	rev, vacant := l.yield(ctx, rev)
--- a/internal/ctrl/lead/patience_test.go
+++ b/internal/ctrl/lead/patience_test.go
@@ -112,3 +112,33 @@
 		wg.Wait()
 	})
 }
+
+// A process that is about to stop, or has handed over, rests from claiming. Its callers are refused until it
+// knows of the next holder: it slept through its rest and looked at the store only then.
+func TestRestHears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &multi.Service{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		l := lead.New(lead.Options{Store: s.Client(nil), Name: "resting", Lease: time.Second, Log: logr.Discard()})
+		l.Rest(5 * time.Second)
+		wg.Go(func() { l.Run(ctx, func(t *lead.Tenure) { <-t.Context().Done() }) })
+		time.Sleep(time.Second)
+		s.Put("lead/holder", []byte(`{"name":"next","term":2}`))
+		time.Sleep(20 * time.Millisecond)
+		if h, _ := l.Holder(); h.Name != "next" {
+			t.Errorf("holder %q, want next", h.Name)
+		}
+		s.Revoke("lead/holder")
+		time.Sleep(2 * time.Second)
+		if h, _ := l.Holder(); h.Name != "" {
+			t.Errorf("%s claims while it rests", h.Name)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		if h, _ := l.Holder(); h.Name != "resting" {
+			t.Errorf("holder %q after the rest", h.Name)
+		}
+		cancel()
+		wg.Wait()
+	})
+}
