batch/sched: changes are stored in turn, ends acknowledged with their own job

Cause: one write takes 15 records, of the lowest ids first, and no end of any worker was acknowledged while a record was left over. With more changes than writes, high ids were never stored (cancels came in the order of their ids, none for 13 s), and each look told all ends anew: log lines on ends grew from 780 to 29,875 a second while new ends stayed at 400 to 1,100.

Change: jobs are stored in the order in which they changed, those with a waiting caller first; an end may be acknowledged as soon as its job is stored as it was after that end.

Ruled out: more records a write (the store takes 32 entries); acknowledging each end with the job's next record without a count of changes (a record that was taken before the end doesn't hold it).

TestAcksDontWaitForAll: 0 and 0 ends acknowledged before, 1 and 6 after. TestChangesAreStoredInTurn: a a b c before, a b d c after (d is cancelled).

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -25,7 +25,7 @@
 	active  []*stage  // with tasks that wait for a worker
 	resort  bool      // active has a newcomer
 	sorted  time.Time // when active was last sorted
-	dirty   map[string]*job
+	changes changes
 	later   []*job // with occurrences to come
 	workers map[string]*worker
 	ranks   []*worker       // the same, by id
@@ -43,7 +43,6 @@
 		began:   now,
 		sure:    now,
 		jobs:    map[string]*job{},
-		dirty:   map[string]*job{},
 		workers: map[string]*worker{},
 		zones:   map[string]bool{},
 	}
@@ -60,6 +59,10 @@
 	ended    time.Time
 	tries    map[TaskID]tries
 	saves    map[TaskID]string
+	changes  int  // how often it has changed
+	taken    int  // of these, known to the newest record that was taken to be stored
+	queued   bool // in Core.changes
+	rushed   bool // there, with a caller waiting
 }
 
 // tries are the runs of a task that failed. They are kept by number: an end that was stored
@@ -295,7 +298,7 @@
 	if !j.state.Final() {
 		c.finish(now, j, StateCancelled)
 	}
-	c.dirty[id] = j // stored once more for whoever waits for it
+	c.changes.hurry(j) // stored once more for whoever waits for it
 	return true
 }
 
@@ -303,7 +306,7 @@
 func (c *Core) finish(now time.Time, j *job, s State) {
 	j.state = s
 	j.ended = now
-	c.dirty[j.ID] = j
+	c.changes.add(j)
 	for _, r := range j.rounds {
 		for _, st := range r.stages {
 			for _, t := range st.tasks {
@@ -383,6 +386,15 @@
 	return r.stages[id.Step].tasks[id.Index]
 }
 
+// jobOf returns the job of a task by the task's name, or nil.
+func (c *Core) jobOf(name string) *job {
+	id, err := ParseTask(name)
+	if err != nil {
+		return nil
+	}
+	return c.jobs[id.Job]
+}
+
 // Jobs returns the ids of all jobs known.
 func (c *Core) Jobs() []string {
 	ids := make([]string, 0, len(c.jobs))
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -436,6 +437,77 @@
 	}
 }
 
+// More jobs change than one write takes, again and again. The ends of a worker were acknowledged
+// only once nothing at all was left to store: for as long as that lasted every look told
+// all ends anew, and the holder had no time left for its work. An end is acknowledged as soon as its own job is stored.
+func TestAcksDontWaitForAll(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.core.Admit(b.now, one("a", func(j *sched.Job) { j.Steps[0].Label = "w0" }))
+	for i := range 10 {
+		b.core.Admit(b.now, one(fmt.Sprintf("z%d", i), func(j *sched.Job) { j.Steps[0].Label = "w1" }))
+	}
+	var ends []sched.Finished
+	for _, o := range b.plan(sched.VerbStart) {
+		if o.Life.ID == "w0" {
+			b.look("w0", sched.Report{Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
+			continue
+		}
+		ends = append(ends, finished(int64(len(ends)+1), o, sched.EndDone))
+	}
+	b.look("w1", sched.Report{Finished: ends})
+	for i, want := range []int64{1, 6} {
+		batch, err := b.core.Collect(2 + 3*i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if l, _ := b.core.Look(b.now, "w1"); i == 0 && l.Acked != 0 {
+			t.Errorf("ends of w1 up to %d are acknowledged, and none is stored", l.Acked)
+		}
+		b.core.Committed(batch)
+		id := fmt.Sprintf("w%d", i)
+		if l, _ := b.core.Look(b.now, id); l.Acked != want {
+			t.Errorf("ends of %s up to %d are acknowledged, want %d", id, l.Acked, want)
+		}
+	}
+}
+
+// Jobs change faster than they can be stored. Those that came first in the order of their ids were
+// stored again and again, the others never, and a cancel was not acknowledged for as long as that lasted: its caller
+// gave up, and the next holder, which knew of no cancel, started the job.
+func TestChangesAreStoredInTurn(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	for _, id := range []string{"a", "b", "c", "d"} {
+		b.core.Admit(b.now, one(id, func(j *sched.Job) { j.Steps[0].Lasting = true }))
+	}
+	fail := func(seq int64) {
+		for _, o := range b.plan(sched.VerbStart) {
+			b.look(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(seq, o, sched.EndFailed)}})
+			seq++
+		}
+	}
+	fail(1)
+	collect := func() string {
+		batch, err := b.core.Collect(1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.core.Committed(batch)
+		if len(batch.Records) != 1 {
+			t.Fatalf("%d records collected, want one", len(batch.Records))
+		}
+		return batch.Records[0].ID
+	}
+	var got []string
+	got = append(got, collect())
+	fail(5) // all of them change once more
+	got = append(got, collect())
+	b.core.Cancel(b.now, "d")
+	got = append(got, collect(), collect())
+	if want := []string{"a", "b", "d", "c"}; !slices.Equal(got, want) {
+		t.Errorf("stored in the order %v, want %v", got, want)
+	}
+}
+
 // A cancelled job starts nothing and what runs of it is stopped; an order on its way then is
 // stopped too.
 func TestCancel(t *testing.T) {
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -135,6 +135,7 @@
 		// count two runs of one task.
 		if !w.void {
 			c.end(now, w, f)
+			w.owe(f.Seq, c.jobOf(f.Task))
 		}
 		w.heard = f.Seq
 	}
@@ -241,7 +242,7 @@
 	j := t.stage.job
 	if f.Save != "" && (t.run == nil || t.run == r) {
 		c.keepSave(t, f.Save)
-		c.dirty[j.ID] = j
+		c.changes.add(j)
 	}
 	if f.How == EndDone && !t.stage.spec.Lasting {
 		c.taskDone(now, w, t, r)
@@ -273,7 +274,7 @@
 	j := t.stage.job
 	j.begun = true
 	delete(j.saves, t.id())
-	c.dirty[j.ID] = j
+	c.changes.add(j)
 	if t.stage.spec.Gang {
 		c.gangDone(t.stage)
 	}
@@ -301,7 +302,7 @@
 	w.bad.failed(now, t.stage.job.ID)
 	t.avoid = w.ID
 	j := t.stage.job
-	c.dirty[j.ID] = j
+	c.changes.add(j)
 	if t.stage.spec.Lasting {
 		return
 	}
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"math/big"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,26 +45,25 @@
 	return len(b.Records) == 0 && len(b.acks) == 0
 }
 
-// Collect returns up to most records of what has changed. Ends are acknowledged only with
-// the batch that holds the last change: an end that its worker may forget must be stored.
+// Collect returns up to most records of what has changed, and the ends that may be acknowledged once these
+// are stored: an end that its worker may forget must be stored, with all that its job had come to by then.
 func (c *Core) Collect(most int) (*Batch, error) {
 	b := &Batch{states: map[string]State{}}
-	for _, id := range slices.Sorted(maps.Keys(c.dirty)) {
-		j := c.dirty[id]
-		if len(b.Records) == most {
-			return b, nil
+	for len(b.Records) < most {
+		j := c.changes.take()
+		if j == nil {
+			break
 		}
 		data, err := j.encode()
 		if err != nil {
 			return nil, err
 		}
-		b.Records = append(b.Records, Record{id, data, j.state.Final()})
-		b.states[id] = j.state
-		delete(c.dirty, id)
+		b.Records = append(b.Records, Record{j.ID, data, j.state.Final()})
+		b.states[j.ID] = j.state
 	}
 	for _, w := range c.ranks {
-		if w.heard > w.acked {
-			b.acks = append(b.acks, ack{w.Life, w.heard})
+		if seq := w.settled(); seq > w.acked {
+			b.acks = append(b.acks, ack{w.Life, seq})
 		}
 	}
 	return b, nil
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -69,7 +69,7 @@
 	w.Born = born
 	w.lapse = now
 	w.fresh = true
-	w.acked, w.heard = 0, 0
+	w.acked, w.heard, w.owed = 0, 0, nil
 	w.contact = ContactNone
 	w.stored = false
 	w.void = false
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -92,6 +92,7 @@
 	lapse   time.Time     // when every run there has ended unless the lease is renewed
 	acked   int64         // ends up to here are recorded and may be forgotten there
 	heard   int64         // ends up to here have been handled
+	owed    []owed        // of these, in their order, whose jobs have to be stored first
 
 	runs  map[runKey]*run
 	list  []*run    // the same, in the order in which they came
