batch: an end is logged and counted once

What engineers saw: thousands of lines a second on ends that had been told before, in which a takeover's lines were lost, and counts of lapsed runs that were many times too high.

Cause: each look repeats the ends that aren't acknowledged yet, and each was logged and counted anew. Change: the core says which ends are news. TestEndIsNewsOnce (new in this commit; before, Hear told nothing).

--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -121,10 +121,11 @@
 
 func (h *Holder) hear(sent time.Time, l sched.Look, rep sched.Report, out sched.Outcome) {
 	now := time.Now()
+	var news []sched.Finished
 	h.mu.Lock()
 	switch out {
 	case sched.OutcomeDone:
-		h.core.Hear(sent, now, l.ID, rep)
+		news = h.core.Hear(sent, now, l.ID, rep)
 	case sched.OutcomeGone:
 		h.core.Gone(now, l.ID, l.Born)
 	default:
@@ -135,7 +136,7 @@
 		h.fenced(l.ID)
 		return
 	}
-	h.logEnds(l.ID, rep, l.Acked)
+	h.logEnds(l.ID, news)
 	kick(h.plan)
 	if out != sched.OutcomeDone {
 		wait.For(h.ctx, missPause)
@@ -168,11 +169,10 @@
 	}
 }
 
-func (h *Holder) logEnds(worker string, rep sched.Report, acked int64) {
-	for _, f := range rep.Finished {
-		if f.Seq > acked {
-			h.ends("end", string(f.How))
-			h.log.Info("end", "task", f.Task, "run", f.Run, "how", f.How, "worker", worker, "seq", f.Seq)
-		}
+// logEnds tells of ends that are news. Until an end is acknowledged each look repeats it.
+func (h *Holder) logEnds(worker string, news []sched.Finished) {
+	for _, f := range news {
+		h.ends("end", string(f.How))
+		h.log.Info("end", "task", f.Task, "run", f.Run, "how", f.How, "worker", worker, "seq", f.Seq)
 	}
 }
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -471,6 +471,21 @@
 	}
 }
 
+// A worker tells an end with each look until it is acknowledged. It is news once: logged and counted each time, it
+// buries in the log what an engineer looks for, and takes the holder's time when it has least.
+func TestEndIsNewsOnce(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	b.core.Admit(b.now, one("j", nil))
+	end := finished(1, b.plan(sched.VerbStart)[0], sched.EndDone)
+	for _, want := range []int{1, 0, 0} {
+		b.after(time.Millisecond)
+		got := b.core.Hear(b.now, b.now, "w0", sched.Report{Born: 1, Clock: b.now.Sub(start()), Finished: []sched.Finished{end}})
+		if len(got) != want {
+			t.Errorf("news: %v, want %d", got, want)
+		}
+	}
+}
+
 // Jobs change faster than they can be stored. Those that came first in the order of their ids were
 // stored again and again, the others never, and a cancel was not acknowledged for as long as that lasted: its caller
 // gave up, and the next holder, which knew of no cancel, started the job.
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -110,11 +110,11 @@
 // lapseSlack is for a worker's noticing that its lease has run out.
 const lapseSlack = 100 * time.Millisecond
 
-// Hear takes a worker's answer to a look that was sent at sent.
-func (c *Core) Hear(sent, now time.Time, id string, rep Report) {
+// Hear takes a worker's answer to a look that was sent at sent and returns the ends that are news.
+func (c *Core) Hear(sent, now time.Time, id string, rep Report) []Finished {
 	w := c.workers[id]
 	if w == nil {
-		return
+		return nil
 	}
 	if rep.Born > w.Born && w.Born != 0 {
 		c.rebirth(now, w, rep.Born)
@@ -123,14 +123,16 @@
 		w.Born = rep.Born
 	}
 	if rep.Born != 0 && rep.Born < w.Born {
-		return
+		return nil
 	}
 	w.contact = ContactGood
 	w.clock = clock{rep.Clock, now}
+	var news []Finished
 	for _, f := range rep.Finished {
 		if f.Seq <= w.heard {
 			continue
 		}
+		news = append(news, f)
 		// What ended before a lapse was given up and placed anew; counting it now would
 		// count two runs of one task.
 		if !w.void {
@@ -144,6 +146,7 @@
 		c.inventory(sent, now, w, rep)
 	}
 	c.watch(now, w)
+	return news
 }
 
 // maxEnds is the most ends in a report. After a full one, a run that isn't shown may have
