front: a holder that falls short hands over to a stronger follower

Cause: at the very first start no number of workers is known, so that any host may become the holder; and a weak one that took over while the strong ones were away held on for good.

A holder that carries fewer workers than it has asks its followers every 2 s what they carry, whether the store fails them and which holder they know of. It gives its key up, once a tenure and once a minute, for one that carries 1.5 times as much. The others leave the vacant key to whoever carries the load.

The followers answer in the message Outlook, which has a field more, and not in Follow as first planned: Follow takes a bare string, which a struct couldn't replace for processes of another version, while gob fills a missing field with 0, which means not known. Only a holder that falls short asks, and what it hears is of that moment. A process that stops offers nothing.

--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -161,6 +161,13 @@
 	return nil
 }
 
+// Workers returns how many workers the holder looks at.
+func (h *Holder) Workers() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.core.Crew())
+}
+
 func kick(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -247,11 +247,13 @@
 	return l.holder.Name == "" && l.tenure == nil
 }
 
-// Rest keeps this process from claiming for a while.
+// Rest keeps this process from claiming for a while; a longer rest stays.
 func (l *Lead) Rest(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.resting = time.Now().Add(d)
+	if until := time.Now().Add(d); until.After(l.resting) {
+		l.resting = until
+	}
 }
 
 // patience returns how long a vacant key is left to processes that can carry more.
--- a/internal/proc/front/desk.go
+++ b/internal/proc/front/desk.go
@@ -200,15 +200,17 @@
 	return nil
 }
 
-// Outlook is what a process tells the holder when this doesn't reach the store.
+// Outlook is what a process tells the holder when this doesn't reach the store, or carries less
+// than its workers.
 type Outlook struct {
 	Failing bool  // the store doesn't answer here either
 	Term    int64 // of the newest holder known
+	Carries int   // how many workers this process would hold; 0: not known, or none
 }
 
 // Outlook tells how the store looks from here; the argument isn't used.
 func (p *Peer) Outlook(_ int, out *Outlook) error {
 	h, _ := p.d.lead.Holder()
-	*out = Outlook{p.d.lead.Failing(), h.Term}
+	*out = Outlook{p.d.lead.Failing(), h.Term, p.p.carries()}
 	return nil
 }
--- /dev/null
+++ b/internal/proc/front/hand.go
@@ -0,0 +1,93 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/ctrl/lead"
+)
+
+const (
+	// handAfter is how long a holder does its work before it may hand over: by then it has heard of
+	// the workers and renewed their leases, which outlast the change.
+	handAfter = 3 * time.Second
+	// handEvery is between two looks for a successor, each a call to every follower.
+	handEvery = 2 * time.Second
+	handLimit = time.Second
+	// handRest keeps a holder that has handed over from claiming: its successor claims at once.
+	handRest = 2 * time.Second
+	// handAgain is how long a process that has handed over, and holds again, keeps the key: the
+	// successor couldn't hold it, and going to and fro would cost more than being late.
+	handAgain = time.Minute
+	// handGain is how many times as much a successor has to carry to be worth the change.
+	handGain = 1.5
+	// closeLimit bounds giving up the key, which goes with its lease if that fails.
+	closeLimit = time.Second
+)
+
+// offer is how things look from a follower.
+type offer struct {
+	addr string
+	Outlook
+}
+
+// successor chooses the follower to hand over to: the one that carries most. There is none if the
+// holder of a term carries its workers, or if no follower carries clearly more and reaches the store.
+func successor(carries, workers int, term int64, offers []offer) (offer, bool) {
+	var best offer
+	if carries <= 0 || workers <= carries {
+		return best, false
+	}
+	for _, o := range offers {
+		if !o.Failing && o.Term <= term && o.Carries > best.Carries {
+			best = o
+		}
+	}
+	return best, float64(best.Carries) >= handGain*float64(carries)
+}
+
+// hand gives the key up once when this holder carries fewer workers than there are and a follower
+// carries clearly more.
+//
+// The failure it guards against: when all hosts start for the first time, or when the strong ones
+// were away, a weak host becomes the holder and stays so for good; under it orders time out and
+// workers' leases lapse. Given up, the key goes to a host that carries the workers, as the others leave
+// it a vacant one (see lead.Options).
+func (h *Host) hand(t *lead.Tenure) {
+	carries := carries(h.set.Limit)
+	first := handAfter
+	if at := h.handed.Load(); at != nil {
+		first = max(first, handAgain-time.Since(*at))
+	}
+	if carries <= 0 || !wait.For(t.Context(), first) {
+		return
+	}
+	for ; t.Context().Err() == nil; wait.For(t.Context(), handEvery) {
+		d := h.desk.own()
+		if d == nil || time.Since(t.Sure()) > aidAfter || d.Workers() <= carries {
+			continue
+		}
+		workers := d.Workers()
+		to, ok := successor(carries, workers, t.Term(), h.peer.ask(t.Context(), h.peer.known(time.Now()), handLimit))
+		if !ok {
+			continue
+		}
+		h.log.Info("hands over", "term", t.Term(), "carries", carries, "workers", workers, "to", to.addr, "offers", to.Carries)
+		now := time.Now()
+		h.handed.Store(&now)
+		h.lead.Rest(handRest)
+		ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
+		h.resign(ctx, t)
+		cancel()
+		return
+	}
+}
+
+// resign gives the key up, so that another process takes over at once.
+func (h *Host) resign(ctx context.Context, t *lead.Tenure) {
+	h.desk.setOwn(nil)
+	if err := t.Resign(ctx); err != nil {
+		h.log.Info("not resigned", "cause", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/proc/front/hand_test.go
@@ -0,0 +1,36 @@
+package front
+
+import "testing"
+
+// A weak holder with too many workers hands over, but only for a gain: to a follower that would
+// lose the key at once, or is as weak, a change costs more than it brings.
+func TestSuccessor(t *testing.T) {
+	const term = 3
+	at := func(addr string, carries int) offer { return offer{addr, Outlook{Carries: carries, Term: term}} }
+	failing, newer := at("failing", 700), at("newer", 700)
+	failing.Failing = true
+	newer.Term = term + 1
+	for _, tt := range []struct {
+		name             string
+		carries, workers int
+		offers           []offer
+		want             string // "": nobody
+	}{
+		{"strong one follows", 91, 350, []offer{at("weak", 91), at("strong", 666)}, "strong"},
+		{"the strongest", 91, 350, []offer{at("a", 300), at("b", 666), at("c", 400)}, "b"},
+		{"enough for the workers", 91, 91, []offer{at("strong", 666)}, ""},
+		{"own limits not known", 0, 350, []offer{at("strong", 666)}, ""},
+		{"no followers", 91, 350, nil, ""},
+		{"all alike", 91, 350, []offer{at("a", 91), at("b", 91)}, ""},
+		{"hardly stronger", 91, 350, []offer{at("a", 136)}, ""},
+		{"clearly stronger, too weak as well", 91, 350, []offer{at("a", 137)}, "a"},
+		{"limits there not known, or it stops", 91, 350, []offer{at("a", 0)}, ""},
+		{"the store fails it", 91, 350, []offer{failing, at("b", 200)}, "b"},
+		{"it knows of a newer holder", 91, 350, []offer{newer}, ""},
+	} {
+		got, ok := successor(tt.carries, tt.workers, term, tt.offers)
+		if ok != (tt.want != "") || ok && got.addr != tt.want {
+			t.Errorf("%s: %q, %v, want %q", tt.name, got.addr, ok, tt.want)
+		}
+	}
+}
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -49,6 +49,7 @@
 	lostOnce sync.Once
 	stopping atomic.Bool
 	tenure   atomic.Pointer[lead.Tenure]
+	handed   atomic.Pointer[time.Time] // when this process last handed over; nil: never
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 }
@@ -99,7 +100,7 @@
 		Carries: carries(set.Limit),
 	})
 	h.desk.lead = h.lead
-	h.peer = &peers{lead: h.lead, links: &h.desk.links}
+	h.peer = &peers{lead: h.lead, links: &h.desk.links, carries: h.carries}
 	var err error
 	if h.peers, err = link.NewServer("Peer", &Peer{h.desk, h.peer}); err != nil {
 		return nil, err
@@ -147,6 +148,14 @@
 	return !h.stopping.Load() && (h.desk.own() != nil || h.peer.reaches())
 }
 
+// carries returns how many workers this process would hold: none once it stops.
+func (h *Host) carries() int {
+	if h.stopping.Load() {
+		return 0
+	}
+	return carries(h.set.Limit)
+}
+
 func (h *Host) alive(ctx context.Context, holder lead.Holder) bool {
 	ctx, cancel := context.WithTimeout(ctx, aliveLimit)
 	defer cancel()
@@ -160,6 +169,7 @@
 	defer h.tenure.CompareAndSwap(t, nil)
 	defer h.desk.setOwn(nil)
 	h.wg.Go(func() { h.peer.aid(t) })
+	h.wg.Go(func() { h.hand(t) })
 	lease := min(workerLease, conf.Milliseconds(h.set.Bound.Hold)*9/10)
 	err := drive.Run(drive.Options{
 		Store: h.out.Store, Crew: h.out.Crew, Codec: h.out.Codec, Tenure: t, Log: h.log,
@@ -192,10 +202,7 @@
 	h.stopping.Store(true)
 	h.lead.Rest(conf.Seconds(h.set.Bound.Grace))
 	if t := h.tenure.Load(); t != nil {
-		h.desk.setOwn(nil)
-		if err := t.Resign(ctx); err != nil {
-			h.log.Info("not resigned", "cause", err.Error())
-		}
+		h.resign(ctx, t)
 	}
 	wait.For(ctx, linger)
 	var first error
--- a/internal/proc/front/peers.go
+++ b/internal/proc/front/peers.go
@@ -37,6 +37,8 @@
 type peers struct {
 	lead  *lead.Lead
 	links *link.Set
+	// carries tells how many workers this process would hold; 0: not known, or none.
+	carries func() int
 
 	mu      sync.Mutex
 	seen    map[string]time.Time
@@ -126,20 +128,35 @@
 // agree reports whether more than half of the followers answer that the store fails them too
 // and that they know of no newer holder. One that does ends it.
 func (p *peers) agree(ctx context.Context, term int64, addrs []string) bool {
-	ctx, cancel := context.WithTimeout(ctx, aidLimit)
+	yes := 0
+	for _, o := range p.ask(ctx, addrs, aidLimit) {
+		if o.Failing && o.Term <= term {
+			yes++
+		}
+	}
+	return 2*yes > len(addrs)
+}
+
+// ask asks followers how things look from there; one that doesn't answer in time is left out.
+func (p *peers) ask(ctx context.Context, addrs []string, limit time.Duration) []offer {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	answers := make(chan bool, len(addrs))
+	answers := make(chan *offer, len(addrs))
 	for _, addr := range addrs {
 		go func() {
 			out, err := link.Call[int, Outlook](ctx, p.links.To(addr), "Peer.Outlook", 0)
-			answers <- err == nil && out.Failing && out.Term <= term
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &offer{addr, out}
 		}()
 	}
-	yes := 0
+	var all []offer
 	for range addrs {
-		if <-answers {
-			yes++
+		if o := <-answers; o != nil {
+			all = append(all, *o)
 		}
 	}
-	return 2*yes > len(addrs)
+	return all
 }
