--- a/internal/proc/front/peers.go
+++ b/internal/proc/front/peers.go
@@ -42,6 +42,8 @@
 type peers struct {
 	lead  *lead.Lead
 	links *link.Set
+	// carries tells how many workers this process would hold; 0: not known, or none.
+	carries func() int
 
 	mu      sync.Mutex
 	seen    map[string]time.Time
@@ -125,7 +127,7 @@
 			continue
 		}
 		addrs := p.known(t.Sure())
-		if backed(t.Term(), p.ask(t.Context(), addrs), len(addrs)) {
+		if backed(t.Term(), p.ask(t.Context(), addrs, aidLimit), len(addrs)) {
 			p.mu.Lock()
 			p.aided = now
 			p.mu.Unlock()
@@ -133,36 +135,12 @@
 	}
 }
 
-// ask returns the answers of those peers that give one.
-func (p *peers) ask(ctx context.Context, addrs []string) []Outlook {
-	ctx, cancel := context.WithTimeout(ctx, aidLimit)
-	defer cancel()
-	type answer struct {
-		Outlook
-		err error
-	}
-	answers := make(chan answer, len(addrs))
-	for _, addr := range addrs {
-		go func() {
-			out, err := link.Call[int, Outlook](ctx, p.links.To(addr), "Peer.Outlook", 0)
-			answers <- answer{out, err}
-		}()
-	}
-	var all []Outlook
-	for range addrs {
-		if a := <-answers; a.err == nil {
-			all = append(all, a.Outlook)
-		}
-	}
-	return all
-}
-
 // backed reports whether a holder's peers back it, by the answers of some of all: more than half say
 // that the store fails them too, and nobody that it doesn't or that there is a newer holder.
 //
 // One peer that the store serves may have become the holder, or be about to; a majority that is
 // turned away with the present one doesn't know.
-func backed(term int64, answers []Outlook, all int) bool {
+func backed(term int64, answers []offer, all int) bool {
 	for _, a := range answers {
 		if !a.Failing || a.Term > term {
 			return false
@@ -170,3 +148,27 @@
 	}
 	return 2*len(answers) > all
 }
+
+// ask asks followers how things look from there; one that doesn't answer in time is left out.
+func (p *peers) ask(ctx context.Context, addrs []string, limit time.Duration) []offer {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	answers := make(chan *offer, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			out, err := link.Call[int, Outlook](ctx, p.links.To(addr), "Peer.Outlook", 0)
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &offer{addr, out}
+		}()
+	}
+	var all []offer
+	for range addrs {
+		if o := <-answers; o != nil {
+			all = append(all, *o)
+		}
+	}
+	return all
+}
