--- a/internal/proc/front/peers_test.go
+++ b/internal/proc/front/peers_test.go
@@ -9,18 +9,20 @@
 // peers away and serves one, which becomes the holder; the former one is backed by the rest, who
 // know no better, and goes on. One word against it has to end that.
 func TestBacked(t *testing.T) {
-	away, serves, newer := Outlook{true, 3}, Outlook{false, 3}, Outlook{true, 4}
+	away := offer{Outlook: Outlook{Failing: true, Term: 3}}
+	serves := offer{Outlook: Outlook{Term: 3}}
+	newer := offer{Outlook: Outlook{Failing: true, Term: 4}}
 	for _, tt := range []struct {
 		name    string
-		answers []Outlook
+		answers []offer
 		all     int
 		want    bool
 	}{
-		{"away for all", []Outlook{away, away, away}, 3, true},
-		{"away, one is silent", []Outlook{away, away}, 3, true},
-		{"away, half are silent", []Outlook{away, away}, 4, false},
-		{"one is served", []Outlook{away, away, away, serves}, 4, false},
-		{"one knows a newer holder", []Outlook{away, away, newer}, 3, false},
+		{"away for all", []offer{away, away, away}, 3, true},
+		{"away, one is silent", []offer{away, away}, 3, true},
+		{"away, half are silent", []offer{away, away}, 4, false},
+		{"one is served", []offer{away, away, away, serves}, 4, false},
+		{"one knows a newer holder", []offer{away, away, newer}, 3, false},
 		{"nobody follows", nil, 0, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
