batch/sched: a full report tells of its runs, and isn't taken for all there is to tell

What callers would see: a task runs twice.

Cause: a report holds at most 500 ends. After a full one the runs that it shows weren't entered, as one that it doesn't show may have ended; yet the worker counted as reached, so that a new holder started on another worker what ran there, or what had ended there with the end still to come.

Change: runs that are shown are entered; runs that aren't are given up, and the worker stops being waited for after a change of holder, with a report that isn't full.

TestFullReportShowsRuns, TestFullReportHoldsBack: started before, not after.

--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -381,6 +381,47 @@
 	b.state("old", sched.StateCompleted)
 }
 
+// A holder takes over and looks at a worker that runs a task and has as many ends to tell as a report takes. Its
+// running tasks were passed over, and as it had been reached, the task was started on another worker too.
+func TestFullReportShowsRuns(t *testing.T) {
+	b := newBench(t, 2, 2)
+	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.Inherit(b.now, members(2))
+	b.look("w0", sched.Report{})
+	rep := sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}}
+	for i := range int64(500) {
+		rep.Finished = append(rep.Finished, sched.Finished{Seq: i + 1, Task: "gone.0.0.0", Run: 1, How: sched.EndFailed})
+	}
+	b.look("w1", rep)
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v, though the task runs", got)
+	}
+}
+
+// The same, but the task has ended there: its end comes with a later report. Started meanwhile, it would run again
+// after its success.
+func TestFullReportHoldsBack(t *testing.T) {
+	b := newBench(t, 2, 2)
+	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.Inherit(b.now, members(2))
+	b.look("w0", sched.Report{})
+	rep := sched.Report{}
+	for i := range int64(500) {
+		rep.Finished = append(rep.Finished, sched.Finished{Seq: i + 1, Task: "gone.0.0.0", Run: 1, How: sched.EndFailed})
+	}
+	b.look("w1", rep)
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v with ends still to come", got)
+	}
+	b.look("w1", sched.Report{Finished: []sched.Finished{{Seq: 501, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndDone}}})
+	b.store()
+	b.state("old", sched.StateCompleted)
+}
+
 // A feed's run fails on a worker that the new holder reaches, while another worker is out of reach
 // since before the change of holder. The holder has seen the run, so nothing else can run this
 // task: it is started again at once. It used to wait with all that was taken over.
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -142,8 +142,10 @@
 		w.heard = f.Seq
 	}
 	w.void, w.fresh = false, false
+	shown := c.inventory(now, w, rep)
 	if len(rep.Finished) < maxEnds {
-		c.inventory(sent, now, w, rep)
+		w.told = true
+		c.missing(sent, w, shown)
 	}
 	c.watch(now, w)
 	return news
@@ -153,8 +155,8 @@
 // ended with its end still to come; taking it for gone would run it twice.
 const maxEnds = 500
 
-// inventory compares what a worker runs with the ledger.
-func (c *Core) inventory(sent, now time.Time, w *worker, rep Report) {
+// inventory enters what a worker runs into the ledger and returns that.
+func (c *Core) inventory(now time.Time, w *worker, rep Report) map[runKey]bool {
 	shown := make(map[runKey]bool, len(rep.Running))
 	for _, row := range rep.Running {
 		id, err := ParseTask(row.Task)
@@ -173,6 +175,11 @@
 			c.keepSave(r.task, row.Save)
 		}
 	}
+	return shown
+}
+
+// missing gives up the runs that a report doesn't show and would if they were there.
+func (c *Core) missing(sent time.Time, w *worker, shown map[runKey]bool) {
 	for _, r := range w.all() {
 		// A look that was sent before the start was answered may have overtaken it.
 		if shown[r.runKey] || !r.sure.Before(sent) {
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -47,14 +47,14 @@
 }
 
 // inDoubt reports whether a former holder's orders may still live on workers that haven't
-// been reached: until then a task taken over may run there. Workers that the record didn't name
-// have got none: each is named there before the first start on it.
+// been reached: until then a task taken over may run there, or have ended there. Workers that the record
+// didn't name have got none: each is named there before the first start on it.
 func (c *Core) inDoubt(now time.Time) bool {
 	if !now.Before(c.clear()) {
 		return false
 	}
 	for _, w := range c.ranks {
-		if w.heir && w.contact == ContactNone {
+		if w.heir && !w.told {
 			return true
 		}
 	}
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -68,7 +68,7 @@
 	}
 	w.Born = born
 	w.lapse = now
-	w.fresh = true
+	w.fresh, w.told = true, false
 	w.acked, w.heard, w.owed = 0, 0, nil
 	w.contact = ContactNone
 	w.stored = false
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -82,6 +82,7 @@
 	Member
 	listed  bool      // in the directory
 	void    bool      // its runs were given up after a lapse and it hasn't been heard since
+	told    bool      // this life has told this holder all that it runs and all ends
 	fresh   bool      // it has started anew and hasn't been heard since
 	out     bool      // its failure domain is taken out
 	leaves  time.Time // when it may leave; zero: it doesn't drain
