batch/sched: a holder that was suspended doesn't take the store's last word for fresh

What callers would see: a task runs twice.

Cause: the age of a confirmation was told by the steady clock, which stands still while a machine is suspended; a holder that wakes went on granting leases as of before, on workers that its successor may not reach. Change: the age is the larger one of what the steady clock and the time of day say.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -144,7 +144,17 @@
 
 // age returns how long ago this process was last confirmed as the holder.
 func (c *Core) age(now time.Time) time.Duration {
-	return now.Sub(later(c.sure, c.aided))
+	return min(since(now, c.sure), since(now, c.aided))
+}
+
+// since returns how long ago a moment was, by the steady clock or the time of day, whichever says more.
+//
+// The failure it guards against: a machine is suspended, and its steady clock stands still. The holder
+// on it wakes and takes the store's last word for fresh, though a successor was chosen meanwhile; by a
+// lease that it grants on a worker which the successor doesn't reach, a task would run there beside
+// its next run. A time of day that is set forward makes the word look old only until the next one.
+func since(now, at time.Time) time.Duration {
+	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
 }
 
 // Configure takes a configuration; an older one than the present changes nothing.
