ctrl/lead: renewals don't wait for each other

What callers would see: a store that takes over 0.4 s for an answer stops all work and ends what runs.

Change: a renewal is sent at each tick, whatever became of the ones before, five at most under way; each has a call's whole time.

--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -44,8 +44,6 @@
 	outageOver = time.Second
 	// renewals is how many renewals are sent within a lease's time.
 	renewals = 5
-	// renewalTries is how many renewals may go without an answer one after the other within it.
-	renewalTries = 3
 )
 
 // Holder is the process that holds, as the store names it.
--- a/internal/ctrl/lead/tenure.go
+++ b/internal/ctrl/lead/tenure.go
@@ -93,10 +93,7 @@
 // Resign ends the tenure and gives up the holder's key, so that another takes over at once.
 func (t *Tenure) Resign(ctx context.Context) error {
 	t.end()
-	t.mu.Lock()
-	lease := t.lease
-	t.mu.Unlock()
-	return t.lead.opt.Store.Close(ctx, lease)
+	return t.lead.opt.Store.Close(ctx, t.present())
 }
 
 // MaxWrites is how many writes one Commit takes.
@@ -165,49 +162,69 @@
 	return 0, store.ErrConflict
 }
 
-// keep renews the lease until the tenure is over.
+// keep renews the lease until the tenure is over. It doesn't wait for one renewal's answer with the next:
+// a connection to the store may go silent, and a store that is slow may take nearly the lease for each.
 func (t *Tenure) keep() {
 	tick := time.NewTicker(t.lead.opt.Lease / renewals)
 	defer tick.Stop()
+	lapsed := make(chan struct{}, 1)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	under := make(chan struct{}, renewals)
 	for {
 		select {
 		case <-t.ctx.Done():
 			return
 		case <-t.gone:
 			t.restore()
-			continue
-		case <-tick.C:
-		}
-		t.mu.Lock()
-		lease := t.lease
-		t.mu.Unlock()
-		sent := time.Now()
-		err := t.renew(lease)
-		t.lead.note(err)
-		switch {
-		case err == nil:
-			t.confirm(sent)
-		case errors.Is(err, store.ErrLapsed):
+		case <-lapsed:
 			t.lead.opt.Log.Info("lease lapsed", "term", t.claim.Term)
 			t.restore()
+		case <-tick.C:
+			select {
+			case under <- struct{}{}:
+			default:
+				continue // enough of them wait for an answer
+			}
+			wg.Go(func() {
+				defer func() { <-under }()
+				if t.renew() {
+					kick(lapsed)
+				}
+			})
 		}
 	}
 }
 
-// renew renews a lease, for less than half of its time: a connection to the store may go silent,
-// and on the next one there must be time left.
-func (t *Tenure) renew(lease string) error {
-	ctx, cancel := context.WithTimeout(t.ctx, t.lead.opt.Lease/renewalTries)
-	defer cancel()
-	return t.lead.opt.Store.Renew(ctx, lease)
+func kick(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// renew renews the present lease once and reports whether that has lapsed.
+func (t *Tenure) renew() bool {
+	lease := t.present()
+	sent := time.Now()
+	err := t.lead.opt.Store.Renew(t.ctx, lease)
+	t.lead.note(err)
+	if err == nil {
+		t.confirm(sent)
+	}
+	return errors.Is(err, store.ErrLapsed) && lease == t.present()
+}
+
+// present returns the lease that the holder's key is bound to.
+func (t *Tenure) present() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lease
 }
 
 // vanished tells that the holder's key is gone.
 func (t *Tenure) vanished() {
-	select {
-	case t.gone <- struct{}{}:
-	default:
-	}
+	kick(t.gone)
 }
 
 // restore writes the holder's key anew after its lease has lapsed, as it may while the store
--- a/internal/ctrl/lead/tenure_test.go
+++ b/internal/ctrl/lead/tenure_test.go
@@ -35,6 +35,41 @@
 	return s.Multi.Renew(ctx, lease)
 }
 
+// The store answers each call within half a lease, which is slow and no more: the holder keeps its key, and its last
+// confirmation is never older than a call and the pause between two.
+func TestSlowRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := &multi.Service{}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var wg sync.WaitGroup
+		held := make(chan *lead.Tenure, 10)
+		l := lead.New(lead.Options{Store: service.Client(nil), Name: "a", Addr: "a", Lease: 1200 * time.Millisecond, Log: logr.Discard()})
+		wg.Go(func() {
+			l.Run(ctx, func(t *lead.Tenure) {
+				held <- t
+				<-t.Context().Done()
+			})
+		})
+		tenure := <-held
+		time.Sleep(time.Second)
+		const delay = 600 * time.Millisecond
+		service.SetDelay(delay)
+		time.Sleep(2 * time.Second)
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			if age := time.Since(tenure.Sure()); age > delay+300*time.Millisecond {
+				t.Fatalf("last confirmed %v ago", age)
+			}
+		}
+		if len(held) > 0 {
+			t.Error("the holder lost its key")
+		}
+		cancel()
+		wg.Wait()
+	})
+}
+
 // A holder's connection to the store goes silent, without a reset. Its renewal hung for as long as a call may
 // take, which is nearly the whole lease: it lost its key, and all workers were taken over by
 // another host for nothing. The next renewal, on a new connection, comes in time.
