batch/sched: a run counts as a task's only one when no former holder acts any more

What callers would see: a task runs twice.

Cause: a task whose run the new holder had seen was started again as soon as that run ended. For up to 3 s after the store's last word a former holder still acts; it may have seen the same end and started the task where the new one can't look. Change: a sighting counts from 3 s after taking over. Found by a review, with a schedule of two cores.

TestSeenRunWhileTwoAct: both start the task before, one after. TestDoubtEndsForSeenRun asserted the unsafe case; it now has the run seen after these 3 s, and the tests' holder acts as long as the product's.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -99,7 +99,7 @@
 	done  bool
 	run   *run
 	n     int64 // runs ordered in this term
-	seen  bool  // a run of it was seen alive in this term: no former holder's can be elsewhere
+	seen  bool  // its only run was seen alive in this term: no former holder's can be elsewhere
 	avoid string
 }
 
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -19,6 +19,8 @@
 
 const (
 	lease = 5 * time.Second
+	// unsure is how long a holder acts without a confirmation.
+	unsure = 3 * time.Second
 	// doubt is how long after a change of holder all that the former one has granted has ended: a lease by
 	// a clock that is 2 % slow, and what a worker takes to notice.
 	doubt = lease*100/98 + 100*time.Millisecond
@@ -30,7 +32,7 @@
 func newBench(t *testing.T, term int64, n int) *bench {
 	t.Helper()
 	b := &bench{t: t, now: start()}
-	b.core = sched.New(sched.Options{Lease: lease, Sure: time.Hour, Term: term}, b.now)
+	b.core = sched.New(sched.Options{Lease: lease, Sure: unsure, Term: term}, b.now)
 	b.core.Roster(b.now, members(n))
 	return b
 }
@@ -431,6 +433,7 @@
 		t.Fatal(err)
 	}
 	b.core.Inherit(b.now, members(2))
+	b.after(unsure)
 	b.look("w0", sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}})
 	b.look("w0", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndFailed}}})
 	if got := b.plan(sched.VerbStart); len(got) != 1 {
@@ -438,11 +441,43 @@
 	}
 }
 
+// The store is lost to a holder, and another takes over; for some seconds the former one still acts. Both see a feed run
+// on a worker, which starts anew, and each starts the feed on a worker that the other doesn't
+// reach: it runs twice. What a new holder sees is the whole truth only once the former one has ceased to act.
+func TestSeenRunWhileTwoAct(t *testing.T) {
+	const task, run = "old.0.0.0", 1_000_001
+	take := func(term int64, at time.Time) *bench {
+		b := &bench{t: t, now: at}
+		b.core = sched.New(sched.Options{Lease: lease, Sure: unsure, Term: term}, at)
+		b.core.Confirm(at)
+		if err := b.core.Restore(at, "old", one("old", func(j *sched.Job) { j.Steps[0].Lasting = true }), nil); err != nil {
+			t.Fatal(err)
+		}
+		b.core.Inherit(at, members(3))
+		b.core.Roster(at, members(3))
+		return b
+	}
+	former, next := take(1, start()), take(2, start().Add(1300*time.Millisecond))
+	former.look("w1", sched.Report{})
+	next.look("w2", sched.Report{})
+	for _, b := range []*bench{former, next} {
+		b.look("w0", sched.Report{Running: []sched.Running{{Task: task, Run: run}}})
+	}
+	started := 0
+	for _, b := range []*bench{former, next} {
+		b.look("w0", sched.Report{Born: 2})
+		started += len(b.plan(sched.VerbStart))
+	}
+	if started > 1 {
+		t.Errorf("%d holders start the task", started)
+	}
+}
+
 // A worker has entered the directory and can't be reached yet as the holder changes. No former
 // holder can have given it anything, as its record doesn't name it: nothing waits for it.
 func TestNewWorkerHoldsNothingBack(t *testing.T) {
 	b := &bench{t: t, now: start()}
-	b.core = sched.New(sched.Options{Lease: lease, Sure: time.Hour, Term: 2}, b.now)
+	b.core = sched.New(sched.Options{Lease: lease, Sure: unsure, Term: 2}, b.now)
 	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -142,7 +142,7 @@
 		w.heard = f.Seq
 	}
 	w.void, w.fresh = false, false
-	shown := c.inventory(now, w, rep)
+	shown := c.inventory(sent, now, w, rep)
 	if len(rep.Finished) < maxEnds {
 		w.told = true
 		c.missing(sent, w, shown)
@@ -156,7 +156,11 @@
 const maxEnds = 500
 
 // inventory enters what a worker runs into the ledger and returns that.
-func (c *Core) inventory(now time.Time, w *worker, rep Report) map[runKey]bool {
+//
+// A run that is shown is its task's only one from when a former holder has ceased to act: before, each of two
+// holders may see it end and start the task on a worker that the other doesn't reach.
+func (c *Core) inventory(sent, now time.Time, w *worker, rep Report) map[runKey]bool {
+	sole := !sent.Before(c.began.Add(c.opt.Sure))
 	shown := make(map[runKey]bool, len(rep.Running))
 	for _, row := range rep.Running {
 		id, err := ParseTask(row.Task)
@@ -171,6 +175,9 @@
 		}
 		r.see(now, row)
 		r.shown = r.shown || r.born == w.Born
+		if sole && r.task != nil && r.task.run == r {
+			r.task.seen = true
+		}
 		if r.task != nil && row.Save != "" && r.task.run == r {
 			c.keepSave(r.task, row.Save)
 		}
@@ -216,7 +223,6 @@
 	}
 	r.task = t
 	t.run = r
-	t.seen = true
 	t.stage.waiting--
 	t.stage.job.begun = true
 	w.add(r)
