batch/sched: a stop that a former life took is given to the new one

What callers would see: a task runs twice.

Cause: a start without an answer was settled by a stop, and then the worker started anew. Found by a review.

Change: such a run goes back to be stopped; until the new life has taken the stop, or orders can't come any more, it stays.

TestStopByFormerLife: both cases placed again too early before, not after.

--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -299,6 +299,58 @@
 	}
 }
 
+// A start isn't answered, and the stop that follows is, by the worker's first life; then it starts anew. The
+// start may still come, to a life that knows of no stop: the task isn't started elsewhere before that is
+// impossible, or the new life has taken the stop too.
+func TestStopByFormerLife(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		again bool // the new life takes the stop
+	}{{"new life out of reach", false}, {"new life takes the stop", true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t, 1, 2).open()
+			b.core.Admit(b.now, one("j", nil))
+			o := b.core.Plan(b.now)[0]
+			b.core.Answer(b.now, o, sched.OutcomeUnknown)
+			ordered := b.now
+			other := map[string]string{"w0": "w1", "w1": "w0"}[o.Life.ID]
+			b.after(400 * time.Millisecond)
+			if got := b.plan(sched.VerbStop); len(got) != 1 {
+				t.Fatalf("stops: %v", got)
+			}
+			all := members(2)
+			for i := range all {
+				if all[i].ID == o.Life.ID {
+					all[i].Born = 2
+				}
+			}
+			b.core.Roster(b.now, all)
+			if tt.again {
+				b.look(o.Life.ID, sched.Report{Born: 2})
+				if got := b.plan(sched.VerbStart); len(got) != 0 {
+					t.Fatalf("started %v before the new life has taken the stop", got)
+				}
+				b.after(400 * time.Millisecond)
+				if got := b.plan(sched.VerbStop); len(got) != 1 || got[0].Life.Born != 2 {
+					t.Fatalf("stops for the new life: %v", got)
+				}
+				b.look(o.Life.ID, sched.Report{Born: 2})
+				if got := b.plan(sched.VerbStart); len(got) != 1 {
+					t.Errorf("started %v after the stop, want the task", got)
+				}
+				return
+			}
+			for b.now.Sub(ordered) < 12*time.Second+lease {
+				b.look(other, sched.Report{})
+				if got := b.plan(sched.VerbStart); len(got) != 0 {
+					t.Fatalf("placed again %s after the order", b.now.Sub(ordered))
+				}
+				b.after(100 * time.Millisecond)
+			}
+		})
+	}
+}
+
 // A worker starts anew under its id, and its feeds stand still for 20 s: once because the new life can't be reached,
 // once because it is lost soon after it was given feeds of its own. What an unanswered order may
 // still bring to life there was waited for, though every order had been answered.
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -62,8 +62,11 @@
 // before it is heard of: its ends would be passed over as of before a lapse, and be acknowledged uncounted.
 func (c *Core) rebirth(now time.Time, w *worker, born int64) {
 	for _, r := range w.all() {
-		if r.shown {
+		switch {
+		case r.shown:
 			c.free(r)
+		case r.state == RunStopped:
+			r.state = RunStopping // the new life knows of no stop
 		}
 	}
 	w.Born = born
