batch/sched: a start never grants a lease

What callers saw: lasting tasks of a worker that lost power stood still for longer than 7 s, where the store confirmed the holder half a second late.

Cause: a start carried the lease that the looks had granted only while half of one was left, and granted its own otherwise; by a confirmation 0.24 s old that was so before the look at a lost worker had failed. Found by a review. Change: a worker gets starts only while a second of its lease is left, and they carry that.

TestStartsDontProlongLapse, at a confirmation's age of 0, 0.24, 0.5, 1 s: the latter three late before, none after. Tests of the core now send the next look after an answer, as the product does, and look at the worker that work goes to.

--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -63,7 +63,7 @@
 	b.core.Confirm(b.now)
 }
 
-// look has a worker answer a look at once.
+// look has a worker answer a look at once, and the next one sent.
 func (b *bench) look(id string, rep sched.Report) {
 	b.t.Helper()
 	b.core.Look(b.now, id)
@@ -74,6 +74,7 @@
 	sent := b.now
 	b.after(time.Millisecond)
 	b.core.Hear(sent, b.now, id, rep)
+	b.core.Look(b.now, id)
 }
 
 // plan returns the orders of a kind, each taken by its worker.
@@ -122,6 +123,11 @@
 	}
 }
 
+// other returns, of two workers, the one that an order isn't for.
+func other(o sched.Order) string {
+	return map[string]string{"w0": "w1", "w1": "w0"}[o.Life.ID]
+}
+
 func finished(seq int64, o sched.Order, how sched.End) sched.Finished {
 	return sched.Finished{Seq: seq, Task: o.Task.String(), Run: o.Run, How: how}
 }
@@ -257,7 +263,7 @@
 	b.look("w1", sched.Report{})
 	o := b.plan(sched.VerbStart)[0]
 	granted := b.now
-	other := map[string]string{"w0": "w1", "w1": "w0"}[o.Life.ID]
+	other := other(o)
 	b.core.Missed(b.now, o.Life.ID, 1)
 	b.look(other, sched.Report{})
 	for b.now.Sub(granted) < lease*100/98 {
@@ -279,23 +285,33 @@
 
 // A worker loses power. Until a look at it fails, it still gets starts, each with a new lease: its feeds
 // waited until the last of these leases must have run out, and stood still for longer than operators
-// allow. What has been granted when a worker is last heard of bounds the wait.
+// allow. What the looks have granted bounds the wait, also when the store confirms the holder late.
 func TestStartsDontProlongLapse(t *testing.T) {
-	b := newBench(t, 1, 2).open()
-	b.core.Admit(b.now, one("feed", func(j *sched.Job) { j.Steps[0].Lasting = true }))
-	o := b.plan(sched.VerbStart)[0]
-	b.look(o.Life.ID, sched.Report{Running: []sched.Running{running(o)}})
-	b.core.Look(b.now, o.Life.ID)
-	lost := b.now
-	b.after(1400 * time.Millisecond)
-	b.core.Admit(b.now, one("book", func(j *sched.Job) { j.Steps[0].Label = o.Life.ID }))
-	for _, s := range b.core.Plan(b.now) {
-		b.core.Answer(b.now, s, sched.OutcomeUnknown)
-	}
-	b.core.Missed(b.now, o.Life.ID, 1)
-	b.after(doubt + 100*time.Millisecond - b.now.Sub(lost))
-	if got := b.plan(sched.VerbStart); len(got) != 1 || got[0].Task.Job != "feed" {
-		t.Errorf("started %v once the lease of before the loss had run out, want the feed", got)
+	for _, age := range []time.Duration{0, 240 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+		t.Run(age.String(), func(t *testing.T) {
+			b := newBench(t, 1, 2).open()
+			b.core.Admit(b.now, one("feed", func(j *sched.Job) { j.Steps[0].Lasting = true }))
+			o := b.plan(sched.VerbStart)[0]
+			b.look(o.Life.ID, sched.Report{Running: []sched.Running{running(o)}})
+			b.now = b.now.Add(age)
+			b.core.Look(b.now, o.Life.ID)
+			lost := b.now
+			b.after(2050 * time.Millisecond)
+			b.now = b.now.Add(age)
+			b.core.Admit(b.now, one("book", func(j *sched.Job) { j.Steps[0].Label = o.Life.ID }))
+			for _, s := range b.core.Plan(b.now) {
+				b.core.Answer(b.now, s, sched.OutcomeUnknown)
+			}
+			b.core.Missed(b.now, o.Life.ID, 1)
+			b.after(doubt + 100*time.Millisecond - b.now.Sub(lost))
+			b.look(other(o), sched.Report{})
+			for _, got := range b.plan(sched.VerbStart) {
+				if got.Task.Job == "feed" {
+					return
+				}
+			}
+			t.Error("the feed isn't started once the lease of before the loss has run out")
+		})
 	}
 }
 
@@ -313,7 +329,7 @@
 			o := b.core.Plan(b.now)[0]
 			b.core.Answer(b.now, o, sched.OutcomeUnknown)
 			ordered := b.now
-			other := map[string]string{"w0": "w1", "w1": "w0"}[o.Life.ID]
+			other := other(o)
 			b.after(400 * time.Millisecond)
 			if got := b.plan(sched.VerbStop); len(got) != 1 {
 				t.Fatalf("stops: %v", got)
@@ -384,6 +400,7 @@
 			}
 			b.core.Roster(b.now, all)
 			tt.lose(b, o.Life.ID)
+			b.look(other(o), sched.Report{})
 			for _, got := range b.plan(sched.VerbStart) {
 				if got.Task.Job == "feed" {
 					return
@@ -403,6 +420,7 @@
 	o := b.plan(sched.VerbStart)[0]
 	b.core.Missed(b.now, o.Life.ID, 1)
 	b.after(doubt - 500*time.Millisecond)
+	b.look(other(o), sched.Report{})
 	b.now = b.now.Add(time.Second)
 	if got := b.core.Plan(b.now); len(got) != 0 {
 		t.Errorf("ordered %v by a confirmation of before the lapse", got)
@@ -748,7 +766,7 @@
 	o := b.core.Plan(b.now)[0]
 	b.core.Answer(b.now, o, sched.OutcomeUnknown)
 	ordered := b.now
-	other := map[string]string{"w0": "w1", "w1": "w0"}[o.Life.ID]
+	other := other(o)
 	b.look(o.Life.ID, sched.Report{Born: 2})
 	b.core.Missed(b.now, o.Life.ID, 2)
 	for b.now.Sub(ordered) < 12*time.Second+lease {
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -96,17 +96,17 @@
 	return until.Truncate(time.Millisecond)
 }
 
-// lend returns the lease for a start: the one that the worker has by its looks, if enough of that is left.
+// lends reports whether enough is left of the lease that a worker has by its looks for a start to carry it.
 //
 // A worker that has lost power still gets starts until a look at it fails. With a new lease in each, what ran
 // there had to wait until the last of these had run out.
-func (c *Core) lend(now time.Time, w *worker) time.Duration {
-	if w.until-w.clock.now(now) >= c.opt.Lease/2 {
-		return w.until.Truncate(time.Millisecond)
-	}
-	return c.grant(now, w)
+func (w *worker) lends(now time.Time) bool {
+	return w.until-w.clock.now(now) >= leastLent
 }
 
+// leastLent is a start's way to its worker, with the next look's.
+const leastLent = time.Second
+
 // lapseSlack is for a worker's noticing that its lease has run out.
 const lapseSlack = 100 * time.Millisecond
 
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -228,7 +228,7 @@
 	o := r.order(VerbStart)
 	o.Spec = s.job.Spec
 	o.Save = s.job.saves[t.id()]
-	o.Until = c.lend(now, w)
+	o.Until = w.until.Truncate(time.Millisecond)
 	return o
 }
 
--- a/internal/batch/sched/share_test.go
+++ b/internal/batch/sched/share_test.go
@@ -124,6 +124,7 @@
 		t.Fatal("both images on one worker")
 	}
 	// Both images are seen beside the filling one: it disturbs a, and doesn't b.
+	last := map[string]sched.Report{}
 	for image, tail := range map[string]time.Duration{"a": 60 * time.Millisecond, "b": 6 * time.Millisecond} {
 		rows := func(tail time.Duration) []sched.Running {
 			var all []sched.Running
@@ -152,6 +153,10 @@
 			b.after(600 * time.Millisecond)
 			b.look(at[image], done)
 		}
+		last[at[image]] = done
+	}
+	for id, rep := range last {
+		b.look(id, rep)
 	}
 	next := filling("n", "x", 1500)
 	next.Steps[0].Count = 1
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -203,5 +203,5 @@
 
 // open reports whether new tasks may be placed on the worker.
 func (w *worker) open(now time.Time) bool {
-	return w.listed && w.stored && !w.Draining && !w.out && w.contact == ContactGood && !w.bad.resting(now)
+	return w.listed && w.stored && !w.Draining && !w.out && w.contact == ContactGood && w.lends(now) && !w.bad.resting(now)
 }
