ctrl/lead: hosts that all fall short leave a vacant key for half a second at most, a second before

What callers saw: what ran on a worker that was lost with the holder stood still for 7.1 to 7.3 s where no host carries all workers. TestPatienceFresh looks after 0.3 s instead of 0.6, within the shorter time.

--- a/internal/batch/drive/takeover_test.go
+++ b/internal/batch/drive/takeover_test.go
@@ -36,28 +36,31 @@
 // lose power together; the next holder can't reach that worker, and what the former one had
 // started may still run there. It waits until that is impossible, longer than operators allow.
 func TestHolderAndWorkerLost(t *testing.T) {
-	for seed := range uint64(8) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				rng := source(seed)
-				f := newFleet(t, 3, 6, source(seed+100), seconds(forever))
-				time.Sleep(3 * time.Second)
-				if r := f.submit("a", lasting(12)); r.Result != drive.ResultDone {
-					t.Fatalf("submit: %+v", r)
-				}
-				f.settled(12, time.Second)
-				time.Sleep(time.Duration(rng.IntN(4000)) * time.Millisecond)
-				f.crew.Lose(fmt.Sprintf("w%d", rng.IntN(4)))
-				f.holder().kill()
-				if took := f.settled(12, 2*calm); took > calm {
-					t.Errorf("all tasks run again after %v, want at most %v", took, calm)
-				}
-				f.stop()
-				for _, fault := range f.crew.Faults() {
-					t.Error(fault)
-				}
+	for _, carries := range []int{0, 1, 4} { // of six workers; 0: not known
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprintf("%d/%d", carries, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					rng := source(seed)
+					f := newFleet(t, 0, 6, source(seed+100), seconds(forever))
+					f.add(3, 0, carries)
+					time.Sleep(4 * time.Second)
+					if r := f.submit("a", lasting(12)); r.Result != drive.ResultDone {
+						t.Fatalf("submit: %+v", r)
+					}
+					f.settled(12, time.Second)
+					time.Sleep(time.Duration(rng.IntN(4000)) * time.Millisecond)
+					f.crew.Lose(fmt.Sprintf("w%d", rng.IntN(4)))
+					f.holder().kill()
+					if took := f.settled(12, 2*calm); took > calm {
+						t.Errorf("all tasks run again after %v, want at most %v", took, calm)
+					}
+					f.stop()
+					for _, fault := range f.crew.Faults() {
+						t.Error(fault)
+					}
+				})
 			})
-		})
+		}
 	}
 }
 
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -33,9 +33,9 @@
 	// claimSpread parts the claims of processes that see the holder's key vanish together.
 	claimSpread = 80 * time.Millisecond
 	// patienceMost is how long a vacant key is left to others by a process that can carry next to
-	// nothing of the load. A process that can carry it has claimed and is seen well within that, and
-	// what runs on the workers outlasts it.
-	patienceMost = time.Second
+	// nothing of the load. A process that can carry it has claimed and is seen well within that; longer, and
+	// what ran on a worker that is lost with the holder comes back too late where no process can.
+	patienceMost = 500 * time.Millisecond
 	// retryPause is between calls that the store refused or didn't answer.
 	retryPause = 100 * time.Millisecond
 	// spareTries times retryPause is what a former holder at work has to put its key back.
--- a/internal/ctrl/lead/patience_test.go
+++ b/internal/ctrl/lead/patience_test.go
@@ -64,7 +64,7 @@
 		{"all carry it", "350", []int{350, 400, 666}, -1, atOnce},
 		{"one carries it", "350", []int{91, 91, 91, 91, 91, 666, 91}, 5, atOnce},
 		{"nobody carries it", "350", []int{91, 91, 200, 91, 91}, 2, time.Second},
-		{"one that carries next to nothing", "350", []int{1}, 0, 1200 * time.Millisecond},
+		{"one that carries next to nothing", "350", []int{1}, 0, 700 * time.Millisecond},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -94,7 +94,7 @@
 		time.Sleep(time.Second)
 		s.Put("lead/load", []byte("350"))
 		s.Revoke("lead/holder")
-		time.Sleep(600 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
 		if h, _ := l.Holder(); h.Name != "" {
 			t.Errorf("%s claims", h.Name)
 		}
