front, drive, sched: what a review of the mends found beside them

- A weak holder doesn't hand over while tasks wait for workers out of reach: the successor would wait anew (more than 9 s in all by arithmetic).
It counts the workers that the record names, as the patience of its successors does.

Tests: TestOwedByFormerLife, TestLeaseOfFormerLife, for guards that stood without one (the first seen to fail without its guard, the second by the review).

--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -36,8 +36,10 @@
 		for {
 			r, err := h.gather()
 			if err != nil {
+				// What had been taken to be stored is known here only; the next holder starts from what is stored.
 				h.log.Error(err, "record can't be written")
-				break
+				h.opt.Tenure.Over()
+				return
 			}
 			if r == nil {
 				break
--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -159,11 +159,18 @@
 	return nil
 }
 
-// Workers returns how many workers the holder looks at.
+// Workers returns how many workers may hold runs, as recorded for the next holder.
 func (h *Holder) Workers() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.core.Workers())
+	return h.counted
+}
+
+// Waiting reports whether tasks are held back because a worker that isn't reached may run them.
+func (h *Holder) Waiting() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Standing(time.Now()).Held > 0
 }
 
 func kick(c chan struct{}) {
--- a/internal/batch/sched/bench_test.go
+++ b/internal/batch/sched/bench_test.go
@@ -26,8 +26,10 @@
 	hear := func(id string) {
 		r := reports[id]
 		r.Clock = now.Sub(start())
+		core.Confirm(now)
 		core.Look(now, id)
 		core.Hear(now.Add(-time.Millisecond), now, id, *r)
+		core.Look(now, id)
 	}
 	for id := range reports {
 		hear(id)
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -36,12 +36,11 @@
 	waits   []Wait    // to be told
 }
 
-// New returns the core of a term that began at now.
+// New returns the core of a term that began at now. It acts from its first confirmation on.
 func New(opt Options, now time.Time) *Core {
 	return &Core{
 		opt:     opt,
 		began:   now,
-		sure:    now,
 		jobs:    map[string]*job{},
 		workers: map[string]*worker{},
 		zones:   map[string]bool{},
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -315,6 +315,44 @@
 	}
 }
 
+// A worker starts anew while ends of its former life wait to be stored. Those numbers mean nothing to the new life: acknowledged
+// by them, it would forget ends that nobody has heard of.
+func TestOwedByFormerLife(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	b.core.Admit(b.now, one("a", nil))
+	b.core.Admit(b.now, one("b", nil))
+	var ends []sched.Finished
+	for i, o := range b.plan(sched.VerbStart) {
+		ends = append(ends, finished(int64(40+i), o, sched.EndDone))
+	}
+	b.look("w0", sched.Report{Finished: ends})
+	b.look("w0", sched.Report{Born: 2})
+	batch, err := b.core.Collect(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.core.Committed(batch)
+	if l, _ := b.core.Look(b.now, "w0"); l.Acked != 0 {
+		t.Errorf("ends up to %d of the new life are acknowledged, and it has told none", l.Acked)
+	}
+}
+
+// A worker starts anew, and its clock with it. A start that carries the lease of the former life's clock would
+// let it run for as long as workers allow, past what this holder counts with.
+func TestLeaseOfFormerLife(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	b.after(time.Minute)
+	b.look("w0", sched.Report{})
+	b.core.Hear(b.now, b.now, "w0", sched.Report{Born: 2, Clock: time.Second})
+	b.core.Look(b.now, "w0")
+	b.core.CrewStored(b.core.Crew())
+	b.core.Admit(b.now, one("a", nil))
+	got := b.plan(sched.VerbStart)
+	if len(got) != 1 || got[0].Until > time.Second+lease {
+		t.Errorf("started %v, want one with a lease until %v at most", got, time.Second+lease)
+	}
+}
+
 // A start isn't answered, and the stop that follows is, by the worker's first life; then it starts anew. The
 // start may still come, to a life that knows of no stop: the task isn't started elsewhere before that is
 // impossible, or the new life has taken the stop too.
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -33,8 +33,8 @@
 
 // Times between two looks at a worker; a look that waits is answered at once by an end.
 const (
-	// lookIdle is the longest wait that workers allow, less their answer's way: the lease
-	// must be renewed long before it runs out.
+	// lookIdle leaves enough of the lease that the former look renewed: a holder that is lost just
+	// before the next one is replaced within it.
 	lookIdle = 1400 * time.Millisecond
 	// lookShared is for a worker where tasks that fill run beside one that serves: its tail
 	// is a figure of half a second, and pacing has to follow within a few of them.
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -136,7 +136,7 @@
 			}
 			c.free(r)
 		}
-		w.void = !w.fresh
+		w.void = !w.fresh || now.Sub(w.lapse) >= lateMost
 		if !w.listed && !kept {
 			delete(c.workers, w.ID)
 			c.rank()
--- a/internal/proc/front/hand.go
+++ b/internal/proc/front/hand.go
@@ -48,7 +48,7 @@
 }
 
 // hand gives the key up once when this holder carries fewer workers than there are and a follower
-// carries clearly more.
+// carries clearly more. Not while tasks wait for workers out of reach: the successor would wait anew.
 //
 // The failure it guards against: when all hosts start for the first time, or when the strong ones
 // were away, a weak host becomes the holder and stays so for good; under it orders time out and
@@ -65,7 +65,7 @@
 	}
 	for ; t.Context().Err() == nil; wait.For(t.Context(), handEvery) {
 		d := h.desk.own()
-		if d == nil || time.Since(t.Sure()) > aidAfter || d.Workers() <= carries {
+		if d == nil || time.Since(t.Sure()) > aidAfter || d.Workers() <= carries || d.Waiting() {
 			continue
 		}
 		workers := d.Workers()
