--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -19,6 +19,8 @@
 
 const (
 	lease = 5 * time.Second
+	// unsure is how long a holder acts without a confirmation.
+	unsure = 3 * time.Second
 	// doubt is how long after a change of holder all that the former one has granted has ended: a lease by
 	// a clock that is 2 % slow, and what a worker takes to notice.
 	doubt = lease*100/98 + 100*time.Millisecond
@@ -30,7 +32,7 @@
 func newBench(t *testing.T, term int64, n int) *bench {
 	t.Helper()
 	b := &bench{t: t, now: start()}
-	b.core = sched.New(sched.Options{Lease: lease, Sure: time.Hour, Term: term}, b.now)
+	b.core = sched.New(sched.Options{Lease: lease, Sure: unsure, Term: term}, b.now)
 	b.core.Roster(b.now, members(n))
 	return b
 }
@@ -61,7 +63,7 @@
 	b.core.Confirm(b.now)
 }
 
-// look has a worker answer a look at once.
+// look has a worker answer a look at once, and the next one sent.
 func (b *bench) look(id string, rep sched.Report) {
 	b.t.Helper()
 	b.core.Look(b.now, id)
@@ -72,6 +74,7 @@
 	sent := b.now
 	b.after(time.Millisecond)
 	b.core.Hear(sent, b.now, id, rep)
+	b.core.Look(b.now, id)
 }
 
 // plan returns the orders of a kind, each taken by its worker.
@@ -120,6 +123,11 @@
 	}
 }
 
+// other returns, of two workers, the one that an order isn't for.
+func other(o sched.Order) string {
+	return map[string]string{"w0": "w1", "w1": "w0"}[o.Life.ID]
+}
+
 func finished(seq int64, o sched.Order, how sched.End) sched.Finished {
 	return sched.Finished{Seq: seq, Task: o.Task.String(), Run: o.Run, How: how}
 }
@@ -255,7 +263,7 @@
 	b.look("w1", sched.Report{})
 	o := b.plan(sched.VerbStart)[0]
 	granted := b.now
-	other := map[string]string{"w0": "w1", "w1": "w0"}[o.Life.ID]
+	other := other(o)
 	b.core.Missed(b.now, o.Life.ID, 1)
 	b.look(other, sched.Report{})
 	for b.now.Sub(granted) < lease*100/98 {
@@ -277,23 +285,123 @@
 
 // A worker loses power. Until a look at it fails, it still gets starts, each with a new lease: its feeds
 // waited until the last of these leases must have run out, and stood still for longer than operators
-// allow. What has been granted when a worker is last heard of bounds the wait.
+// allow. What the looks have granted bounds the wait, also when the store confirms the holder late.
 func TestStartsDontProlongLapse(t *testing.T) {
-	b := newBench(t, 1, 2).open()
-	b.core.Admit(b.now, one("feed", func(j *sched.Job) { j.Steps[0].Lasting = true }))
-	o := b.plan(sched.VerbStart)[0]
-	b.look(o.Life.ID, sched.Report{Running: []sched.Running{running(o)}})
-	b.core.Look(b.now, o.Life.ID)
-	lost := b.now
-	b.after(1400 * time.Millisecond)
-	b.core.Admit(b.now, one("book", func(j *sched.Job) { j.Steps[0].Label = o.Life.ID }))
-	for _, s := range b.core.Plan(b.now) {
-		b.core.Answer(b.now, s, sched.OutcomeUnknown)
+	for _, age := range []time.Duration{0, 240 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+		t.Run(age.String(), func(t *testing.T) {
+			b := newBench(t, 1, 2).open()
+			b.core.Admit(b.now, one("feed", func(j *sched.Job) { j.Steps[0].Lasting = true }))
+			o := b.plan(sched.VerbStart)[0]
+			b.look(o.Life.ID, sched.Report{Running: []sched.Running{running(o)}})
+			b.now = b.now.Add(age)
+			b.core.Look(b.now, o.Life.ID)
+			lost := b.now
+			b.after(2050 * time.Millisecond)
+			b.now = b.now.Add(age)
+			b.core.Admit(b.now, one("book", func(j *sched.Job) { j.Steps[0].Label = o.Life.ID }))
+			for _, s := range b.core.Plan(b.now) {
+				b.core.Answer(b.now, s, sched.OutcomeUnknown)
+			}
+			b.core.Missed(b.now, o.Life.ID, 1)
+			b.after(doubt + 100*time.Millisecond - b.now.Sub(lost))
+			b.look(other(o), sched.Report{})
+			for _, got := range b.plan(sched.VerbStart) {
+				if got.Task.Job == "feed" {
+					return
+				}
+			}
+			t.Error("the feed isn't started once the lease of before the loss has run out")
+		})
 	}
-	b.core.Missed(b.now, o.Life.ID, 1)
-	b.after(doubt + 100*time.Millisecond - b.now.Sub(lost))
-	if got := b.plan(sched.VerbStart); len(got) != 1 || got[0].Task.Job != "feed" {
-		t.Errorf("started %v once the lease of before the loss had run out, want the feed", got)
+}
+
+// A worker starts anew while ends of its former life wait to be stored. Those numbers mean nothing to the new life: acknowledged
+// by them, it would forget ends that nobody has heard of.
+func TestOwedByFormerLife(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	b.core.Admit(b.now, one("a", nil))
+	b.core.Admit(b.now, one("b", nil))
+	var ends []sched.Finished
+	for i, o := range b.plan(sched.VerbStart) {
+		ends = append(ends, finished(int64(40+i), o, sched.EndDone))
+	}
+	b.look("w0", sched.Report{Finished: ends})
+	b.look("w0", sched.Report{Born: 2})
+	batch, err := b.core.Collect(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.core.Committed(batch)
+	if l, _ := b.core.Look(b.now, "w0"); l.Acked != 0 {
+		t.Errorf("ends up to %d of the new life are acknowledged, and it has told none", l.Acked)
+	}
+}
+
+// A worker starts anew, and its clock with it. A start that carries the lease of the former life's clock would
+// let it run for as long as workers allow, past what this holder counts with.
+func TestLeaseOfFormerLife(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	b.after(time.Minute)
+	b.look("w0", sched.Report{})
+	b.core.Hear(b.now, b.now, "w0", sched.Report{Born: 2, Clock: time.Second})
+	b.core.Look(b.now, "w0")
+	b.core.CrewStored(b.core.Crew())
+	b.core.Admit(b.now, one("a", nil))
+	got := b.plan(sched.VerbStart)
+	if len(got) != 1 || got[0].Until > time.Second+lease {
+		t.Errorf("started %v, want one with a lease until %v at most", got, time.Second+lease)
+	}
+}
+
+// A start isn't answered, and the stop that follows is, by the worker's first life; then it starts anew. The
+// start may still come, to a life that knows of no stop: the task isn't started elsewhere before that is
+// impossible, or the new life has taken the stop too.
+func TestStopByFormerLife(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		again bool // the new life takes the stop
+	}{{"new life out of reach", false}, {"new life takes the stop", true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t, 1, 2).open()
+			b.core.Admit(b.now, one("j", nil))
+			o := b.core.Plan(b.now)[0]
+			b.core.Answer(b.now, o, sched.OutcomeUnknown)
+			ordered := b.now
+			other := other(o)
+			b.after(400 * time.Millisecond)
+			if got := b.plan(sched.VerbStop); len(got) != 1 {
+				t.Fatalf("stops: %v", got)
+			}
+			all := members(2)
+			for i := range all {
+				if all[i].ID == o.Life.ID {
+					all[i].Born = 2
+				}
+			}
+			b.core.Roster(b.now, all)
+			if tt.again {
+				b.look(o.Life.ID, sched.Report{Born: 2})
+				if got := b.plan(sched.VerbStart); len(got) != 0 {
+					t.Fatalf("started %v before the new life has taken the stop", got)
+				}
+				b.after(400 * time.Millisecond)
+				if got := b.plan(sched.VerbStop); len(got) != 1 || got[0].Life.Born != 2 {
+					t.Fatalf("stops for the new life: %v", got)
+				}
+				b.look(o.Life.ID, sched.Report{Born: 2})
+				if got := b.plan(sched.VerbStart); len(got) != 1 {
+					t.Errorf("started %v after the stop, want the task", got)
+				}
+				return
+			}
+			for b.now.Sub(ordered) < 12*time.Second+lease {
+				b.look(other, sched.Report{})
+				if got := b.plan(sched.VerbStart); len(got) != 0 {
+					t.Fatalf("placed again %s after the order", b.now.Sub(ordered))
+				}
+				b.after(100 * time.Millisecond)
+			}
+		})
 	}
 }
 
@@ -330,6 +438,7 @@
 			}
 			b.core.Roster(b.now, all)
 			tt.lose(b, o.Life.ID)
+			b.look(other(o), sched.Report{})
 			for _, got := range b.plan(sched.VerbStart) {
 				if got.Task.Job == "feed" {
 					return
@@ -349,6 +458,7 @@
 	o := b.plan(sched.VerbStart)[0]
 	b.core.Missed(b.now, o.Life.ID, 1)
 	b.after(doubt - 500*time.Millisecond)
+	b.look(other(o), sched.Report{})
 	b.now = b.now.Add(time.Second)
 	if got := b.core.Plan(b.now); len(got) != 0 {
 		t.Errorf("ordered %v by a confirmation of before the lapse", got)
@@ -381,6 +491,47 @@
 	b.state("old", sched.StateCompleted)
 }
 
+// A holder takes over and looks at a worker that runs a task and has as many ends to tell as a report takes. Its
+// running tasks were passed over, and as it had been reached, the task was started on another worker too.
+func TestFullReportShowsRuns(t *testing.T) {
+	b := newBench(t, 2, 2)
+	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.Inherit(b.now, members(2))
+	b.look("w0", sched.Report{})
+	rep := sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}}
+	for i := range int64(500) {
+		rep.Finished = append(rep.Finished, sched.Finished{Seq: i + 1, Task: "gone.0.0.0", Run: 1, How: sched.EndFailed})
+	}
+	b.look("w1", rep)
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v, though the task runs", got)
+	}
+}
+
+// The same, but the task has ended there: its end comes with a later report. Started meanwhile, it would run again
+// after its success.
+func TestFullReportHoldsBack(t *testing.T) {
+	b := newBench(t, 2, 2)
+	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.Inherit(b.now, members(2))
+	b.look("w0", sched.Report{})
+	rep := sched.Report{}
+	for i := range int64(500) {
+		rep.Finished = append(rep.Finished, sched.Finished{Seq: i + 1, Task: "gone.0.0.0", Run: 1, How: sched.EndFailed})
+	}
+	b.look("w1", rep)
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v with ends still to come", got)
+	}
+	b.look("w1", sched.Report{Finished: []sched.Finished{{Seq: 501, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndDone}}})
+	b.store()
+	b.state("old", sched.StateCompleted)
+}
+
 // A feed's run fails on a worker that the new holder reaches, while another worker is out of reach
 // since before the change of holder. The holder has seen the run, so nothing else can run this
 // task: it is started again at once. It used to wait with all that was taken over.
@@ -390,6 +541,7 @@
 		t.Fatal(err)
 	}
 	b.core.Inherit(b.now, members(2))
+	b.after(unsure)
 	b.look("w0", sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}})
 	b.look("w0", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndFailed}}})
 	if got := b.plan(sched.VerbStart); len(got) != 1 {
@@ -397,11 +549,43 @@
 	}
 }
 
+// The store is lost to a holder, and another takes over; for some seconds the former one still acts. Both see a feed run
+// on a worker, which starts anew, and each starts the feed on a worker that the other doesn't
+// reach: it runs twice. What a new holder sees is the whole truth only once the former one has ceased to act.
+func TestSeenRunWhileTwoAct(t *testing.T) {
+	const task, run = "old.0.0.0", 1_000_001
+	take := func(term int64, at time.Time) *bench {
+		b := &bench{t: t, now: at}
+		b.core = sched.New(sched.Options{Lease: lease, Sure: unsure, Term: term}, at)
+		b.core.Confirm(at)
+		if err := b.core.Restore(at, "old", one("old", func(j *sched.Job) { j.Steps[0].Lasting = true }), nil); err != nil {
+			t.Fatal(err)
+		}
+		b.core.Inherit(at, members(3))
+		b.core.Roster(at, members(3))
+		return b
+	}
+	former, next := take(1, start()), take(2, start().Add(1300*time.Millisecond))
+	former.look("w1", sched.Report{})
+	next.look("w2", sched.Report{})
+	for _, b := range []*bench{former, next} {
+		b.look("w0", sched.Report{Running: []sched.Running{{Task: task, Run: run}}})
+	}
+	started := 0
+	for _, b := range []*bench{former, next} {
+		b.look("w0", sched.Report{Born: 2})
+		started += len(b.plan(sched.VerbStart))
+	}
+	if started > 1 {
+		t.Errorf("%d holders start the task", started)
+	}
+}
+
 // A worker has entered the directory and can't be reached yet as the holder changes. No former
 // holder can have given it anything, as its record doesn't name it: nothing waits for it.
 func TestNewWorkerHoldsNothingBack(t *testing.T) {
 	b := &bench{t: t, now: start()}
-	b.core = sched.New(sched.Options{Lease: lease, Sure: time.Hour, Term: 2}, b.now)
+	b.core = sched.New(sched.Options{Lease: lease, Sure: unsure, Term: 2}, b.now)
 	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
 		t.Fatal(err)
 	}
@@ -620,7 +804,7 @@
 	o := b.core.Plan(b.now)[0]
 	b.core.Answer(b.now, o, sched.OutcomeUnknown)
 	ordered := b.now
-	other := map[string]string{"w0": "w1", "w1": "w0"}[o.Life.ID]
+	other := other(o)
 	b.look(o.Life.ID, sched.Report{Born: 2})
 	b.core.Missed(b.now, o.Life.ID, 2)
 	for b.now.Sub(ordered) < 12*time.Second+lease {
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -33,8 +33,8 @@
 
 // Times between two looks at a worker; a look that waits is answered at once by an end.
 const (
-	// lookIdle is the longest wait that workers allow, less their answer's way: the lease
-	// must be renewed long before it runs out.
+	// lookIdle leaves enough of the lease that the former look renewed: a holder that is lost just
+	// before the next one is replaced within it.
 	lookIdle = 1400 * time.Millisecond
 	// lookShared is for a worker where tasks that fill run beside one that serves: its tail
 	// is a figure of half a second, and pacing has to follow within a few of them.
@@ -96,17 +96,17 @@
 	return until.Truncate(time.Millisecond)
 }
 
-// lend returns the lease for a start: the one that the worker has by its looks, if enough of that is left.
+// lends reports whether enough is left of the lease that a worker has by its looks for a start to carry it.
 //
 // A worker that has lost power still gets starts until a look at it fails. With a new lease in each, what ran
 // there had to wait until the last of these had run out.
-func (c *Core) lend(now time.Time, w *worker) time.Duration {
-	if w.until-w.clock.now(now) >= c.opt.Lease/2 {
-		return w.until.Truncate(time.Millisecond)
-	}
-	return c.grant(now, w)
+func (w *worker) lends(now time.Time) bool {
+	return w.until-w.clock.now(now) >= leastLent
 }
 
+// leastLent is a start's way to its worker, with the next look's.
+const leastLent = time.Second
+
 // lapseSlack is for a worker's noticing that its lease has run out.
 const lapseSlack = 100 * time.Millisecond
 
@@ -142,8 +142,10 @@
 		w.heard = f.Seq
 	}
 	w.void, w.fresh = false, false
+	shown := c.inventory(sent, now, w, rep)
 	if len(rep.Finished) < maxEnds {
-		c.inventory(sent, now, w, rep)
+		w.told = true
+		c.missing(sent, w, shown)
 	}
 	c.watch(now, w)
 	return news
@@ -153,8 +155,12 @@
 // ended with its end still to come; taking it for gone would run it twice.
 const maxEnds = 500
 
-// inventory compares what a worker runs with the ledger.
-func (c *Core) inventory(sent, now time.Time, w *worker, rep Report) {
+// inventory enters what a worker runs into the ledger and returns that.
+//
+// A run that is shown is its task's only one from when a former holder has ceased to act: before, each of two
+// holders may see it end and start the task on a worker that the other doesn't reach.
+func (c *Core) inventory(sent, now time.Time, w *worker, rep Report) map[runKey]bool {
+	sole := !sent.Before(c.began.Add(c.opt.Sure))
 	shown := make(map[runKey]bool, len(rep.Running))
 	for _, row := range rep.Running {
 		id, err := ParseTask(row.Task)
@@ -169,10 +175,18 @@
 		}
 		r.see(now, row)
 		r.shown = r.shown || r.born == w.Born
+		if sole && r.task != nil && r.task.run == r {
+			r.task.seen = true
+		}
 		if r.task != nil && row.Save != "" && r.task.run == r {
 			c.keepSave(r.task, row.Save)
 		}
 	}
+	return shown
+}
+
+// missing gives up the runs that a report doesn't show and would if they were there.
+func (c *Core) missing(sent time.Time, w *worker, shown map[runKey]bool) {
 	for _, r := range w.all() {
 		// A look that was sent before the start was answered may have overtaken it.
 		if shown[r.runKey] || !r.sure.Before(sent) {
@@ -209,7 +223,6 @@
 	}
 	r.task = t
 	t.run = r
-	t.seen = true
 	t.stage.waiting--
 	t.stage.job.begun = true
 	w.add(r)
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -62,13 +62,16 @@
 // before it is heard of: its ends would be passed over as of before a lapse, and be acknowledged uncounted.
 func (c *Core) rebirth(now time.Time, w *worker, born int64) {
 	for _, r := range w.all() {
-		if r.shown {
+		switch {
+		case r.shown:
 			c.free(r)
+		case r.state == RunStopped:
+			r.state = RunStopping // the new life knows of no stop
 		}
 	}
 	w.Born = born
 	w.lapse = now
-	w.fresh = true
+	w.fresh, w.told = true, false
 	w.acked, w.heard, w.owed = 0, 0, nil
 	w.contact = ContactNone
 	w.stored = false
@@ -133,7 +136,7 @@
 			}
 			c.free(r)
 		}
-		w.void = !w.fresh
+		w.void = !w.fresh || now.Sub(w.lapse) >= lateMost
 		if !w.listed && !kept {
 			delete(c.workers, w.ID)
 			c.rank()
