batch/sched: an order about a run waits for the former one's answer

Cause: settle sent a stop again every 300 ms and a pace every 200 ms, though drive waits 600 ms for the answer of each. Against a worker that doesn't answer, two stops (three paces) of a run were under way at any time, for as long as it lasted, each on one more connection.

Ruled out: a guard in drive. Which order is still wanted is known in the core, and so are its runs; a table of runs in drive would have to be swept when they go.

Change: a run knows whether a stop or a pace of it is under way; Answer settles that, also where it names a former life of the worker (it returned early there). After one without an answer the pause doubles, 300 ms to 2 s. A stop doesn't wait for a pace, nor for its start.

--- a/internal/batch/sched/answer.go
+++ b/internal/batch/sched/answer.go
@@ -12,17 +12,22 @@
 	roomRest = 100 * time.Millisecond
 )
 
-// Answer takes the outcome of an order.
+// Answer takes the outcome of an order. Each order that Plan returned has to be answered, unless the term is
+// over: no other of its kind is sent to its run before.
 func (c *Core) Answer(now time.Time, o Order, out Outcome) {
 	w := c.workers[o.Life.ID]
 	if w == nil {
 		return
 	}
+	r := w.runs[runKey{o.Task, o.Run}]
+	if r != nil {
+		// Also where the answer is of a former life: the run may stay, and be ordered about again.
+		r.settled(now, o.Verb, out)
+	}
 	if out == OutcomeGone {
 		c.Gone(now, o.Life.ID, o.Life.Born)
 		return
 	}
-	r := w.runs[runKey{o.Task, o.Run}]
 	if r == nil {
 		return
 	}
@@ -42,6 +47,16 @@
 	}
 }
 
+// settled notes that an order about a run is no longer under way.
+func (r *run) settled(now time.Time, v Verb, out Outcome) {
+	switch v {
+	case VerbStop:
+		r.stops.over(now, out == OutcomeDone || out == OutcomeOld)
+	case VerbPace:
+		r.paces.over(now, out == OutcomeDone)
+	}
+}
+
 func (c *Core) started(now time.Time, w *worker, r *run, out Outcome) {
 	switch out {
 	case OutcomeDone:
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -44,13 +44,6 @@
 	OutcomeBad     Outcome = "bad"     // the order makes no sense to the worker
 )
 
-const (
-	// resendStop is the pause before a stop without an answer is sent again.
-	resendStop = 300 * time.Millisecond
-	// resendPace is the least time between two paces for a task.
-	resendPace = 200 * time.Millisecond
-)
-
 // Plan returns the orders that follow from what has been heard.
 func (c *Core) Plan(now time.Time) []Order {
 	c.sweep(now)
@@ -79,11 +72,13 @@
 		}
 		for _, r := range w.list {
 			switch {
-			case (r.state == RunStopping || r.state == RunUnsure) && now.Sub(r.sent) > resendStop:
+			case (r.state == RunStopping || r.state == RunUnsure) && now.Sub(r.sent) > resendStop && r.stops.due(now):
 				r.sent = now
+				r.stops.begin()
 				orders = append(orders, r.order(VerbStop))
-			case r.state == RunLive && r.fills() && r.pace != r.want && now.Sub(r.sent) > resendPace:
+			case r.state == RunLive && r.fills() && r.pace != r.want && now.Sub(r.sent) > resendPace && r.paces.due(now):
 				r.sent = now
+				r.paces.begin()
 				o := r.order(VerbPace)
 				o.Pace = r.want
 				orders = append(orders, o)
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -131,6 +131,8 @@
 	born   int64     // life of the worker that was meant
 	shown  bool      // a report of that life has shown it
 	sent   time.Time // of the newest order about it
+	stops  repeat
+	paces  repeat
 	began  time.Time // first seen or ordered
 	sure   time.Time // since when it was known to be there, or its stop to be acknowledged
 	pace   int       // percent, as the worker was told
