batch: an order that is out of date stays

Cause: nothing was asked between the planning of an order and its sending. A start planned before a cancel, or before the holder lost its right to act, and sent late was taken by its worker.

Ruled out: stopping such runs afterwards. That is what happened, and the worker has started them by then.

Change: drive asks the core (Depart) right before it sends. It is answered as OutcomeUnsent, which frees the run; the log's line has the cause.

--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -56,11 +56,13 @@
 	}
 }
 
+// order gives an order and has the core know what came of it, also when the tenure is over.
 func (h *Holder) order(o sched.Order) {
-	sent := time.Now()
-	out := h.opt.Crew.Order(h.ctx, o, h.opt.Tenure.Term())
+	began := time.Now()
+	out, cause := h.give(o)
 	if o.Verb == sched.VerbStart || out != sched.OutcomeDone || o.Pace == 0 {
-		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Life.ID, "pace", o.Pace, "outcome", out, "took", time.Since(sent))
+		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Life.ID, "pace", o.Pace, "outcome", out, "cause", cause,
+			"took", time.Since(began))
 	}
 	h.orders(string(o.Verb), string(out))
 	if out == sched.OutcomeFence {
@@ -75,6 +77,21 @@
 	}
 }
 
+// give sends an order to its worker, unless it has to stay; the cause says why.
+func (h *Holder) give(o sched.Order) (sched.Outcome, sched.Cause) {
+	if h.ctx.Err() != nil {
+		return sched.OutcomeUnsent, sched.CauseTenure
+	}
+	h.mu.Lock()
+	h.confirm()
+	cause := h.core.Depart(time.Now(), o)
+	h.mu.Unlock()
+	if cause != sched.CauseNone {
+		return sched.OutcomeUnsent, cause
+	}
+	return h.opt.Crew.Order(h.ctx, o, h.opt.Tenure.Term()), sched.CauseNone
+}
+
 // fenced ends the tenure: a worker knows a newer holder.
 func (h *Holder) fenced(worker string) {
 	h.log.Info("fenced by a newer holder", "worker", worker)
