batch/drive: few orders are under way at a time

Cause: plans() started a goroutine for each order. A large new holder with a thousand tasks waiting sent all starts at once; its processor needed longer for them than it waits for answers (600 ms), so they counted as lost, were stopped and came again, and looks starved beside them. Workers have few connections.

Ruled out: fewer starts a plan in the core. It would have to know what is under way and how it goes, and Look shares its lock. A longer limit for an answer: it keeps more under way.

Change: a queue in drive, at most 64 orders under way in all and 4 to a worker, those to one worker in their order. Whether an order still stands is asked as it leaves. Orders that wait as the tenure ends are answered as unsent.

--- a/internal/batch/drive/fleet_test.go
+++ b/internal/batch/drive/fleet_test.go
@@ -27,6 +27,8 @@
 	crew  *fakecrew.Crew
 	hosts []*host
 
+	wrap func(drive.Crew) drive.Crew // around the crew as each host reaches it; nil: nothing
+
 	mu  sync.Mutex
 	cut string // failure domain that is cut off from everything else
 }
@@ -104,7 +106,10 @@
 		}
 		return h.mode
 	})}
-	crew := &slowCrew{cpu: cpu, Crew: h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })}
+	var crew drive.Crew = &slowCrew{cpu: cpu, Crew: h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })}
+	if h.f.wrap != nil {
+		crew = h.f.wrap(crew)
+	}
 	l := lead.New(lead.Options{Store: client, Name: h.name, Addr: h.name, Lease: drive.HolderLease, Log: logr.Discard(), Alive: h.f.alive, Carries: h.carries})
 	h.wg.Go(func() {
 		l.Run(ctx, func(t *lead.Tenure) {
--- /dev/null
+++ b/internal/batch/drive/queue_test.go
@@ -0,0 +1,141 @@
+package drive_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/batch/drive"
+	"bramleysail.example/bramleysail/internal/batch/sched"
+)
+
+const (
+	// mostOrders and mostToOne bound the orders under way, in all and to one worker.
+	mostOrders = 64
+	mostToOne  = 4
+	// mostLost bounds the starts of a thousand without an answer: those that meet all workers' looks at
+	// once, which take the test's processor for 0.7 s.
+	mostLost = 50
+)
+
+// traffic counts a host's orders on their way to workers.
+type traffic struct {
+	drive.Crew
+	slow time.Duration // added to each order's way
+
+	mu      sync.Mutex
+	under   int
+	to      map[string]int
+	most    int // of under
+	mostTo  int // of to
+	starts  int
+	lost    int       // starts without an answer
+	newest  time.Time // when the newest start left
+	started map[int64]bool
+	early   int // stops of runs whose starts hadn't left
+}
+
+func (c *traffic) Order(ctx context.Context, o sched.Order, fence int64) sched.Outcome {
+	c.leave(o)
+	defer c.arrive(o)
+	wait.For(ctx, c.slow)
+	out := c.Crew.Order(ctx, o, fence)
+	if o.Verb == sched.VerbStart && out == sched.OutcomeUnknown {
+		c.mu.Lock()
+		c.lost++
+		c.mu.Unlock()
+	}
+	return out
+}
+
+func (c *traffic) leave(o sched.Order) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.under++
+	c.to[o.Life.ID]++
+	c.most = max(c.most, c.under)
+	c.mostTo = max(c.mostTo, c.to[o.Life.ID])
+	key := o.Run*1000 + int64(o.Task.Index) // tasks of a step may have the same number
+	switch o.Verb {
+	case sched.VerbStart:
+		c.starts++
+		c.newest = time.Now()
+		c.started[key] = true
+	case sched.VerbStop:
+		if !c.started[key] {
+			c.early++
+		}
+	}
+}
+
+func (c *traffic) arrive(o sched.Order) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.under--
+	c.to[o.Life.ID]--
+}
+
+// watched is a fleet of one strong host, whose orders are counted.
+func watched(t *testing.T, workers int, turn, slow time.Duration) (*fleet, *traffic) {
+	c := &traffic{slow: slow, to: map[string]int{}, started: map[int64]bool{}}
+	f := newFleet(t, 0, workers, source(1), seconds(forever))
+	f.wrap = func(crew drive.Crew) drive.Crew {
+		c.Crew = crew
+		return c
+	}
+	f.add(1, turn, strongCarries)
+	time.Sleep(4 * time.Second)
+	return f, c
+}
+
+// Lasting tasks stand still for many seconds after a change of holder, though the new one is a large host. It sends
+// a thousand starts at once; its processor needs longer for them than it waits for an answer, so that
+// most count as lost, and the runs that came of them are stopped again.
+func TestStartsOfManyTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, c := watched(t, 350, strongTurn, 0)
+		if r := f.submit("a", step(1000)); r.Result != drive.ResultDone {
+			t.Fatalf("submit: %+v", r)
+		}
+		if took := f.settled(1000, 20*time.Second); took > withoutRun {
+			t.Errorf("all tasks run after %v, want at most %v", took, withoutRun)
+		}
+		f.stop()
+		if c.lost > mostLost || c.starts > 1000+mostLost {
+			t.Errorf("%d starts for 1000 tasks, %d of them lost; want at most %d", c.starts, c.lost, mostLost)
+		}
+		for _, fault := range f.crew.Faults() {
+			t.Error(fault)
+		}
+	})
+}
+
+// A job's tasks start seconds after its cancel was acknowledged. Its workers are slow, its orders wait for earlier ones,
+// and those that still wait leave though nobody wants them any more. Workers' connections are
+// few too: no more orders go to one at a time than it has connections.
+func TestCancelStopsWaitingStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, c := watched(t, 70, 0, 200*time.Millisecond)
+		f.submit("a", step(1000))
+		time.Sleep(time.Second)
+		f.ask(time.Second, drive.Ask{Verb: drive.VerbCancel, Host: "h", Path: "/q/a"})
+		cancelled := time.Now()
+		time.Sleep(10 * time.Second)
+		if n := f.crew.Running(); n != 0 {
+			t.Errorf("%d tasks run on", n)
+		}
+		f.stop()
+		if c.starts == 0 || c.newest.After(cancelled) {
+			t.Errorf("the last of %d starts left %v after the cancel", c.starts, c.newest.Sub(cancelled))
+		}
+		if c.most > mostOrders || c.mostTo > mostToOne {
+			t.Errorf("%d orders under way together, %d to one worker; want at most %d and %d", c.most, c.mostTo, mostOrders, mostToOne)
+		}
+		if c.early > 0 {
+			t.Errorf("%d stops left before their starts", c.early)
+		}
+	})
+}
--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -13,6 +13,7 @@
 	defer tick.Stop()
 	shown := newStanding(h.opt.Scope)
 	defer shown.clear()
+	queue := newQueue(h.ctx, h.wg.Go, h.order)
 	for {
 		select {
 		case <-h.ctx.Done():
@@ -39,9 +40,7 @@
 			h.log.Info("waits", "job", w.Job, "step", w.Step, "tasks", w.Tasks, "since", w.Since, "workers", w.Workers,
 				"closed", w.Closed, "shut", w.Shut, "full", w.Full, "harm", w.Harm)
 		}
-		for _, o := range orders {
-			h.wg.Go(func() { h.order(o) })
-		}
+		queue.put(orders)
 		if !wait.For(h.ctx, planPause) {
 			return
 		}
