batch/sched: a start without an answer is looked for before it's stopped

Cause: a stop followed 300 ms after an unanswered start, while the look that could show the run may wait for 1.4 s. A large new holder that was late with its answers so stopped good runs and started them anew.

Ruled out: keeping a run until a look shows that it's not there, without a bound: a worker whose reports are full of ends, or that answers looks late, would hold the task for good.

Change: a run in doubt is stopped once a look sent after its start was given up hasn't shown it (300 ms at the least, as before), or after 1.7 s, a look's longest wait and these 300 ms. Nothing is placed anew sooner than before: that still takes a stop's answer and a look.

--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -174,6 +174,9 @@
 		if shown[r.runKey] || !r.sure.Before(sent) {
 			continue
 		}
+		if r.state == RunUnsure && r.sent.Before(sent) {
+			r.absent = true
+		}
 		if r.state == RunLive || r.state == RunStopped {
 			// It ended, and its end was told and forgotten, or it never came and never will.
 			c.free(r)
--- a/internal/batch/sched/repeat.go
+++ b/internal/batch/sched/repeat.go
@@ -5,6 +5,8 @@
 const (
 	// resendStop is how long a run is left alone after an order before a stop follows.
 	resendStop = 300 * time.Millisecond
+	// unsureMost is how long a look may take to tell of a start without an answer, one that is under way included.
+	unsureMost = lookIdle + resendStop
 	// resendPace is the least time between two paces for a task.
 	resendPace = 200 * time.Millisecond
 	// resendFirst is the pause after the first of a run's orders without an answer, and
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -131,6 +131,7 @@
 	born   int64     // life of the worker that was meant
 	shown  bool      // a report of that life has shown it
 	sent   time.Time // of the newest order about it
+	absent bool      // a look that was sent after its start went unanswered hasn't shown it
 	stops  repeat
 	paces  repeat
 	began  time.Time // first seen or ordered
