batch/sched: an order of a former life that was answered prolongs the lease too

Ruled out: waiting by lateMost, 20 s, for all that an answered order may have prolonged; lasting tasks would stand still for much longer than operators allow, and once an order is answered its lease is bounded.

Change: the core knows the longest lease that workers grant (Hold, from the settings). With each answer of a worker that has runs of a former life in the ledger, its lease counts as that long from then.

--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -46,6 +46,7 @@
 	Crew   Crew
 	Codec  Codec
 	Lease  time.Duration // granted to workers
+	Hold   time.Duration // longest lease that workers grant
 	Sure   time.Duration // see sched.Options
 	Stop   time.Duration // longest time that a worker takes to stop a run
 	Keep   time.Duration // for which ended jobs are known
@@ -182,7 +183,7 @@
 
 func (h *Holder) tryLoad(began time.Time) ([]*feed, error) {
 	core := sched.New(sched.Options{
-		Lease: h.opt.Lease, Stop: h.opt.Stop, Sure: h.opt.Sure, Term: h.opt.Tenure.Term(),
+		Lease: h.opt.Lease, Hold: h.opt.Hold, Stop: h.opt.Stop, Sure: h.opt.Sure, Term: h.opt.Tenure.Term(),
 	}, began)
 	crew, err := h.readCrew()
 	if err != nil {
--- a/internal/batch/drive/fleet_test.go
+++ b/internal/batch/drive/fleet_test.go
@@ -115,7 +115,7 @@
 		l.Run(ctx, func(t *lead.Tenure) {
 			_ = drive.Run(drive.Options{ // its error tells of the tenure's end
 				Store: client, Crew: crew, Codec: plain.Codec(), Tenure: t, Log: logr.Discard(),
-				Lease: drive.WorkerLease(fakecrew.MaxHold), Sure: drive.Unsure, Stop: fakecrew.MaxStop, Keep: time.Hour,
+				Lease: drive.WorkerLease(fakecrew.MaxHold), Hold: fakecrew.MaxHold, Sure: drive.Unsure, Stop: fakecrew.MaxStop, Keep: time.Hour,
 			}, func(d *drive.Holder) { h.set(d, t.Term()) })
 			h.set(nil, 0)
 		})
--- a/internal/batch/sched/answer.go
+++ b/internal/batch/sched/answer.go
@@ -24,6 +24,9 @@
 		// Also where the answer is of a former life: the run may stay, and be ordered about again.
 		r.settled(now, o.Verb, out)
 	}
+	if r != nil && r.born != w.Born && out != OutcomeUnsent {
+		c.overlong(now, w)
+	}
 	if out == OutcomeGone {
 		c.Gone(now, o.Life.ID, o.Life.Born)
 		return
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -8,6 +8,7 @@
 // Options sets a Core's bounds.
 type Options struct {
 	Lease time.Duration // granted to workers, from this holder's last confirmation on; every run there ends when it runs out
+	Hold  time.Duration // longest lease that workers grant; at least Lease
 	Stop  time.Duration // longest time that a worker takes to stop a run
 	Sure  time.Duration // after a confirmation, for which tasks are started and leases granted
 	Term  int64         // of this holder, in the high part of every run number
@@ -38,6 +39,7 @@
 
 // New returns the core of a term that began at now.
 func New(opt Options, now time.Time) *Core {
+	opt.Hold = max(opt.Hold, opt.Lease)
 	return &Core{
 		opt:     opt,
 		began:   now,
--- a/internal/batch/sched/haunt_test.go
+++ b/internal/batch/sched/haunt_test.go
@@ -42,3 +42,37 @@
 		t.Errorf("placed %v once the order can't be carried out any more, want both tasks", got)
 	}
 }
+
+// A check-in runs twice. Its worker starts anew, and an order that was on its way to the former life is carried out and
+// answered by the new one, with a lease by the former clock. The worker grants more than this holder
+// does, and runs on for as long as it grants after contact with it is lost.
+func TestAnswerOfFormerLifeProlongsLease(t *testing.T) {
+	const hold = lease + 2*time.Second
+	b := &bench{t: t, now: start()}
+	b.core = sched.New(sched.Options{Lease: lease, Hold: hold, Sure: time.Hour, Term: 1}, b.now)
+	b.core.Roster(b.now, members(2))
+	b.open()
+	b.after(doubt)
+	b.look("w0", sched.Report{})
+	b.core.Missed(b.now, "w1", 1)
+	b.core.Admit(b.now, one("j", nil))
+	o := b.core.Plan(b.now)[0]
+	b.look("w0", sched.Report{Born: 2})
+	b.core.Answer(b.now, o, sched.OutcomeDone)
+	answered := b.now
+	b.core.CrewStored(b.core.Crew())
+	b.look("w0", sched.Report{Born: 2, Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
+	b.core.Admit(b.now, one("k", nil))
+	if got := b.plan(sched.VerbStart); len(got) != 1 || got[0].Life.ID != "w0" {
+		t.Fatalf("placed %v, want one on w0", got)
+	}
+	b.core.Missed(b.now, "w0", 2)
+	for b.now.Sub(answered) < hold {
+		b.look("w1", sched.Report{})
+		b.core.CrewStored(b.core.Crew())
+		if got := b.plan(sched.VerbStart); len(got) != 0 {
+			t.Fatalf("placed %v, %v after the answer", got, b.now.Sub(answered))
+		}
+		b.after(100 * time.Millisecond)
+	}
+}
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -125,6 +125,7 @@
 	if rep.Born != 0 && rep.Born < w.Born {
 		return
 	}
+	c.overlong(now, w)
 	w.contact = ContactGood
 	w.clock = clock{rep.Clock, now}
 	for _, f := range rep.Finished {
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -156,6 +156,17 @@
 	return false
 }
 
+// overlong notes how long the lease of a worker's present life may be by an order that was given to a former one and
+// has been carried out up to now; see prolonged, which is for those that may come yet.
+func (c *Core) overlong(now time.Time, w *worker) {
+	for _, r := range w.list {
+		if r.born != w.Born {
+			w.lapse = later(w.lapse, now.Add(c.lapses(c.opt.Hold)))
+			return
+		}
+	}
+}
+
 // adrift reports whether an order that was given to a former life of a worker may still be
 // carried out by the present one. Its time, on the former life's clock, doesn't bound that:
 // the clock has begun anew. Only a stop settles it, or the time after which no order is
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -151,6 +151,7 @@
 	err := drive.Run(drive.Options{
 		Store: h.out.Store, Crew: h.out.Crew, Codec: h.out.Codec, Tenure: t, Log: h.log,
 		Lease: drive.WorkerLease(conf.Milliseconds(h.set.Bound.Hold)), Sure: drive.Unsure,
+		Hold:  conf.Milliseconds(h.set.Bound.Hold),
 		Stop:  conf.Milliseconds(h.set.Bound.Stop),
 		Keep:  2 * conf.Seconds(h.set.Bound.Keep),
 		Aided: h.peer.Aided,
