--- a/internal/batch/drive/fleet_test.go
+++ b/internal/batch/drive/fleet_test.go
@@ -27,6 +27,8 @@
 	crew  *fakecrew.Crew
 	hosts []*host
 
+	wrap func(drive.Crew) drive.Crew // around the crew as each host reaches it; nil: nothing
+
 	mu  sync.Mutex
 	cut string // failure domain that is cut off from everything else
 }
@@ -104,13 +106,16 @@
 		}
 		return h.mode
 	})}
-	crew := &slowCrew{cpu: cpu, Crew: h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })}
+	var crew drive.Crew = &slowCrew{cpu: cpu, Crew: h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })}
+	if h.f.wrap != nil {
+		crew = h.f.wrap(crew)
+	}
 	l := lead.New(lead.Options{Store: client, Name: h.name, Addr: h.name, Lease: drive.HolderLease, Log: logr.Discard(), Alive: h.f.alive, Carries: h.carries})
 	h.wg.Go(func() {
 		l.Run(ctx, func(t *lead.Tenure) {
 			_ = drive.Run(drive.Options{ // its error tells of the tenure's end
 				Store: client, Crew: crew, Codec: plain.Codec(), Tenure: t, Log: logr.Discard(),
-				Lease: drive.WorkerLease(fakecrew.MaxHold), Sure: drive.Unsure, Stop: fakecrew.MaxStop, Keep: time.Hour,
+				Lease: drive.WorkerLease(fakecrew.MaxHold), Hold: fakecrew.MaxHold, Sure: drive.Unsure, Stop: fakecrew.MaxStop, Keep: time.Hour,
 			}, func(d *drive.Holder) { h.set(d, t.Term()) })
 			h.set(nil, 0)
 		})
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -368,6 +368,8 @@
 			b.core.Answer(b.now, o, sched.OutcomeUnknown)
 			ordered := b.now
 			other := other(o)
+			b.after(time.Millisecond)
+			b.look(o.Life.ID, sched.Report{})
 			b.after(400 * time.Millisecond)
 			if got := b.plan(sched.VerbStop); len(got) != 1 {
 				t.Fatalf("stops: %v", got)
--- /dev/null
+++ b/internal/batch/sched/haunt_test.go
@@ -0,0 +1,78 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+)
+
+// A check-in runs twice. An order isn't answered, its worker starts anew, gets the check-in and is cut off. The order is
+// carried out late, in the new life: its time is of the former life's clock, which is far ahead, so
+// that it prolongs the lease of all that runs there beyond what this holder has granted.
+func TestOrderOfFormerLifeProlongsLease(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.after(doubt)
+	b.look("w0", sched.Report{})
+	b.core.Missed(b.now, "w1", 1)
+	b.core.Admit(b.now, one("j", nil))
+	o := b.core.Plan(b.now)[0]
+	ordered := b.now
+	b.core.Answer(b.now, o, sched.OutcomeUnknown)
+	b.look("w0", sched.Report{Born: 2})
+	b.core.CrewStored(b.core.Crew())
+	b.core.Admit(b.now, one("k", nil))
+	k := b.plan(sched.VerbStart)
+	if len(k) != 1 || k[0].Life.ID != "w0" {
+		t.Fatalf("placed %v, want one on w0", k)
+	}
+	b.look("w0", sched.Report{Born: 2, Running: []sched.Running{running(k[0])}})
+	b.core.Missed(b.now, "w0", 2)
+	for b.now.Sub(ordered) < 12*time.Second+lease {
+		b.look("w1", sched.Report{})
+		b.core.CrewStored(b.core.Crew())
+		if got := b.plan(sched.VerbStart); len(got) != 0 {
+			t.Fatalf("placed %v, %v after the order", got, b.now.Sub(ordered))
+		}
+		b.after(200 * time.Millisecond)
+	}
+	b.after(5 * time.Second)
+	b.look("w1", sched.Report{})
+	if got := b.plan(sched.VerbStart); len(got) != 2 {
+		t.Errorf("placed %v once the order can't be carried out any more, want both tasks", got)
+	}
+}
+
+// A check-in runs twice. Its worker starts anew, and an order that was on its way to the former life is carried out and
+// answered by the new one, with a lease by the former clock. The worker grants more than this holder
+// does, and runs on for as long as it grants after contact with it is lost.
+func TestAnswerOfFormerLifeProlongsLease(t *testing.T) {
+	const hold = lease + 2*time.Second
+	b := &bench{t: t, now: start()}
+	b.core = sched.New(sched.Options{Lease: lease, Hold: hold, Sure: time.Hour, Term: 1}, b.now)
+	b.core.Roster(b.now, members(2))
+	b.open()
+	b.after(doubt)
+	b.look("w0", sched.Report{})
+	b.core.Missed(b.now, "w1", 1)
+	b.core.Admit(b.now, one("j", nil))
+	o := b.core.Plan(b.now)[0]
+	b.look("w0", sched.Report{Born: 2})
+	b.core.Answer(b.now, o, sched.OutcomeDone)
+	answered := b.now
+	b.core.CrewStored(b.core.Crew())
+	b.look("w0", sched.Report{Born: 2, Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
+	b.core.Admit(b.now, one("k", nil))
+	if got := b.plan(sched.VerbStart); len(got) != 1 || got[0].Life.ID != "w0" {
+		t.Fatalf("placed %v, want one on w0", got)
+	}
+	b.core.Missed(b.now, "w0", 2)
+	for b.now.Sub(answered) < hold {
+		b.look("w1", sched.Report{})
+		b.core.CrewStored(b.core.Crew())
+		if got := b.plan(sched.VerbStart); len(got) != 0 {
+			t.Fatalf("placed %v, %v after the answer", got, b.now.Sub(answered))
+		}
+		b.after(100 * time.Millisecond)
+	}
+}
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -104,7 +104,8 @@
 	return w.until-w.clock.now(now) >= leastLent
 }
 
-// leastLent is a start's way to its worker, with the next look's.
+// leastLent is the least that is left of a start's lease as it leaves: less may be over before the next
+// look renews it.
 const leastLent = time.Second
 
 // lapseSlack is for a worker's noticing that its lease has run out.
@@ -125,6 +126,7 @@
 	if rep.Born != 0 && rep.Born < w.Born {
 		return nil
 	}
+	c.overlong(now, w)
 	w.contact = ContactGood
 	w.clock = clock{rep.Clock, now}
 	var news []Finished
@@ -192,6 +194,9 @@
 		if shown[r.runKey] || !r.sure.Before(sent) {
 			continue
 		}
+		if r.state == RunUnsure && r.sent.Before(sent) {
+			r.absent = true
+		}
 		if r.state == RunLive || r.state == RunStopped {
 			// It ended, and its end was told and forgotten, or it never came and never will.
 			c.free(r)
