batch/sched: a job has begun once a worker has a task of it

What callers saw: a queue in which nine jobs waited said that three did.

Cause: a job counted as begun when a start of it was ordered, also when that was refused, found no room or never left; with starts that wait to be sent and may be out of date then, that is no longer rare. Change: it has begun with a start that was taken, a run that is shown, or an end. One that isn't answered counts as waiting until a look shows it.

TestPendingUntilTaken: three of six cases wrong before, none after.

--- a/internal/batch/sched/answer.go
+++ b/internal/batch/sched/answer.go
@@ -61,6 +61,9 @@
 }
 
 func (c *Core) started(now time.Time, w *worker, r *run, out Outcome) {
+	if r.task != nil && (out == OutcomeDone || out == OutcomeOld) {
+		r.task.stage.job.begun = true
+	}
 	switch out {
 	case OutcomeDone:
 		if r.state == RunSent {
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -315,6 +315,37 @@
 	}
 }
 
+// A shop asks how many jobs wait. Starts were ordered and never left, or weren't taken: the jobs counted as begun for good,
+// and a queue full of work looked empty. A job has begun once a worker has one of its tasks.
+func TestPendingUntilTaken(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		out     sched.Outcome
+		shown   bool
+		pending int
+	}{
+		{"never left", sched.OutcomeUnsent, false, 1},
+		{"no room", sched.OutcomeRoom, false, 1},
+		{"no answer", sched.OutcomeUnknown, false, 1},
+		{"no answer, and shown", sched.OutcomeUnknown, true, 0},
+		{"taken", sched.OutcomeDone, false, 0},
+		{"ended there before", sched.OutcomeOld, false, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t, 1, 1).open()
+			b.core.Admit(b.now, one("j", nil))
+			o := b.core.Plan(b.now)[0]
+			b.core.Answer(b.now, o, tt.out)
+			if tt.shown {
+				b.look("w0", sched.Report{Running: []sched.Running{running(o)}})
+			}
+			if got := b.core.Pending("q"); got != tt.pending {
+				t.Errorf("%d wait, want %d", got, tt.pending)
+			}
+		})
+	}
+}
+
 // A worker starts anew while ends of its former life wait to be stored. Those numbers mean nothing to the new life: acknowledged
 // by them, it would forget ends that nobody has heard of.
 func TestOwedByFormerLife(t *testing.T) {
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -177,6 +177,9 @@
 		}
 		r.see(now, row)
 		r.shown = r.shown || r.born == w.Born
+		if r.task != nil {
+			r.task.stage.job.begun = true
+		}
 		if sole && r.task != nil && r.task.run == r {
 			r.task.seen = true
 		}
@@ -229,7 +232,6 @@
 	r.task = t
 	t.run = r
 	t.stage.waiting--
-	t.stage.job.begun = true
 	w.add(r)
 	return r
 }
@@ -261,6 +263,7 @@
 		return
 	}
 	j := t.stage.job
+	j.begun = true
 	if f.Save != "" && (t.run == nil || t.run == r) {
 		c.keepSave(t, f.Save)
 		c.changes.add(j)
@@ -293,7 +296,6 @@
 	t.done = true
 	t.stage.left--
 	j := t.stage.job
-	j.begun = true
 	delete(j.saves, t.id())
 	c.changes.add(j)
 	if t.stage.spec.Gang {
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -220,7 +220,6 @@
 	t.n = number
 	s := t.stage
 	s.waiting--
-	s.job.begun = true
 	if s.spec.Fills {
 		w.share.busy = now
 	}
