--- a/internal/batch/drive/queue_test.go
+++ b/internal/batch/drive/queue_test.go
@@ -105,8 +105,8 @@
 		if r := f.submit("a", step(1000)); r.Result != drive.ResultDone {
 			t.Fatalf("submit: %+v", r)
 		}
-		if took := f.settled(1000, 20*time.Second); took > withoutRun {
-			t.Errorf("all tasks run after %v, want at most %v", took, withoutRun)
+		if took := f.settled(1000, 20*time.Second); took > calm {
+			t.Errorf("all tasks run after %v, want at most %v", took, calm)
 		}
 		f.stop()
 		if c.lost > mostLost || c.starts > 1000+mostLost {
--- a/internal/batch/drive/weak_test.go
+++ b/internal/batch/drive/weak_test.go
@@ -20,8 +20,6 @@
 
 	weakWorkers = 150
 	weakTasks   = 100
-	// withoutRun is how long a lasting task may be without a run while there is room.
-	withoutRun = 7 * time.Second
 )
 
 // A feed that is to last stands still on most workers, for many seconds and again and again,
@@ -47,7 +45,7 @@
 			}
 			old.kill()
 			old.start()
-			if d := f.short(12*time.Second, weakTasks); d > withoutRun {
+			if d := f.short(12*time.Second, weakTasks); d > calm {
 				t.Errorf("after %s was lost, lasting tasks were without a run for %s", old.name, d)
 			}
 		}
--- /dev/null
+++ b/internal/batch/sched/doubt_test.go
@@ -0,0 +1,241 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+)
+
+// A worker is cut off and runs on. Its tasks are placed anew only when its lease has surely
+// run out, also by a clock that is 2 % slow, and what it tells of them afterwards counts no more.
+func TestLapse(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.core.Admit(b.now, one("j", nil))
+	b.look("w0", sched.Report{})
+	b.look("w1", sched.Report{})
+	o := b.plan(sched.VerbStart)[0]
+	granted := b.now
+	other := other(o)
+	b.core.Missed(b.now, o.Life.ID, 1)
+	b.look(other, sched.Report{})
+	for b.now.Sub(granted) < lease*100/98 {
+		b.look(other, sched.Report{})
+		if got := b.plan(sched.VerbStart); len(got) != 0 {
+			t.Fatalf("placed again %s after the lease was granted for %s", b.now.Sub(granted), lease)
+		}
+		b.after(100 * time.Millisecond)
+	}
+	b.after(doubt - lease) // what a former holder may have granted has to end too
+	again := b.plan(sched.VerbStart)
+	if len(again) != 1 || again[0].Life.ID != other {
+		t.Fatalf("after the lapse: %v", again)
+	}
+	b.look(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
+	b.store()
+	b.state("j", sched.StateRunning)
+}
+
+// A worker loses power. Until a look at it fails, it still gets starts, each with a new lease: its feeds
+// waited until the last of these leases must have run out, and stood still for longer than operators
+// allow. What the looks have granted bounds the wait, also when the store confirms the holder late.
+func TestStartsDontProlongLapse(t *testing.T) {
+	for _, age := range []time.Duration{0, 240 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+		t.Run(age.String(), func(t *testing.T) {
+			b := newBench(t, 1, 2).open()
+			b.core.Admit(b.now, one("feed", func(j *sched.Job) { j.Steps[0].Lasting = true }))
+			o := b.plan(sched.VerbStart)[0]
+			b.look(o.Life.ID, sched.Report{Running: []sched.Running{running(o)}})
+			b.now = b.now.Add(age)
+			b.core.Look(b.now, o.Life.ID)
+			lost := b.now
+			b.after(2050 * time.Millisecond)
+			b.now = b.now.Add(age)
+			b.core.Admit(b.now, one("book", func(j *sched.Job) { j.Steps[0].Label = o.Life.ID }))
+			for _, s := range b.core.Plan(b.now) {
+				b.core.Answer(b.now, s, sched.OutcomeUnknown)
+			}
+			b.core.Missed(b.now, o.Life.ID, 1)
+			b.after(doubt + 100*time.Millisecond - b.now.Sub(lost))
+			b.look(other(o), sched.Report{})
+			for _, got := range b.plan(sched.VerbStart) {
+				if got.Task.Job == "feed" {
+					return
+				}
+			}
+			t.Error("the feed isn't started once the lease of before the loss has run out")
+		})
+	}
+}
+
+// The store takes the holder's key away, another holder takes over and renews a worker's lease; the former one
+// doesn't reach that worker and, confirmed a moment ago, takes its runs for lapsed. A book is printed twice. A lease
+// has lapsed only once the store has confirmed the holder after it ran out: nobody else can have renewed it then.
+func TestLapseNeedsConfirmation(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.core.Admit(b.now, one("j", nil))
+	o := b.plan(sched.VerbStart)[0]
+	b.core.Missed(b.now, o.Life.ID, 1)
+	b.after(doubt - 500*time.Millisecond)
+	b.look(other(o), sched.Report{})
+	b.now = b.now.Add(time.Second)
+	if got := b.core.Plan(b.now); len(got) != 0 {
+		t.Errorf("ordered %v by a confirmation of before the lapse", got)
+	}
+	if got := b.plan(sched.VerbStart); len(got) != 1 {
+		t.Errorf("started %v once confirmed, want the task", got)
+	}
+}
+
+// A holder takes over while a worker is out of reach. A task of before may run there, so it
+// waits until the worker is reached or every lease of then has ended; new jobs don't wait.
+func TestDoubt(t *testing.T) {
+	b := newBench(t, 2, 2)
+	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.Inherit(b.now, members(2))
+	b.look("w0", sched.Report{})
+	b.core.Admit(b.now, one("new", nil))
+	got := b.plan(sched.VerbStart)
+	if len(got) != 1 || got[0].Task.Job != "new" {
+		t.Fatalf("started %v, want the new job only", got)
+	}
+	b.look("w1", sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}})
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Fatalf("started %v, though the task runs", got)
+	}
+	b.look("w1", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndDone}}})
+	b.store()
+	b.state("old", sched.StateCompleted)
+}
+
+// A holder takes over and looks at a worker that runs a task and has as many ends to tell as a report takes. Its
+// running tasks were passed over, and as it had been reached, the task was started on another worker too.
+func TestFullReportShowsRuns(t *testing.T) {
+	b := newBench(t, 2, 2)
+	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.Inherit(b.now, members(2))
+	b.look("w0", sched.Report{})
+	rep := sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}}
+	for i := range int64(500) {
+		rep.Finished = append(rep.Finished, sched.Finished{Seq: i + 1, Task: "gone.0.0.0", Run: 1, How: sched.EndFailed})
+	}
+	b.look("w1", rep)
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v, though the task runs", got)
+	}
+}
+
+// The same, but the task has ended there: its end comes with a later report. Started meanwhile, it would run again
+// after its success.
+func TestFullReportHoldsBack(t *testing.T) {
+	b := newBench(t, 2, 2)
+	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.Inherit(b.now, members(2))
+	b.look("w0", sched.Report{})
+	rep := sched.Report{}
+	for i := range int64(500) {
+		rep.Finished = append(rep.Finished, sched.Finished{Seq: i + 1, Task: "gone.0.0.0", Run: 1, How: sched.EndFailed})
+	}
+	b.look("w1", rep)
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v with ends still to come", got)
+	}
+	b.look("w1", sched.Report{Finished: []sched.Finished{{Seq: 501, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndDone}}})
+	b.store()
+	b.state("old", sched.StateCompleted)
+}
+
+// A feed's run fails on a worker that the new holder reaches, while another worker is out of reach
+// since before the change of holder. The holder has seen the run, so nothing else can run this
+// task: it is started again at once. It used to wait with all that was taken over.
+func TestDoubtEndsForSeenRun(t *testing.T) {
+	b := newBench(t, 2, 2)
+	if err := b.core.Restore(b.now, "old", one("old", func(j *sched.Job) { j.Steps[0].Lasting = true }), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.Inherit(b.now, members(2))
+	b.after(unsure)
+	b.look("w0", sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}})
+	b.look("w0", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndFailed}}})
+	if got := b.plan(sched.VerbStart); len(got) != 1 {
+		t.Errorf("started %v after its run had ended, want the task once", got)
+	}
+}
+
+// The store is lost to a holder, and another takes over; for some seconds the former one still acts. Both see a feed run
+// on a worker, which starts anew, and each starts the feed on a worker that the other doesn't
+// reach: it runs twice. What a new holder sees is the whole truth only once the former one has ceased to act.
+func TestSeenRunWhileTwoAct(t *testing.T) {
+	const task, run = "old.0.0.0", 1_000_001
+	take := func(term int64, at time.Time) *bench {
+		b := &bench{t: t, now: at}
+		b.core = sched.New(sched.Options{Lease: lease, Sure: unsure, Term: term}, at)
+		b.core.Confirm(at)
+		if err := b.core.Restore(at, "old", one("old", func(j *sched.Job) { j.Steps[0].Lasting = true }), nil); err != nil {
+			t.Fatal(err)
+		}
+		b.core.Inherit(at, members(3))
+		b.core.Roster(at, members(3))
+		return b
+	}
+	former, next := take(1, start()), take(2, start().Add(1300*time.Millisecond))
+	former.look("w1", sched.Report{})
+	next.look("w2", sched.Report{})
+	for _, b := range []*bench{former, next} {
+		b.look("w0", sched.Report{Running: []sched.Running{{Task: task, Run: run}}})
+	}
+	started := 0
+	for _, b := range []*bench{former, next} {
+		b.look("w0", sched.Report{Born: 2})
+		started += len(b.plan(sched.VerbStart))
+	}
+	if started > 1 {
+		t.Errorf("%d holders start the task", started)
+	}
+}
+
+// A worker has entered the directory and can't be reached yet as the holder changes. No former
+// holder can have given it anything, as its record doesn't name it: nothing waits for it.
+func TestNewWorkerHoldsNothingBack(t *testing.T) {
+	b := &bench{t: t, now: start()}
+	b.core = sched.New(sched.Options{Lease: lease, Sure: unsure, Term: 2}, b.now)
+	if err := b.core.Restore(b.now, "old", one("old", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.Inherit(b.now, members(1))
+	b.core.Roster(b.now, members(2))
+	b.look("w0", sched.Report{})
+	if got := b.plan(sched.VerbStart); len(got) != 1 {
+		t.Errorf("started %v, want the task taken over", got)
+	}
+}
+
+// A worker has been out of reach for so long that its lease has lapsed, and then the holder changes. What
+// ran there has ended, so the successor has nothing to wait for there. It isn't told of that worker.
+func TestLapsedWorkerIsNotHandedOn(t *testing.T) {
+	b := newBench(t, 1, 2).open()
+	b.core.Missed(b.now, "w1", 1)
+	b.after(doubt + lease)
+	b.plan(sched.VerbStart)
+	if got := b.core.Crew(); len(got) != 1 || got[0].ID != "w0" {
+		t.Errorf("handed on as workers that may hold runs: %v, want w0 only", got)
+	}
+	b.look("w1", sched.Report{})
+	if got := b.core.Crew(); len(got) != 2 {
+		t.Errorf("handed on once it is back: %v, want both", got)
+	}
+	b.core.Admit(b.now, one("j", func(j *sched.Job) { j.Steps[0].Label = "w1" }))
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v on a worker that the record doesn't name", got)
+	}
+	b.core.CrewStored(b.core.Crew())
+	if got := b.plan(sched.VerbStart); len(got) != 1 {
+		t.Errorf("started %v once the record names it, want the task", got)
+	}
+}
