--- a/internal/base/wait/doc.go
+++ b/internal/base/wait/doc.go
@@ -1,2 +1,2 @@
-// Package wait pauses for a time that ends early with a context.
+// Package wait pauses for a time that ends early with a context, and wakes who waits.
 package wait
--- a/internal/base/wait/wait.go
+++ b/internal/base/wait/wait.go
@@ -16,3 +16,11 @@
 		return ctx.Err() == nil
 	}
 }
+
+// Kick wakes whoever waits on c, a channel with room for one, or has it woken as it next waits; it never blocks.
+func Kick(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/internal/batch/drive/answer.go
+++ b/internal/batch/drive/answer.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/batch/sched"
 	"bramleysail.example/bramleysail/internal/plat/store"
 
@@ -141,7 +142,7 @@
 		h.subs = append(h.subs, s)
 	}
 	h.mu.Unlock()
-	kick(h.rush)
+	wait.Kick(h.rush)
 	select {
 	case <-s.done:
 		h.log.Info("accepted", "job", id, "queue", q.Name, "tasks", tasks(job), "took", time.Since(job.At))
@@ -193,8 +194,8 @@
 	done := make(chan struct{})
 	h.waiting[id] = append(h.waiting[id], done)
 	h.mu.Unlock()
-	kick(h.rush)
-	kick(h.plan)
+	wait.Kick(h.rush)
+	wait.Kick(h.plan)
 	select {
 	case <-done:
 		h.log.Info("cancelled", "job", id, "was", was)
--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -154,7 +154,7 @@
 	h.look()
 	h.wg.Go(h.commits)
 	h.wg.Go(h.forgets)
-	kick(h.commit)
+	wait.Kick(h.commit)
 	h.plans()
 	h.wg.Wait()
 	return nil
@@ -174,13 +174,6 @@
 	return h.core.Standing(time.Now()).Held > 0
 }
 
-func kick(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // load reads everything from the store, again until it succeeds or the tenure is over.
 func (h *Holder) load(began time.Time) ([]*feed, error) {
 	for {
@@ -310,7 +303,7 @@
 			h.log.Info("refused", "upkeep", u, "cause", "upkeep of workers' hosts isn't served")
 		}
 	}
-	kick(h.plan)
+	wait.Kick(h.plan)
 }
 
 func (h *Holder) applyRoster(at time.Time, entries []store.Entry) {
@@ -319,8 +312,8 @@
 	h.core.Roster(at, members)
 	h.mu.Unlock()
 	h.look()
-	kick(h.plan)
-	kick(h.commit)
+	wait.Kick(h.plan)
+	wait.Kick(h.commit)
 }
 
 // countBy returns a counter by verb and outcome.
--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -72,7 +72,7 @@
 	h.core.Answer(time.Now(), o, out)
 	h.mu.Unlock()
 	if out != sched.OutcomeDone {
-		kick(h.plan)
+		wait.Kick(h.plan)
 	}
 	return out
 }
@@ -154,7 +154,7 @@
 		return
 	}
 	h.logEnds(l.ID, news)
-	kick(h.plan)
+	wait.Kick(h.plan)
 	if out != sched.OutcomeDone {
 		wait.For(h.ctx, missPause)
 		return
@@ -175,7 +175,7 @@
 		if !unstored {
 			return
 		}
-		kick(h.commit)
+		wait.Kick(h.commit)
 		select {
 		case <-h.ctx.Done():
 			return
--- a/internal/batch/sched/changes.go
+++ b/internal/batch/sched/changes.go
@@ -30,25 +30,27 @@
 
 // take returns the next job to store as it is now, or nil.
 func (c *changes) take() *job {
-	for len(c.rush) > 0 {
-		j := c.rush[0]
-		c.rush = c.rush[1:]
-		j.rushed = false
+	for j := c.pop(); j != nil; j = c.pop() {
 		if j.unstored() {
 			j.taken = j.changes
 			return j
 		}
 	}
-	for len(c.rest) > 0 {
-		j := c.rest[0]
-		c.rest = c.rest[1:]
+	return nil
+}
+
+// pop returns the next job in turn; it may have been taken since it was noted.
+func (c *changes) pop() *job {
+	var j *job
+	switch {
+	case len(c.rush) > 0:
+		j, c.rush = c.rush[0], c.rush[1:]
+		j.rushed = false
+	case len(c.rest) > 0:
+		j, c.rest = c.rest[0], c.rest[1:]
 		j.queued = false
-		if j.unstored() {
-			j.taken = j.changes
-			return j
-		}
 	}
-	return nil
+	return j
 }
 
 // unstored reports whether a job has changed since it was last taken to be stored.
--- a/internal/ctrl/lead/tenure.go
+++ b/internal/ctrl/lead/tenure.go
@@ -189,20 +189,13 @@
 			wg.Go(func() {
 				defer func() { <-under }()
 				if t.renew() {
-					kick(lapsed)
+					wait.Kick(lapsed)
 				}
 			})
 		}
 	}
 }
 
-func kick(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // renew renews the present lease once and reports whether that has lapsed.
 func (t *Tenure) renew() bool {
 	lease := t.present()
@@ -224,7 +217,7 @@
 
 // vanished tells that the holder's key is gone.
 func (t *Tenure) vanished() {
-	kick(t.gone)
+	wait.Kick(t.gone)
 }
 
 // restore writes the holder's key anew after its lease has lapsed, as it may while the store
