batch/sched: no start leaves for a worker that has closed meanwhile

What operators saw: workers that had said that they leave got tasks, 3.05 to 3.2 s after they had said so.

Change: a worker that leaves, isn't listed any more or whose failure domain is taken out bars the start.

TestStartIsRechecked: the three new cases leave before, are barred after.

--- a/internal/batch/sched/depart.go
+++ b/internal/batch/sched/depart.go
@@ -13,6 +13,7 @@
 	CauseLife    Cause = "life"    // the worker has started anew
 	CauseContact Cause = "contact" // the worker isn't reached
 	CauseLease   Cause = "lease"   // what is left of the lease that the start brings is too short
+	CauseClosed  Cause = "closed"  // the worker leaves, or operators have taken its failure domain out
 )
 
 // Depart tells that an order is about to leave, and returns why it must not, if so. One that doesn't leave is
@@ -65,6 +66,8 @@
 		return CauseLife
 	case w.contact != ContactGood:
 		return CauseContact
+	case !w.listed || w.Draining || w.out:
+		return CauseClosed
 	case o.Until-w.clock.now(now) < leastLent:
 		return CauseLease
 	}
--- a/internal/batch/sched/depart_test.go
+++ b/internal/batch/sched/depart_test.go
@@ -26,14 +26,21 @@
 			b.after(3 * lease)
 			b.core.Plan(b.now)
 		}, sched.CauseRun},
-		{"holder cut off", func(b *bench, _ sched.Order) { b.now = b.now.Add(sure) }, sched.CauseTenure},
+		{"holder cut off", func(b *bench, _ sched.Order) { b.now = b.now.Add(unsure) }, sched.CauseTenure},
 		{"worker lost", func(b *bench, _ sched.Order) { b.core.Missed(b.now, "w0", 1) }, sched.CauseContact},
 		{"worker started anew", func(b *bench, _ sched.Order) { b.look("w0", sched.Report{Born: 2}) }, sched.CauseLife},
+		{"worker leaves", func(b *bench, _ sched.Order) {
+			all := members(2)
+			all[0].Draining = true
+			b.core.Roster(b.now, all)
+		}, sched.CauseClosed},
+		{"worker left the directory", func(b *bench, _ sched.Order) { b.core.Roster(b.now, members(2)[1:]) }, sched.CauseClosed},
+		{"failure domain taken out", func(b *bench, _ sched.Order) { b.core.Out(map[string]bool{"z": true}) }, sched.CauseClosed},
 		{"lease nearly over", func(b *bench, _ sched.Order) { b.after(lease - 500*time.Millisecond) }, sched.CauseLease},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			b := &bench{t: t, now: start()}
-			b.core = sched.New(sched.Options{Lease: lease, Sure: sure, Term: 1}, b.now)
+			b.core = sched.New(sched.Options{Lease: lease, Sure: unsure, Term: 1}, b.now)
 			b.core.Roster(b.now, members(2))
 			b.open()
 			b.core.Admit(b.now, one("j", func(j *sched.Job) { j.Steps[0].Label = "w0" }))
@@ -46,9 +53,6 @@
 	}
 }
 
-// sure is how long a holder may act without a confirmation, here.
-const sure = 3 * time.Second
-
 // A start that never left frees its task and its worker's room at once: nothing can come of it. A task of a
 // cancelled job isn't placed again, and no stop is sent for it.
 func TestRefusedStartIsFreed(t *testing.T) {
@@ -86,7 +90,7 @@
 	b.look("w1", sched.Report{})
 	b.core.Admit(b.now, one("j", nil))
 	o := b.core.Plan(b.now)[0]
-	other := map[string]string{"w0": "w1", "w1": "w0"}[o.Life.ID]
+	other := other(o)
 	b.after(3 * time.Second)
 	if got := b.core.Depart(b.now, o); got != sched.CauseNone {
 		t.Fatalf("the start is barred by %q", got)
