batch/drive: the queue of orders is taken out again

Cause: starts that wait in the queue take their room in the ledger as if they ran. With thousands of tasks waiting all workers looked full to the holder for seconds, and the lasting task, first in turn, found no place; where a place came free, a start that had waited took it.

Change: orders leave at once, as before; that an order is asked for as it leaves, waits for the former one's answer, and that an unanswered start is looked for, stay.

--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -13,7 +13,6 @@
 	defer tick.Stop()
 	shown := newStanding(h.opt.Scope)
 	defer shown.clear()
-	queue := newQueue(h.ctx, h.wg.Go, h.order)
 	for {
 		select {
 		case <-h.ctx.Done():
@@ -40,7 +39,9 @@
 			h.log.Info("waits", "job", w.Job, "step", w.Step, "tasks", w.Tasks, "since", w.Since, "workers", w.Workers,
 				"closed", w.Closed, "shut", w.Shut, "full", w.Full, "harm", w.Harm)
 		}
-		queue.put(orders)
+		for _, o := range orders {
+			h.wg.Go(func() { h.order(o) })
+		}
 		if !wait.For(h.ctx, planPause) {
 			return
 		}
@@ -55,8 +56,8 @@
 	}
 }
 
-// order gives an order, has the core know what came of it, also when the tenure is over, and returns that.
-func (h *Holder) order(o sched.Order) sched.Outcome {
+// order gives an order and has the core know what came of it, also when the tenure is over.
+func (h *Holder) order(o sched.Order) {
 	began := time.Now()
 	out, cause := h.give(o)
 	if o.Verb == sched.VerbStart || out != sched.OutcomeDone || o.Pace == 0 {
@@ -66,7 +67,7 @@
 	h.orders(string(o.Verb), string(out))
 	if out == sched.OutcomeFence {
 		h.fenced(o.Life.ID)
-		return out
+		return
 	}
 	h.mu.Lock()
 	h.core.Answer(time.Now(), o, out)
@@ -74,7 +75,6 @@
 	if out != sched.OutcomeDone {
 		wait.Kick(h.plan)
 	}
-	return out
 }
 
 // give sends an order to its worker, unless it has to stay; the cause says why.
