batch/sched: places are chosen by an index of rooms

Cause: the holder's processor binds at 350 workers; three quarters of a plan went into pick, which walked all workers for each task, and for each of them compared image names and summed factors; the whole backlog was sorted with each newcomer.

Change: workers stand in buckets by free room (base/bucket); a step scores those with room once, a bounded sample of them past 512, and after a start only the worker that got it; harm and advantage are one pass, and a pair's factor is looked up once; newcomers are sorted in; sizes without room are kept by kind. The order of choices is the same up to 512 workers with room: scores and ties by id are unchanged.

--- a/internal/batch/sched/bench_test.go
+++ b/internal/batch/sched/bench_test.go
@@ -9,57 +9,136 @@
 	"bramleysail.example/bramleysail/internal/batch/wire"
 )
 
-// BenchmarkPlan plans with 48 workers full of serving and filling tasks and 150 steps that
-// wait, with a report between two plans as there is on a busy day.
-//
-// Per plan: 398 us when each try counted a worker's runs anew, 84 us with the outlook kept,
-// 109 us with loads told ahead, which lasts for 200 ms.
-func BenchmarkPlan(b *testing.B) {
-	core := sched.New(sched.Options{Lease: lease, Sure: time.Hour, Term: 1}, start())
-	core.Roster(start(), members(48))
-	core.CrewStored(core.Crew())
-	now := start()
-	reports := map[string]*sched.Report{}
-	for _, m := range core.Crew() {
-		reports[m.ID] = &sched.Report{Born: 1}
+// planner plays a holder's work on workers full of serving and filling tasks: reports come in, tasks
+// end, and as many new jobs come as have ended.
+type planner struct {
+	core    *sched.Core
+	now     time.Time
+	ids     []string
+	reports map[string]*sched.Report
+	seq     map[string]int64
+	turn    int // of the worker that is heard next
+	jobs    int
+	starts  int
+	ended   int // tasks that ended and were not replaced by a new job yet
+}
+
+// Load of the benchmark, for each worker.
+const (
+	lastingEach = 0.8 // serving jobs
+	waitingEach = 6   // filling jobs at the start, of which most wait
+	heardEach   = 48  // one worker in so many is heard between two plans
+)
+
+func newPlanner(workers int) *planner {
+	p := &planner{
+		core: sched.New(sched.Options{Lease: lease, Sure: time.Hour, Term: 1}, start()), now: start(),
+		reports: map[string]*sched.Report{}, seq: map[string]int64{},
 	}
-	hear := func(id string) {
-		r := reports[id]
-		r.Clock = now.Sub(start())
-		core.Confirm(now)
-		core.Look(now, id)
-		core.Hear(now.Add(-time.Millisecond), now, id, *r)
-		core.Look(now, id)
+	p.core.Roster(start(), members(workers))
+	p.core.CrewStored(p.core.Crew())
+	for _, m := range p.core.Crew() {
+		p.ids = append(p.ids, m.ID)
+		p.reports[m.ID] = &sched.Report{Born: 1}
+		p.hear(m.ID)
 	}
-	for id := range reports {
-		hear(id)
+	for i := range int(lastingEach * float64(workers)) {
+		p.core.Admit(p.now, serving(fmt.Sprintf("s%d", i), fmt.Sprintf("s%d", i%5)))
 	}
-	take := func(orders []sched.Order) {
-		for _, o := range orders {
-			if o.Verb != sched.VerbStart {
-				core.Answer(now, o, sched.OutcomeDone)
-				continue
-			}
-			core.Answer(now, o, sched.OutcomeDone)
-			row := sched.Running{Task: o.Task.String(), Run: o.Run, Part: 100, Usage: 1500, Tail: 12 * time.Millisecond}
-			reports[o.Life.ID].Running = append(reports[o.Life.ID].Running, row)
+	p.plan()
+	for range min(waitingEach*workers, 2000) {
+		p.submit()
+	}
+	for range 100 {
+		p.step()
+	}
+	return p
+}
+
+func (p *planner) submit() {
+	p.core.Admit(p.now, filling(fmt.Sprintf("f%d", p.jobs), fmt.Sprintf("f%d", p.jobs%9), 1000+50*(p.jobs%30)))
+	p.jobs++
+}
+
+// hear has a worker report, as on a busy day every half second or so.
+func (p *planner) hear(id string) {
+	r := p.reports[id]
+	r.Clock = p.now.Sub(start())
+	p.core.Confirm(p.now)
+	p.core.Look(p.now, id)
+	p.core.Hear(p.now.Add(-time.Millisecond), p.now, id, *r)
+	p.core.Look(p.now, id)
+}
+
+// end has the oldest filling task of a worker end.
+func (p *planner) end(id string) {
+	r := p.reports[id]
+	r.Finished = nil
+	for i, row := range r.Running {
+		if row.Tail > 0 {
+			continue
 		}
+		p.seq[id]++
+		r.Running = append(r.Running[:i:i], r.Running[i+1:]...)
+		r.Finished = []sched.Finished{{Seq: p.seq[id], Task: row.Task, Run: row.Run, How: sched.EndDone}}
+		p.ended++
+		return
 	}
-	for i := range 40 {
-		core.Admit(now, serving(fmt.Sprintf("s%d", i), fmt.Sprintf("s%d", i%5)))
+}
+
+// events are what a holder hears between two plans.
+func (p *planner) events() {
+	p.now = p.now.Add(10 * time.Millisecond)
+	for range max(1, len(p.ids)/heardEach) {
+		id := p.ids[p.turn%len(p.ids)]
+		p.turn++
+		p.end(id)
+		p.hear(id)
 	}
-	take(core.Plan(now))
-	for i := range 300 {
-		core.Admit(now, filling(fmt.Sprintf("f%d", i), fmt.Sprintf("f%d", i%9), 1000+50*(i%30)))
+	for ; p.ended >= 8; p.ended -= 8 {
+		p.submit()
 	}
-	for range 10 {
-		now = now.Add(10 * time.Millisecond)
-		take(core.Plan(now))
+}
+
+func (p *planner) plan() {
+	for _, o := range p.core.Plan(p.now) {
+		p.core.Answer(p.now, o, sched.OutcomeDone)
+		if o.Verb != sched.VerbStart {
+			continue
+		}
+		p.starts++
+		row := sched.Running{Task: o.Task.String(), Run: o.Run, Part: 100, Usage: 1500}
+		if o.Task.Job[0] == 's' {
+			row.Tail = 12 * time.Millisecond
+		}
+		p.reports[o.Life.ID].Running = append(p.reports[o.Life.ID].Running, row)
 	}
-	for b.Loop() {
-		now = now.Add(5 * time.Millisecond)
-		hear(fmt.Sprintf("w%d", now.UnixMilli()/5%48))
-		take(core.Plan(now))
+}
+
+func (p *planner) step() {
+	p.events()
+	p.plan()
+}
+
+// BenchmarkPlan plans with workers full of serving and filling tasks and with jobs that wait, with reports,
+// ends and new jobs between two plans in proportion to the workers.
+func BenchmarkPlan(b *testing.B) {
+	for _, workers := range []int{48, 350, 3000, 28000} {
+		b.Run(fmt.Sprintf("%dworkers", workers), func(b *testing.B) {
+			p := newPlanner(workers)
+			p.starts = 0
+			var planned time.Duration
+			b.ResetTimer()
+			for range b.N {
+				p.events()
+				began := time.Now()
+				p.plan()
+				planned += time.Since(began)
+			}
+			b.ReportMetric(float64(planned.Microseconds())/float64(b.N), "us/plan")
+			b.ReportMetric(float64(planned.Microseconds())/float64(max(p.starts, 1)), "us/start")
+			b.ReportMetric(float64(p.starts)/float64(b.N), "starts/plan")
+		})
 	}
 }
 
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -23,14 +23,18 @@
 	aided time.Time // when its peers last did
 
 	jobs    map[string]*job
-	active  []*stage  // with tasks that wait for a worker
-	resort  bool      // active has a newcomer
-	sorted  time.Time // when active was last sorted
+	waiting waiting // steps with tasks that wait for a worker
 	changes changes
 	later   []*job // with occurrences to come
 	workers map[string]*worker
-	ranks   []*worker       // the same, by id
-	zones   map[string]bool // failure domains that are taken out
+	ranks   []*worker         // the same, by id
+	rooms   map[string]*rooms // by service
+	stale   []*worker         // whose place in rooms may be out of date
+	choices choices           // kept for its memory
+	sampled int               // how often workers were sampled
+	zones   map[string]bool   // failure domains that are taken out
+	plans   int               // so far
+	kinds   map[kind]*misfits
 	speeds  learner
 	press   pressure
 	moved   time.Time // when slowed tasks were last looked at
@@ -45,6 +49,8 @@
 		began:   now,
 		jobs:    map[string]*job{},
 		workers: map[string]*worker{},
+		rooms:   map[string]*rooms{},
+		kinds:   map[kind]*misfits{},
 		zones:   map[string]bool{},
 	}
 }
@@ -85,7 +91,9 @@
 	waiting int // tasks without a run that aren't done
 	left    int // tasks that aren't done
 	open    bool
-	listed  bool // in Core.active
+	listed  bool // in Core.waiting
+	rank    precedence
+	misfits *misfits // of its kind; nil: not looked up yet
 	at      time.Time
 	short   time.Time // since when a task of it has found no place; zero: none has lacked one
 	told    bool      // that was told
@@ -296,8 +304,7 @@
 		return
 	}
 	s.listed = true
-	c.active = append(c.active, s)
-	c.resort = true
+	c.waiting.add(s)
 }
 
 // Cancel ends a job and reports whether it is known. A job that has ended keeps its state.
@@ -371,7 +378,7 @@
 
 // free parts a task from its run, so that it can be placed again.
 func (c *Core) free(r *run) {
-	r.worker.drop(r)
+	c.detach(r)
 	t := r.task
 	if t == nil || t.run != r {
 		return
--- a/internal/batch/sched/factor.go
+++ b/internal/batch/sched/factor.go
@@ -10,6 +10,14 @@
 	value []float64
 	cov   [][]float64
 	at    float64 // seconds
+	last  against // the answer of the last call of against
+}
+
+// against is the factor of a filling image beside the mean of all.
+type against struct {
+	known    bool
+	image    string
+	of, mean float64
 }
 
 const (
@@ -55,8 +63,18 @@
 	return sum / float64(len(f.value))
 }
 
+// against returns the factor of a filling image and the mean of all. Placing asks for the same image many
+// times in a row, so the last answer is kept.
+func (f *factors) against(fill string) (of, mean float64) {
+	if a := &f.last; !a.known || a.image != fill {
+		*a = against{true, fill, f.of(fill), f.mean()}
+	}
+	return f.last.of, f.last.mean
+}
+
 // set gives an image a factor with a standard deviation.
 func (f *factors) set(fill string, value, spread float64) {
+	f.last.known = false
 	i := f.index(fill)
 	if i < 0 {
 		i = len(f.fills)
@@ -114,6 +132,7 @@
 			gain[i] += f.cov[i][f.index(u.image)] * u.share
 		}
 	}
+	f.last.known = false
 	total := variance + noise
 	miss = math.Copysign(min(math.Abs(miss), wildest), miss)
 	for i := range gain {
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -226,13 +226,13 @@
 	t := c.task(key.task)
 	if t == nil || t.done || t.run != nil || t.stage.job.state.Final() {
 		r.state = RunStopping
-		w.add(r)
+		c.attach(r)
 		return r
 	}
 	r.task = t
 	t.run = r
 	t.stage.waiting--
-	w.add(r)
+	c.attach(r)
 	return r
 }
 
@@ -254,7 +254,7 @@
 	r := w.runs[key]
 	t := c.task(id)
 	if r != nil {
-		w.drop(r)
+		c.detach(r)
 	}
 	if t == nil || t.done {
 		if t != nil && t.run == r {
--- a/internal/batch/sched/outlook.go
+++ b/internal/batch/sched/outlook.go
@@ -71,26 +71,18 @@
 	return float64(s.Size.CPU) / float64(max(w.Size.CPU, 1))
 }
 
-// harm returns how many serving runs of a worker a further filling task would bring over
-// their target, in expectation.
-func (c *Core) harm(now time.Time, w *worker, s *Step) float64 {
-	sum := 0.0
+// effect returns what a further filling task of a step would do on a worker: the expected number of serving
+// runs that it would bring over their target, and how much less it disturbs them than filling images do on
+// average. Placing by this advantage leaves the workers on which nothing serves, and those whose serving tasks
+// bear more, to the images that have no other place.
+func (c *Core) effect(now time.Time, w *worker, s *Step) (harm, advantage float64) {
 	share := s.share(w)
 	for _, k := range c.look(now, w).strains {
-		sum += over(k.above+k.factors.of(s.Image)*share) - over(k.above)
+		of, mean := k.factors.against(s.Image)
+		harm += over(k.above+of*share) - over(k.above)
+		advantage += mean - of
 	}
-	return sum
-}
-
-// advantage is how much less a filling image disturbs the worker's serving tasks than filling
-// images do on average. Placing by it leaves the workers on which nothing serves, and those
-// whose serving tasks bear more, to the images that have no other place.
-func (c *Core) advantage(now time.Time, w *worker, s *Step) float64 {
-	sum := 0.0
-	for _, k := range c.look(now, w).strains {
-		sum += k.factors.mean() - k.factors.of(s.Image)
-	}
-	return sum * s.share(w)
+	return harm, advantage * share
 }
 
 // over returns the chance that a serving run is over its target whose pressure is expected to
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"math"
 	"slices"
 	"sort"
 	"time"
@@ -18,8 +17,6 @@
 	baseLoad = 0.6
 	// fillShare is how much of a filling task's processors must be left for it to be placed.
 	fillShare = 0.9
-	// lateBy moves a step whose job can't be on time any more behind those whose jobs can.
-	lateBy = time.Hour
 	// lateAims is how many times its aim a job may take for its end to be worth something to
 	// its caller.
 	lateAims = 3
@@ -31,18 +28,11 @@
 		return orders
 	}
 	doubt := c.inDoubt(now)
-	c.sortActive(now)
-	full := misfits{}
-	rest := c.active[:0]
-	for _, s := range c.active {
-		if s.job.state.Final() || s.waiting == 0 {
-			s.listed = false
-			continue
-		}
-		rest = append(rest, s)
-		orders = c.placeStage(now, s, doubt && s.job.restored, full, orders)
+	c.waiting.sort(now)
+	c.plans++
+	for _, s := range c.waiting.steps {
+		orders = c.placeStage(now, s, doubt && s.job.restored, orders)
 	}
-	c.active = rest
 	return orders
 }
 
@@ -77,61 +67,43 @@
 	return k
 }
 
-// misfits holds for each kind the sizes for which there was no room: a task of the kind that
-// is as large in everything needn't be tried. With hundreds of steps waiting, this is what
-// keeps planning cheap.
-type misfits map[kind][]wire.Size
+// misfits are the sizes of a kind for which a plan has found no room: a task that is as large in everything needn't
+// be tried. With hundreds of steps waiting, this is what keeps planning cheap.
+type misfits struct {
+	plan  int // number of the plan that found them
+	sizes []wire.Size
+}
 
-func (m misfits) has(k kind, z wire.Size) bool {
-	for _, f := range m[k] {
-		if z.Covers(f) {
-			return true
-		}
+func (m *misfits) has(plan int, z wire.Size) bool {
+	if m.plan != plan {
+		return false
 	}
-	return false
+	return slices.ContainsFunc(m.sizes, z.Covers)
 }
 
-// resortEvery is how often the order of what waits is made anew without a newcomer: what
-// becomes late meanwhile moves behind the rest.
-const resortEvery = 200 * time.Millisecond
-
-func (c *Core) sortActive(now time.Time) {
-	if !c.resort && now.Sub(c.sorted) < resortEvery {
-		return
+func (m *misfits) add(plan int, z wire.Size) {
+	if m.plan != plan {
+		m.plan, m.sizes = plan, m.sizes[:0]
 	}
-	c.resort, c.sorted = false, now
-	slices.SortStableFunc(c.active, func(a, b *stage) int {
-		switch {
-		case a.spec.Lasting != b.spec.Lasting:
-			if a.spec.Lasting {
-				return -1
-			}
-			return 1
-		case a.job.Priority != b.job.Priority:
-			return a.job.Priority - b.job.Priority
-		}
-		return a.key(now).Compare(b.key(now))
-	})
+	m.sizes = append(m.sizes, z)
 }
 
-// key orders stages by the latest start with which their jobs are on time. Those for which it
-// has passed come after all others, and last the ones whose jobs are worth nothing to their
-// callers any more. With the time of the steps that follow left out, a job that couldn't be
-// on time took the places of those that could until its due time had passed.
-func (s *stage) key(now time.Time) time.Time {
-	switch {
-	case now.After(s.worth):
-		return s.due.Add(2 * lateBy)
-	case now.After(s.due):
-		return s.due.Add(lateBy)
+// misfits returns the misfits of a step's kind.
+func (c *Core) misfits(s *stage) *misfits {
+	if s.misfits == nil {
+		k := s.kind()
+		if c.kinds[k] == nil {
+			c.kinds[k] = &misfits{}
+		}
+		s.misfits = c.kinds[k]
 	}
-	return s.due
+	return s.misfits
 }
 
 // placeStage places the tasks of a stage; with doubt only those of which this holder has seen a run.
-func (c *Core) placeStage(now time.Time, s *stage, doubt bool, full misfits, orders []Order) []Order {
-	k := s.kind()
-	if full.has(k, s.spec.Size) {
+func (c *Core) placeStage(now time.Time, s *stage, doubt bool, orders []Order) []Order {
+	full := c.misfits(s)
+	if full.has(c.plans, s.spec.Size) {
 		return orders
 	}
 	if s.spec.Gang {
@@ -140,19 +112,24 @@
 		}
 		return c.placeGang(now, s, orders)
 	}
+	var ch *choices
 	for _, t := range s.tasks {
 		if t.done || t.run != nil || doubt && !t.seen {
 			continue
 		}
-		w := c.pick(now, t, "")
-		if w == nil {
+		if ch == nil {
+			ch = c.choose(now, s, "")
+		}
+		i := ch.best(t)
+		if i < 0 {
 			c.lack(now, s)
 			if s.spec.Apart == 0 {
-				full[k] = append(full[k], s.spec.Size)
+				full.add(c.plans, s.spec.Size)
 			}
 			break
 		}
-		orders = append(orders, c.start(now, t, w, t.next(c.opt.Term)))
+		orders = append(orders, c.start(now, t, ch.workers[i], t.next(c.opt.Term)))
+		c.rescore(now, ch, i)
 	}
 	return orders
 }
@@ -223,7 +200,7 @@
 	if s.spec.Fills {
 		w.share.busy = now
 	}
-	w.add(r)
+	c.attach(r)
 	o := r.order(VerbStart)
 	o.Spec = s.job.Spec
 	o.Save = s.job.saves[t.id()]
@@ -233,49 +210,11 @@
 
 // pick returns the worker that suits a task best, or nil.
 func (c *Core) pick(now time.Time, t *task, rack string) *worker {
-	s := t.stage
-	var best *worker
-	bestScore := math.Inf(-1)
-	for _, w := range c.ranks {
-		if w.Service != s.job.Service || rack != "" && w.Rack != rack || !w.open(now) || !w.labelled(s.spec.Label) {
-			continue
-		}
-		score, ok := c.score(now, w, s)
-		if !ok || s.spec.Apart > 0 && w.holds(s) >= s.spec.Apart {
-			continue
-		}
-		if s.spec.Rack != "" && w.Rack != s.spec.Rack {
-			score -= 1
-		}
-		if w.ID == t.avoid {
-			score -= 10
-		}
-		if score > bestScore {
-			best, bestScore = w, score
-		}
+	ch := c.choose(now, t.stage, rack)
+	if i := ch.best(t); i >= 0 {
+		return ch.workers[i]
 	}
-	return best
-}
-
-// score returns how well a stage's task suits a worker, higher being better, and whether it fits.
-func (c *Core) score(now time.Time, w *worker, s *stage) (float64, bool) {
-	z := s.spec.Size
-	free := w.free()
-	left := float64(c.look(now, w).left)
-	whole := float64(max(w.Size.CPU, 1))
-	switch {
-	case s.spec.Fills:
-		if w.share.shut || !c.roomy(now, w, s) {
-			return 0, false
-		}
-		harm := c.harm(now, w, s.spec)
-		return leftWeight*left/whole + advantageWeight*c.advantage(now, w, s.spec) - harm, harm <= mostHarm
-	case !free.Covers(z):
-		return 0, false
-	case s.spec.Lasting:
-		return c.kinship(w, s.spec.Image), true
-	}
-	return left / whole, true
+	return nil
 }
 
 // roomy reports whether a worker has room for a filling task of a stage.
@@ -284,14 +223,6 @@
 	return z.Mem <= free.Mem && z.Accel <= free.Accel && float64(c.look(now, w).left) >= fillShare*float64(z.CPU)
 }
 
-// advantageWeight is the weight of what a place is worth to other images beside the harm done
-// there. On six days of both users the worth added up to 3.05 without it, 3.09 at 0.3, 3.20 at
-// 0.5 and 3.14 at 1.
-const advantageWeight = 0.5
-
-// leftWeight is the weight of the processors left beside what is decided first.
-const leftWeight = 0.1
-
 // kinship prefers the worker that is fullest of the image, so that others stay free of serving
 // tasks for filling images that disturb them all, and, where images have to share a worker,
 // ones that the same filling images disturb.
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -44,6 +44,7 @@
 		m.Born = w.Born
 	}
 	w.Member = m
+	c.touch(w)
 	w.listed = listed
 	// The entry is read again with any other's change, so the first word counts.
 	switch {
@@ -80,7 +81,7 @@
 	w.share = sharing{}
 	w.clock = clock{}
 	w.until = 0
-	w.outlook.fresh = false
+	c.touch(w)
 }
 
 // all returns the runs of a worker as they are now, to be walked while some are dropped.
@@ -138,6 +139,7 @@
 		}
 		w.void = !prolonged && (!w.fresh || now.Sub(w.lapse) >= lateMost)
 		if !w.listed && !kept {
+			c.unindex(w)
 			delete(c.workers, w.ID)
 			c.rank()
 		}
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -48,7 +48,7 @@
 	}
 	before := w.share.last
 	w.share.last = now
-	w.outlook.fresh = false
+	c.touch(w)
 	use := w.fillUse()
 	if w.filled() {
 		w.share.busy = now
--- a/internal/batch/sched/standing.go
+++ b/internal/batch/sched/standing.go
@@ -40,7 +40,7 @@
 		return s
 	}
 	s.Left = c.clear().Sub(now)
-	for _, st := range c.active {
+	for _, st := range c.waiting.all() {
 		if st.job.restored && !st.job.state.Final() {
 			s.Held += st.unseen()
 		}
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -106,6 +106,8 @@
 	share sharing
 
 	outlook outlook
+	stale   bool     // in Core.stale
+	indexed *indexed // nil: not in Core.rooms
 }
 
 type runKey struct {
@@ -154,14 +156,14 @@
 	return f
 }
 
-// add enters a run into the ledger.
+// add enters a run into the ledger; see Core.attach.
 func (w *worker) add(r *run) {
 	w.runs[r.runKey] = r
 	w.list = append(w.list, r)
-	w.outlook.fresh = false
 	w.count(r, 1)
 }
 
+// drop takes a run out of the ledger; see Core.detach.
 func (w *worker) drop(r *run) {
 	if w.runs[r.runKey] != r {
 		return
@@ -169,7 +171,6 @@
 	delete(w.runs, r.runKey)
 	i := slices.Index(w.list, r)
 	w.list = slices.Delete(w.list, i, i+1)
-	w.outlook.fresh = false
 	w.count(r, -1)
 }
 
