batch/sched: no more starts are under way than are answered in time

Cause: a thousand starts left at once; the holder needed longer to send them than it waits for answers, and runs that had begun were taken for lost (TestStartsOfManyTasks: 1,000 of 1,000 lost, not settled in 20 s).

Change: the core plans no more starts than a window that grows with prompt answers while it is the bound and is halved when most answers come late or not at all. A start without an answer counts for 0.3 s: silent workers hold up nobody else (TestSilentWorkersHoldUpNobody).

--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -71,8 +71,9 @@
 	}
 	h.mu.Lock()
 	h.core.Answer(time.Now(), o, out)
+	limited := h.core.Limited()
 	h.mu.Unlock()
-	if out != sched.OutcomeDone {
+	if out != sched.OutcomeDone || limited {
 		wait.Kick(h.plan)
 	}
 }
--- a/internal/batch/sched/answer.go
+++ b/internal/batch/sched/answer.go
@@ -23,6 +23,9 @@
 	if r != nil {
 		// Also where the answer is of a former life: the run may stay, and be ordered about again.
 		r.settled(now, o.Verb, out)
+		if o.Verb == VerbStart {
+			c.flow.answered(now, now.Sub(r.sent), out)
+		}
 	}
 	if r != nil && r.born != w.Born && out != OutcomeUnsent {
 		c.overlong(now, w)
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -33,7 +33,8 @@
 	choices choices           // kept for its memory
 	sampled int               // how often workers were sampled
 	zones   map[string]bool   // failure domains that are taken out
-	plans   int               // so far
+	flow    flow
+	plans   int // so far
 	kinds   map[kind]*misfits
 	speeds  learner
 	press   pressure
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -29,8 +29,12 @@
 	}
 	doubt := c.inDoubt(now)
 	c.waiting.sort(now)
+	c.flow.open(now)
 	c.plans++
 	for _, s := range c.waiting.steps {
+		if c.flow.limited {
+			break
+		}
 		orders = c.placeStage(now, s, doubt && s.job.restored, orders)
 	}
 	return orders
@@ -117,6 +121,9 @@
 		if t.done || t.run != nil || doubt && !t.seen {
 			continue
 		}
+		if !c.flow.has(1) {
+			break
+		}
 		if ch == nil {
 			ch = c.choose(now, s, "")
 		}
@@ -141,6 +148,9 @@
 			return orders // the rest of a former run has to end first
 		}
 	}
+	if !c.flow.has(len(s.tasks)) {
+		return orders
+	}
 	racks := []string{""}
 	if s.spec.Tight {
 		racks = append(c.racks(), "")
@@ -167,6 +177,7 @@
 					c.free(u.run)
 				}
 			}
+			c.flow.undo(len(orders))
 			return nil, false
 		}
 		orders = append(orders, c.start(now, t, w, number))
@@ -201,6 +212,7 @@
 		w.share.busy = now
 	}
 	c.attach(r)
+	c.flow.start(r)
 	o := r.order(VerbStart)
 	o.Spec = s.job.Spec
 	o.Save = s.job.saves[t.id()]
