batch/drive, base/telem: a plan's pause follows its cost; counters are looked up once; lines are written together

Cause: plans ran back to back with 2 ms between them, so at 1.7 ms a plan they took half of a core, and a holder that fell behind planned all the time; each order built a tag map and looked its counter up by it; each log line woke the writer for a write of its own.

Change: after a plan the holder rests nine times as long as it took, 2 ms at the least; counters are kept by verb and outcome; the writer gathers lines for 20 ms.

--- a/internal/base/telem/lines.go
+++ b/internal/base/telem/lines.go
@@ -6,6 +6,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Lines is a writer of log lines that never blocks its callers: lines wait in a queue of
@@ -13,16 +14,21 @@
 type Lines struct {
 	queue   chan []byte
 	dropped atomic.Int64
+	closing chan struct{}
 	done    chan struct{}
 	once    sync.Once
 }
 
-// lineQueue is how many lines may wait: a second's worth on a busy day.
-const lineQueue = 2000
+const (
+	// lineQueue is how many lines may wait: a second's worth on a busy day.
+	lineQueue = 2000
+	// linePause is how long lines are gathered to be written together.
+	linePause = 20 * time.Millisecond
+)
 
 // NewLines returns a writer to w; Close writes what waits.
 func NewLines(w io.Writer) *Lines {
-	l := &Lines{queue: make(chan []byte, lineQueue), done: make(chan struct{})}
+	l := &Lines{queue: make(chan []byte, lineQueue), closing: make(chan struct{}), done: make(chan struct{})}
 	go l.run(w)
 	return l
 }
@@ -40,7 +46,10 @@
 
 // Close writes the lines that wait and ends the writer. Nothing may be written after it.
 func (l *Lines) Close() error {
-	l.once.Do(func() { close(l.queue) })
+	l.once.Do(func() {
+		close(l.closing)
+		close(l.queue)
+	})
 	<-l.done
 	return nil
 }
@@ -55,6 +64,10 @@
 		_, _ = b.Write(line) // there is nowhere to tell of a log that can't be written
 		if len(l.queue) == 0 {
 			_ = b.Flush()
+			select {
+			case <-l.closing:
+			case <-time.After(linePause):
+			}
 		}
 	}
 	_ = b.Flush()
--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -73,6 +73,7 @@
 	rosterPause = 200 * time.Millisecond  // between two watches of the directory, where each worker writes every second or so
 	planEvery   = 100 * time.Millisecond  // plans without an event: lapses, rests and occurrences fall due
 	planPause   = 2 * time.Millisecond    // after a plan, so that events that come together share one
+	planRest    = 9                       // how many times as long as a plan took the pause after it is at least
 	// gatherPause is how long ends wait to be stored with others: some 100 end each second on
 	// a busy day, and a call of the store costs as much as a tenth of a second of a task.
 	gatherPause  = 20 * time.Millisecond
@@ -318,7 +319,13 @@
 
 // countBy returns a counter by verb and outcome.
 func countBy(scope tally.Scope, name string) func(verb, outcome string) {
+	var counters sync.Map // of [2]string to tally.Counter: a scope takes long to find one by its tags
 	return func(verb, outcome string) {
-		scope.Tagged(map[string]string{"verb": verb, "outcome": outcome}).Counter(name).Inc(1)
+		key := [2]string{verb, outcome}
+		c, ok := counters.Load(key)
+		if !ok {
+			c, _ = counters.LoadOrStore(key, scope.Tagged(map[string]string{"verb": verb, "outcome": outcome}).Counter(name))
+		}
+		c.(tally.Counter).Inc(1)
 	}
 }
--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -21,10 +21,11 @@
 		case due := <-tick.C:
 			shown.lag(time.Since(due))
 		}
-		now := time.Now()
 		h.mu.Lock()
+		now := time.Now()
 		h.confirm()
 		orders := h.core.Plan(now)
+		took := time.Since(now)
 		waits := h.core.Waits()
 		var stand sched.Standing
 		show := shown.due(now)
@@ -42,7 +43,7 @@
 		for _, o := range orders {
 			h.wg.Go(func() { h.order(o) })
 		}
-		if !wait.For(h.ctx, planPause) {
+		if !wait.For(h.ctx, max(planPause, planRest*took)) {
 			return
 		}
 	}
