proc/report: bramleysail report tells where the time of all jobs went

Holders write a line as a step has all its places and as a job ends, which tell waiting for the holder from waiting for a place.

--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -27,6 +27,7 @@
 		orders := h.core.Plan(now)
 		took := time.Since(now)
 		waits := h.core.Waits()
+		placed, endings := h.core.Notes()
 		var stand sched.Standing
 		show := shown.due(now)
 		if show {
@@ -40,6 +41,7 @@
 			h.log.Info("waits", "job", w.Job, "step", w.Step, "tasks", w.Tasks, "since", w.Since, "workers", w.Workers,
 				"closed", w.Closed, "shut", w.Shut, "full", w.Full, "harm", w.Harm)
 		}
+		h.tell(placed, endings)
 		for _, o := range orders {
 			h.wg.Go(func() { h.order(o) })
 		}
@@ -49,6 +51,17 @@
 	}
 }
 
+// tell logs what became of steps and jobs.
+func (h *Holder) tell(placed []sched.Placed, endings []sched.Ending) {
+	for _, p := range placed {
+		h.log.Info("placed", "job", p.Job, "queue", p.Queue, "round", p.Round, "step", p.Step, "tasks", p.Tasks,
+			"lasting", p.Lasting, "waited", p.Waited, "lacked", p.Lacked, "expect", p.Expect)
+	}
+	for _, e := range endings {
+		h.log.Info("finished", "job", e.Job, "queue", e.Queue, "state", e.State, "took", e.Took, "aim", e.Aim)
+	}
+}
+
 // confirm tells the core how fresh the tenure is; h.mu is held.
 func (h *Holder) confirm() {
 	h.core.Confirm(h.opt.Tenure.Sure())
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -40,6 +40,8 @@
 	press   pressure
 	moved   time.Time // when slowed tasks were last looked at
 	waits   []Wait    // to be told
+	placed  []Placed  // to be told
+	endings []Ending  // to be told
 }
 
 // New returns the core of a term that began at now. It acts from its first confirmation on.
@@ -80,6 +82,7 @@
 
 type round struct {
 	stages []*stage
+	aim    time.Duration // for the occurrence to be on time
 }
 
 // stage is a step of an occurrence.
@@ -92,6 +95,8 @@
 	waiting int // tasks without a run that aren't done
 	left    int // tasks that aren't done
 	open    bool
+	opened  time.Time
+	placed  bool // all of its tasks have had a place at a time
 	listed  bool // in Core.waiting
 	rank    precedence
 	misfits *misfits // of its kind; nil: not looked up yet
@@ -243,7 +248,6 @@
 }
 
 func (c *Core) addRound(now time.Time, j *job) *round {
-	r := &round{}
 	k := len(j.rounds)
 	at := j.At
 	if j.Times > 0 {
@@ -251,6 +255,7 @@
 	}
 	chains := c.chains(j.Job)
 	aim := j.Aim + time.Duration(j.Stretch*float64(slices.Max(chains)))
+	r := &round{aim: aim}
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		st := &stage{job: j, round: k, idx: i, spec: s, waiting: s.Count, left: s.Count, at: at}
@@ -263,7 +268,7 @@
 		r.stages = append(r.stages, st)
 	}
 	j.rounds = append(j.rounds, r)
-	c.openStages(j, r)
+	c.openStages(now, j, r)
 	return r
 }
 
@@ -281,7 +286,7 @@
 }
 
 // openStages lets the steps start whose earlier steps are done.
-func (c *Core) openStages(j *job, r *round) {
+func (c *Core) openStages(now time.Time, j *job, r *round) {
 	for _, s := range r.stages {
 		if s.open || s.left == 0 {
 			continue
@@ -293,7 +298,7 @@
 			}
 		}
 		if ready {
-			s.open = true
+			s.open, s.opened = true, now
 			c.list(s)
 		}
 	}
@@ -326,6 +331,7 @@
 	j.state = s
 	j.ended = now
 	c.changes.add(j)
+	c.noteEnding(now, j)
 	for _, r := range j.rounds {
 		for _, st := range r.stages {
 			for _, t := range st.tasks {
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -302,7 +302,7 @@
 		c.gangDone(t.stage)
 	}
 	if t.stage.left == 0 {
-		c.openStages(j, j.rounds[t.stage.round])
+		c.openStages(now, j, j.rounds[t.stage.round])
 		c.complete(now, j)
 	}
 }
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -36,6 +36,9 @@
 			break
 		}
 		orders = c.placeStage(now, s, doubt && s.job.restored, orders)
+		if s.waiting == 0 {
+			c.notePlaced(now, s)
+		}
 	}
 	return orders
 }
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -148,7 +148,7 @@
 				return errors.Wrapf(err, "sched: progress of %s", id)
 			}
 		}
-		c.openStages(j, j.rounds[k])
+		c.openStages(now, j, j.rounds[k])
 	}
 	j.tries = map[TaskID]tries{}
 	for name, n := range p.Tries {
--- a/internal/proc/story/story.go
+++ b/internal/proc/story/story.go
@@ -67,6 +67,39 @@
 	return l, nil
 }
 
+// Field returns a field's text, empty if the line has none of that name.
+func (l *Line) Field(name string) string { return l.fields[name] }
+
+// Duration returns a field as a duration, 0 if it is none.
+func (l *Line) Duration(name string) time.Duration {
+	d, err := time.ParseDuration(l.fields[name])
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
+// Int returns a field as a whole number, 0 if it is none.
+func (l *Line) Int(name string) int {
+	n, err := strconv.Atoi(l.fields[name])
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// Job returns the id of the job that the line is about, empty if there is none.
+func (l *Line) Job() string {
+	if id := l.fields["job"]; id != "" {
+		return id
+	}
+	if id, _, ok := strings.Cut(l.fields["task"], "."); ok {
+		return id
+	}
+	path := l.fields["path"]
+	return path[strings.LastIndex(path, "/")+1:]
+}
+
 // about reports whether a line is about a job.
 func (l *Line) about(job string) bool {
 	return l.fields["job"] == job || strings.HasPrefix(l.fields["task"], job+".") || strings.HasSuffix(l.fields["path"], "/"+job)
--- a/internal/proc/tool/cli.go
+++ b/internal/proc/tool/cli.go
@@ -40,7 +40,7 @@
 		ErrWriter:      errOut,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			demoCommand(out), serveCommand(errOut), hostCommand(out), checkCommand(out), sheetCommand(out), domainCommand(out), jobCommand(out), statusCommand(out), standinCommand(out), modelCommand(out), explainCommand(out, errOut),
+			demoCommand(out), serveCommand(errOut), hostCommand(out), checkCommand(out), sheetCommand(out), domainCommand(out), jobCommand(out), statusCommand(out), standinCommand(out), modelCommand(out), explainCommand(out, errOut), reportCommand(out, errOut),
 		},
 	}
 	err := root.Run(ctx, args)
