batch/sched: jobs that have begun go first, and of the others the newest once some are late

Change: within a priority jobs on time that have begun come before those that haven't; once jobs that haven't begun are late, the newest of the fresh ones comes first. What is late comes behind, as before. A step that is passed over because its like found no room counts as without a place, in logs too.

--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -111,6 +111,7 @@
 func (c *Core) placeStage(now time.Time, s *stage, doubt bool, orders []Order) []Order {
 	full := c.misfits(s)
 	if full.has(c.plans, s.spec.Size) {
+		c.lack(now, s)
 		return orders
 	}
 	if s.spec.Gang {
--- a/internal/batch/sched/waiting.go
+++ b/internal/batch/sched/waiting.go
@@ -11,46 +11,77 @@
 	steps  []*stage
 	fresh  []*stage  // not sorted in yet
 	sorted time.Time // when steps was last sorted as a whole
+	// crowded are the priorities at which jobs that haven't begun are late.
+	crowded map[int]bool
 }
 
+// resortEvery is how often all that waits is sorted anew: what becomes late meanwhile moves behind the rest.
+const resortEvery = 200 * time.Millisecond
+
+// prospect is what can still come of a step's job.
+type prospect int
+
+// The prospects of a job, in the order in which they are placed.
 const (
-	// resortEvery is how often all that waits is sorted anew: what becomes late meanwhile moves behind the rest.
-	resortEvery = 200 * time.Millisecond
-	// lateBy moves a step whose job can't be on time any more behind those whose jobs can.
-	lateBy = time.Hour
+	prospectBegun prospect = iota // on time, with tasks that have run: left alone, these would have run in vain
+	prospectFresh                 // on time
+	prospectLate                  // worth something to its caller
+	prospectNone
 )
 
 // precedence says which of two steps is placed first.
 type precedence struct {
 	batch    bool // lasting steps come first
 	priority int
+	prospect prospect
 	at       int64 // Unix nanoseconds
 }
 
 func (p precedence) compare(q precedence) int {
-	switch {
-	case p.batch != q.batch:
+	if p.batch != q.batch {
 		if q.batch {
 			return -1
 		}
 		return 1
-	case p.priority != q.priority:
-		return cmp.Compare(p.priority, q.priority)
 	}
-	return cmp.Compare(p.at, q.at)
+	return cmp.Or(cmp.Compare(p.priority, q.priority), cmp.Compare(p.prospect, q.prospect), cmp.Compare(p.at, q.at))
 }
 
-// precedence orders steps by the latest start with which their jobs are on time. Those for which it has passed
-// come after all others, and last the ones whose jobs are worth nothing to their callers any more.
-func (s *stage) precedence(now time.Time) precedence {
-	at := s.due
+// prospect returns what can still come of a step's job.
+func (s *stage) prospect(now time.Time) prospect {
 	switch {
 	case now.After(s.worth):
-		at = at.Add(2 * lateBy)
+		return prospectNone
 	case now.After(s.due):
-		at = at.Add(lateBy)
+		return prospectLate
+	case s.job.begun:
+		return prospectBegun
+	}
+	return prospectFresh
+}
+
+// precedence orders steps by the latest start with which their jobs are on time. Of jobs that haven't begun the
+// newest come first once others of their priority are late: with the oldest first, each would begin
+// when it can hardly be on time any more.
+func (w *waiting) precedence(now time.Time, s *stage) precedence {
+	p := precedence{batch: !s.spec.Lasting, priority: s.job.Priority, prospect: s.prospect(now), at: s.due.UnixNano()}
+	if p.prospect == prospectFresh && w.crowded[p.priority] {
+		p.at = -s.at.UnixNano()
+	}
+	return p
+}
+
+// crowd finds out at which priorities jobs that haven't begun are late.
+func (w *waiting) crowd(now time.Time) {
+	if w.crowded == nil {
+		w.crowded = map[int]bool{}
+	}
+	clear(w.crowded)
+	for _, s := range w.steps {
+		if !s.spec.Lasting && !s.job.begun && s.prospect(now) == prospectLate {
+			w.crowded[s.job.Priority] = true
+		}
 	}
-	return precedence{batch: !s.spec.Lasting, priority: s.job.Priority, at: at.UnixNano()}
 }
 
 func (w *waiting) add(s *stage) {
@@ -67,7 +98,7 @@
 	w.steps = slices.DeleteFunc(w.steps, (*stage).unlist)
 	w.fresh = slices.DeleteFunc(w.fresh, (*stage).unlist)
 	for _, s := range w.fresh {
-		s.rank = s.precedence(now)
+		s.rank = w.precedence(now, s)
 	}
 	if now.Sub(w.sorted) < resortEvery {
 		for _, s := range w.fresh {
@@ -82,8 +113,9 @@
 	w.sorted = now
 	w.steps = append(w.steps, w.fresh...)
 	w.fresh = w.fresh[:0]
+	w.crowd(now)
 	for _, s := range w.steps {
-		s.rank = s.precedence(now)
+		s.rank = w.precedence(now, s)
 	}
 	slices.SortStableFunc(w.steps, func(a, b *stage) int { return a.rank.compare(b.rank) })
 }
