proc/front: a caller hears at once when neither holder nor store answers

Change: a process that hasn't reached the holder for a second asks the store; while neither answers, requests that weren't sent get 503 and what was sent gets 504 at once. With the store there, a request goes on waiting for the next holder, as before.

--- a/internal/proc/front/desk.go
+++ b/internal/proc/front/desk.go
@@ -21,6 +21,7 @@
 	scope tally.Scope
 	lead  *lead.Lead
 	links link.Set
+	peers *peers
 	name  string
 
 	mu      sync.Mutex
@@ -90,11 +91,20 @@
 //
 // The failure it guards against: a host without power doesn't reset connections, and every
 // request sent to it would hang until its deadline and end without a known outcome.
+//
+// Where the store is silent too, no next holder can come, and the caller is told at once.
 func (d *Desk) pass(ctx context.Context, a drive.Ask) drive.Reply {
 	sent := false
 	for {
 		holder, changed := d.lead.Holder()
-		rep, err := d.try(ctx, holder, changed, a)
+		away, isAway := d.peers.cutOff()
+		if isAway && d.own() == nil {
+			if !sent {
+				return drive.Refuse(whyAway, drive.AfterChange)
+			}
+			return open(a, whyAway)
+		}
+		rep, err := d.try(ctx, holder, changed, away, a)
 		switch {
 		case err == nil && !(sent && rep.Result == drive.ResultRefused):
 			return rep
@@ -107,8 +117,12 @@
 		// The outcome of what was sent is open: only a holder that has read the store knows it.
 		select {
 		case <-ctx.Done():
-			return open(ctx, a)
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return open(a, "caller left")
+			}
+			return open(a, "holder doesn't answer")
 		case <-changed:
+		case <-away:
 		case <-time.After(retryPause):
 		}
 	}
@@ -118,23 +132,22 @@
 const retryPause = 100 * time.Millisecond
 
 // open is the reply for a request whose outcome isn't known.
-func open(ctx context.Context, a drive.Ask) drive.Reply {
-	why := "holder doesn't answer"
-	if errors.Is(ctx.Err(), context.Canceled) {
-		why = "caller left"
-	}
+func open(a drive.Ask, why string) drive.Reply {
 	if a.Verb == drive.VerbState {
 		return drive.Refuse(why, drive.AfterChange)
 	}
 	return drive.Reply{Result: drive.ResultUnknown, Why: why}
 }
 
+// whyAway is why nobody can answer a request here.
+const whyAway = "neither holder nor store answers"
+
 // errNone says that no process is known to hold.
 var errNone = errors.New("front: no holder")
 
-// try asks one holder, until it answers or another takes its place; link.ErrLost says that
-// the request may have been carried out.
-func (d *Desk) try(ctx context.Context, holder lead.Holder, changed <-chan struct{}, a drive.Ask) (drive.Reply, error) {
+// try asks one holder, until it answers, another takes its place or there can be no answer; link.ErrLost says
+// that the request may have been carried out.
+func (d *Desk) try(ctx context.Context, holder lead.Holder, changed, away <-chan struct{}, a drive.Ask) (drive.Reply, error) {
 	if h := d.own(); h != nil {
 		return h.Handle(ctx, a), nil
 	}
@@ -147,6 +160,8 @@
 		select {
 		case <-changed:
 			cancel()
+		case <-away:
+			cancel()
 		case <-ctx.Done():
 		}
 	}()
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -89,6 +89,7 @@
 	})
 	h.desk.lead = h.lead
 	h.peer = &peers{lead: h.lead, links: &h.desk.links, carries: h.carries}
+	h.desk.peers = h.peer
 	var err error
 	if h.peers, err = link.NewServer("Peer", &Peer{h.desk, h.peer}); err != nil {
 		return nil, err
--- a/internal/proc/front/peers.go
+++ b/internal/proc/front/peers.go
@@ -20,6 +20,9 @@
 	missesMost = 2
 	// reachKept is how long a holder that answered counts as reached: two calls may be lost.
 	reachKept = 1700 * time.Millisecond
+	// silentAfter is how long a holder has to be silent to this process for the store to be asked whether there can
+	// be another one.
+	silentAfter = time.Second
 	// followLimit bounds a call that tells the holder of a follower.
 	followLimit = 300 * time.Millisecond
 	// followKept is how long a follower that isn't heard any more counts, while the store confirms the holder.
@@ -48,7 +51,9 @@
 	mu      sync.Mutex
 	seen    map[string]time.Time
 	aided   time.Time
-	reached time.Time // when the holder last answered this process
+	reached time.Time     // when the holder last answered this process
+	away    chan struct{} // closed while neither the holder nor the store answers this process; nil: as if open
+	isAway  bool
 }
 
 func (p *peers) note(addr string, now time.Time) {
@@ -91,7 +96,12 @@
 	misses := 0
 	for wait.For(ctx, followEvery) {
 		h, _ := p.lead.Holder()
-		if h.Name == "" || h.Name == name {
+		if h.Name == name {
+			p.setAway(false)
+			continue
+		}
+		if h.Name == "" {
+			p.setAway(p.alone(ctx))
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, followLimit)
@@ -103,8 +113,10 @@
 			p.mu.Lock()
 			p.reached = time.Now()
 			p.mu.Unlock()
+			p.setAway(false)
 			continue
 		}
+		p.setAway(p.alone(ctx))
 		if misses++; misses >= missesMost && errors.Is(err, link.ErrLost) {
 			misses = 0
 			l.Reset()
@@ -112,6 +124,46 @@
 	}
 }
 
+// alone reports whether neither the holder nor the store answers this process. Then nobody can answer a request
+// here, and no new holder is heard of, before one of them is back.
+func (p *peers) alone(ctx context.Context) bool {
+	p.mu.Lock()
+	silent := time.Since(p.reached) >= silentAfter
+	p.mu.Unlock()
+	if !silent {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	return !p.lead.Asked(ctx)
+}
+
+func (p *peers) setAway(away bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if away == p.isAway {
+		return
+	}
+	p.isAway = away
+	if p.away == nil || !away {
+		p.away = make(chan struct{})
+	}
+	if away {
+		close(p.away)
+	}
+}
+
+// cutOff returns a channel that is closed once neither the holder nor the store answers this process, and whether
+// that is so.
+func (p *peers) cutOff() (<-chan struct{}, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.away == nil {
+		p.away = make(chan struct{})
+	}
+	return p.away, p.isAway
+}
+
 // reaches reports whether the holder answers this process.
 func (p *peers) reaches() bool {
 	p.mu.Lock()
