--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -39,7 +39,7 @@
 		}
 		for _, w := range waits {
 			h.log.Info("waits", "job", w.Job, "step", w.Step, "tasks", w.Tasks, "since", w.Since, "workers", w.Workers,
-				"closed", w.Closed, "shut", w.Shut, "full", w.Full, "harm", w.Harm)
+				"closed", w.Closed, "shut", w.Shut, "full", w.Full, "memory", w.Memory, "harm", w.Harm)
 		}
 		h.tell(placed, endings)
 		for _, o := range orders {
--- a/internal/batch/sched/notes.go
+++ b/internal/batch/sched/notes.go
@@ -34,9 +34,10 @@
 	return placed, endings
 }
 
-// notePlaced notes that no task of a step waits any more; only the first time counts.
+// notePlaced notes that no task of a step waits any more; only the first time counts. Of a step that was taken over it
+// isn't known since when it waits.
 func (c *Core) notePlaced(now time.Time, s *stage) {
-	if s.placed || len(c.placed) >= maxNotes {
+	if s.placed || s.job.restored || len(c.placed) >= maxNotes {
 		return
 	}
 	s.placed = true
--- a/internal/batch/sched/waits.go
+++ b/internal/batch/sched/waits.go
@@ -11,7 +11,8 @@
 	Workers int // of the service
 	Closed  int // of these, that take nothing at present
 	Shut    int // where a serving task is over its target for long
-	Full    int // without room
+	Full    int // without room for it
+	Memory  int // of these, with the processors it asks for
 	Harm    int // where they would disturb serving tasks too much
 }
 
@@ -52,6 +53,9 @@
 			t.Harm++
 		default:
 			t.Full++
+			if free := w.free(); free.Mem < s.spec.Size.Mem && (s.spec.Fills || free.CPU >= s.spec.Size.CPU) {
+				t.Memory++
+			}
 		}
 	}
 	c.waits = append(c.waits, t)
