batch/sched: names of the field for the interference model, load forecast, affinity and states of runs

press, strain and pressed become interference, exposure and pressureOf; course, fit, turn and sums loadForecast, harmonic, angularFrequency and moments; kinship and unlike affinity and dissimilarity; outlook forecast; bears, peak and over expectedPressure, peakLoad and overTargetProbability; adrift, tardy, overlong and condemned orphaned, straggling, extendLapse and stopDue; rebirth, heir and told restart, inherited and reported; owed, hurry and unstored pendingAck, prioritize and dirty. Behaviour and tests are the same.

--- a/internal/batch/sched/answer.go
+++ b/internal/batch/sched/answer.go
@@ -28,7 +28,7 @@
 		}
 	}
 	if r != nil && r.born != w.Born && out != OutcomeUnsent {
-		c.overlong(now, w)
+		c.extendLapse(now, w)
 	}
 	if out == OutcomeGone {
 		c.Gone(now, o.Life.ID, o.Life.Born)
--- a/internal/batch/sched/changes.go
+++ b/internal/batch/sched/changes.go
@@ -19,8 +19,8 @@
 	}
 }
 
-// hurry notes that a job has changed, and that a caller waits for it.
-func (c *changes) hurry(j *job) {
+// prioritize notes that a job has changed, and that a caller waits for it.
+func (c *changes) prioritize(j *job) {
 	j.changes++
 	if !j.rushed {
 		j.rushed = true
@@ -31,7 +31,7 @@
 // take returns the next job to store as it is now, or nil.
 func (c *changes) take() *job {
 	for j := c.pop(); j != nil; j = c.pop() {
-		if j.unstored() {
+		if j.dirty() {
 			j.taken = j.changes
 			return j
 		}
@@ -53,31 +53,31 @@
 	return j
 }
 
-// unstored reports whether a job has changed since it was last taken to be stored.
-func (j *job) unstored() bool { return j.taken < j.changes }
+// dirty reports whether a job has changed since it was last taken to be stored.
+func (j *job) dirty() bool { return j.taken < j.changes }
 
 // owed is an end that may be acknowledged once a change of its job is stored.
-type owed struct {
+type pendingAck struct {
 	seq    int64
 	job    *job
 	change int
 }
 
 // owe notes that an end may not be acknowledged before its job is stored as it is now.
-func (w *worker) owe(seq int64, j *job) {
-	if j != nil && j.unstored() {
-		w.owed = append(w.owed, owed{seq, j, j.changes})
+func (w *worker) awaitStore(seq int64, j *job) {
+	if j != nil && j.dirty() {
+		w.pending = append(w.pending, pendingAck{seq, j, j.changes})
 	}
 }
 
 // settled returns up to which end a worker's may be acknowledged once what has been taken is stored.
 func (w *worker) settled() int64 {
-	for len(w.owed) > 0 {
-		o := w.owed[0]
+	for len(w.pending) > 0 {
+		o := w.pending[0]
 		if o.job.taken < o.change {
 			return o.seq - 1
 		}
-		w.owed = w.owed[1:]
+		w.pending = w.pending[1:]
 	}
 	return w.heard
 }
--- a/internal/batch/sched/choice.go
+++ b/internal/batch/sched/choice.go
@@ -44,7 +44,7 @@
 
 // touch notes that what was known of a worker's room is out of date.
 func (c *Core) touch(w *worker) {
-	w.outlook.fresh = false
+	w.forecast.fresh = false
 	if !w.stale {
 		w.stale = true
 		c.stale = append(c.stale, w)
@@ -76,7 +76,7 @@
 		r.racks[w.Rack] = append(r.racks[w.Rack], w)
 	}
 	r.declared.Set(w, w.free().CPU/levelStep)
-	r.unused.Set(w, c.look(now, w).left/levelStep)
+	r.unused.Set(w, c.forecast(now, w).left/levelStep)
 }
 
 // unindex takes a worker out of rooms.
@@ -184,11 +184,11 @@
 // score returns how well a step's tasks suit a worker, higher being better, and whether one fits.
 func (c *Core) score(now time.Time, w *worker, s *stage) (float64, bool) {
 	free := w.free()
-	left := float64(c.look(now, w).left)
+	left := float64(c.forecast(now, w).left)
 	whole := float64(max(w.Size.CPU, 1))
 	switch {
 	case s.spec.Fills:
-		if w.share.shut || !c.roomy(now, w, s) {
+		if w.share.shut || !c.hasRoom(now, w, s) {
 			return 0, false
 		}
 		harm, advantage := c.effect(now, w, s.spec)
@@ -196,7 +196,7 @@
 	case !free.Covers(s.spec.Size):
 		return 0, false
 	case s.spec.Lasting:
-		return c.kinship(w, s.spec.Image), true
+		return c.affinity(w, s.spec.Image), true
 	}
 	return left / whole, true
 }
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -22,26 +22,26 @@
 	sure  time.Time // when the store last confirmed this holder
 	aided time.Time // when its peers last did
 
-	jobs    map[string]*job
-	waiting waiting // steps with tasks that wait for a worker
-	changes changes
-	later   []*job // with occurrences to come
-	workers map[string]*worker
-	ranks   []*worker         // the same, by id
-	rooms   map[string]*rooms // by service
-	stale   []*worker         // whose place in rooms may be out of date
-	choices choices           // kept for its memory
-	sampled int               // how often workers were sampled
-	zones   map[string]bool   // failure domains that are taken out
-	flow    flow
-	plans   int // so far
-	kinds   map[kind]*misfits
-	speeds  learner
-	press   pressure
-	moved   time.Time // when slowed tasks were last looked at
-	waits   []Wait    // to be told
-	placed  []Placed  // to be told
-	endings []Ending  // to be told
+	jobs         map[string]*job
+	waiting      waiting // steps with tasks that wait for a worker
+	changes      changes
+	later        []*job // with occurrences to come
+	workers      map[string]*worker
+	ranks        []*worker         // the same, by id
+	rooms        map[string]*rooms // by service
+	stale        []*worker         // whose place in rooms may be out of date
+	choices      choices           // kept for its memory
+	sampled      int               // how often workers were sampled
+	zones        map[string]bool   // failure domains that are taken out
+	flow         flow
+	plans        int // so far
+	kinds        map[kind]*misfits
+	speeds       learner
+	interference interference
+	moved        time.Time // when slowed tasks were last looked at
+	waits        []Wait    // to be told
+	placed       []Placed  // to be told
+	endings      []Ending  // to be told
 }
 
 // New returns the core of a term that began at now. It acts from its first confirmation on.
@@ -101,11 +101,11 @@
 	rank    precedence
 	misfits *misfits // of its kind; nil: not looked up yet
 	at      time.Time
-	short   time.Time // since when a task of it has found no place; zero: none has lacked one
-	told    bool      // that was told
-	due     time.Time // latest start for the job to be on time
-	worth   time.Time // latest start for it to be worth something, late
-	course  *course   // of a serving step: its users' load
+	short   time.Time     // since when a task of it has found no place; zero: none has lacked one
+	noted   bool          // that was told
+	due     time.Time     // latest start for the job to be on time
+	worth   time.Time     // latest start for it to be worth something, late
+	load    *loadForecast // of a serving step: its users' load
 }
 
 type task struct {
@@ -322,7 +322,7 @@
 	if !j.state.Final() {
 		c.finish(now, j, StateCancelled)
 	}
-	c.changes.hurry(j) // stored once more for whoever waits for it
+	c.changes.prioritize(j) // stored once more for whoever waits for it
 	return true
 }
 
--- a/internal/batch/sched/depart.go
+++ b/internal/batch/sched/depart.go
@@ -49,7 +49,7 @@
 	}
 	r.sent = now
 	if o.Verb == VerbStart {
-		// How long it may come to life in a later life of the worker counts from here; see adrift.
+		// How long it may come to life in a later life of the worker counts from here; see orphaned.
 		r.began = now
 	}
 	return CauseNone
--- a/internal/batch/sched/outlook.go
+++ b/internal/batch/sched/forecast.go
@@ -14,39 +14,39 @@
 	placeAhead = 2.0
 )
 
-// strain is the pressure on a serving run of a worker.
-type strain struct {
+// exposure is the pressure on a serving run of a worker.
+type exposure struct {
 	factors *factors
 	above   float64 // pressure less the one at its target
 }
 
-// outlook is what placing looks at on a worker; it is kept until a run comes, goes or is
+// forecast is what placing looks at on a worker; it is kept until a run comes, goes or is
 // read anew, or the loads have moved, as every waiting step asks for it.
-type outlook struct {
+type forecast struct {
 	fresh   bool
 	at      time.Time
 	left    int // millicores likely to be unused
-	strains []strain
+	exposed []exposure
 }
 
-// outlookAge is how long an outlook is kept. A load that swings within 10 s by half moves by
+// forecastAge is how long an forecast is kept. A load that swings within 10 s by half moves by
 // 0.03 meanwhile, half of a reading's noise.
-const outlookAge = 200 * time.Millisecond
+const forecastAge = 200 * time.Millisecond
 
-func (c *Core) look(now time.Time, w *worker) *outlook {
-	o := &w.outlook
-	if o.fresh && now.Sub(o.at) < outlookAge {
+func (c *Core) forecast(now time.Time, w *worker) *forecast {
+	o := &w.forecast
+	if o.fresh && now.Sub(o.at) < forecastAge {
 		return o
 	}
 	o.fresh, o.at = true, now
-	o.strains = o.strains[:0]
+	o.exposed = o.exposed[:0]
 	fill := 0
 	for _, r := range w.list {
 		if r.fills() {
 			fill += r.task.stage.spec.Size.CPU * r.want / fullPace
 		}
 		if r.serves() && r.state == RunLive {
-			o.strains = append(o.strains, strain{c.press.factors(r.task.stage.spec.Image), c.bears(now, w, r) - targetPressure})
+			o.exposed = append(o.exposed, exposure{c.interference.factors(r.task.stage.spec.Image), c.expectedPressure(now, w, r) - targetPressure})
 		}
 	}
 	o.left = w.Size.CPU - int(baseLoad*float64(w.base)) - (w.used.CPU - w.base) - fill
@@ -54,9 +54,9 @@
 }
 
 // bears returns the pressure expected on a serving run while a task placed now would run.
-func (c *Core) bears(now time.Time, w *worker, r *run) float64 {
-	f := c.press.factors(r.task.stage.spec.Image)
-	sum := c.peak(now, r.task.stage, placeAhead)
+func (c *Core) expectedPressure(now time.Time, w *worker, r *run) float64 {
+	f := c.interference.factors(r.task.stage.spec.Image)
+	sum := c.peakLoad(now, r.task.stage, placeAhead)
 	for _, o := range w.list {
 		if o.fills() {
 			z := o.task.stage.spec
@@ -77,9 +77,9 @@
 // bear more, to the images that have no other place.
 func (c *Core) effect(now time.Time, w *worker, s *Step) (harm, advantage float64) {
 	share := s.share(w)
-	for _, k := range c.look(now, w).strains {
+	for _, k := range c.forecast(now, w).exposed {
 		of, mean := k.factors.against(s.Image)
-		harm += over(k.above+of*share) - over(k.above)
+		harm += overTargetProbability(k.above+of*share) - overTargetProbability(k.above)
 		advantage += mean - of
 	}
 	return harm, advantage * share
@@ -87,6 +87,6 @@
 
 // over returns the chance that a serving run is over its target whose pressure is expected to
 // be x above it. It goes on rising above 1: what is far over takes longer to come back.
-func over(x float64) float64 {
+func overTargetProbability(x float64) float64 {
 	return max(0, 0.5+x/(2*pressureSpread))
 }
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -39,8 +39,8 @@
 	// lookShared is for a worker where tasks that fill run beside one that serves: its tail
 	// is a figure of half a second, and pacing has to follow within a few of them.
 	lookShared = 700 * time.Millisecond
-	// lookStrained is for one of these whose serving task is over its target.
-	lookStrained = 300 * time.Millisecond
+	// lookOverTarget is for one of these whose serving task is over its target.
+	lookOverTarget = 300 * time.Millisecond
 	// lookUnsure is for a worker with runs whose fate has to be settled.
 	lookUnsure = 50 * time.Millisecond
 )
@@ -61,8 +61,8 @@
 	l.Wait = lookIdle
 	if w.shared() {
 		l.Wait = lookShared
-		if w.strained() {
-			l.Wait = lookStrained
+		if w.overTarget() {
+			l.Wait = lookOverTarget
 		}
 	}
 	for _, r := range w.list {
@@ -118,7 +118,7 @@
 		return nil
 	}
 	if rep.Born > w.Born && w.Born != 0 {
-		c.rebirth(now, w, rep.Born)
+		c.restart(now, w, rep.Born)
 	}
 	if w.Born == 0 {
 		w.Born = rep.Born
@@ -126,7 +126,7 @@
 	if rep.Born != 0 && rep.Born < w.Born {
 		return nil
 	}
-	c.overlong(now, w)
+	c.extendLapse(now, w)
 	w.contact = ContactGood
 	w.clock = clock{rep.Clock, now}
 	var news []Finished
@@ -139,14 +139,14 @@
 		// count two runs of one task.
 		if !w.void {
 			c.end(now, w, f)
-			w.owe(f.Seq, c.jobOf(f.Task))
+			w.awaitStore(f.Seq, c.jobOf(f.Task))
 		}
 		w.heard = f.Seq
 	}
 	w.void, w.fresh = false, false
 	shown := c.inventory(sent, now, w, rep)
 	if len(rep.Finished) < maxEnds {
-		w.told = true
+		w.reported = true
 		c.missing(sent, w, shown)
 	}
 	c.watch(now, w)
--- a/internal/batch/sched/press.go
+++ b/internal/batch/sched/interference.go
@@ -15,7 +15,7 @@
 // pressure p is the sum of its users' load, which all tasks of its step share, and, for each
 // filling image beside it, a factor of the pair times the share of the worker's processors
 // that the image uses.
-type pressure struct {
+type interference struct {
 	pairs  map[string]*factors // by serving image
 	score  [periods]float64    // errors of the courses with each period
 	scored float64             // seconds; as of when score is
@@ -36,7 +36,7 @@
 )
 
 // pressed returns the pressure that a tail shows.
-func pressed(tail, target time.Duration) float64 {
+func pressureOf(tail, target time.Duration) float64 {
 	if tail <= 0 || target <= 0 {
 		return 0
 	}
@@ -44,7 +44,7 @@
 }
 
 // factors returns the factors of the filling images for a serving one.
-func (p *pressure) factors(serve string) *factors {
+func (p *interference) factors(serve string) *factors {
 	f := p.pairs[serve]
 	if f == nil {
 		if p.pairs == nil {
@@ -58,7 +58,7 @@
 
 // unlike returns how much the filling images that disturb two serving images differ, from 0 to
 // 1; 1 where that isn't known.
-func (p *pressure) unlike(a, b string) float64 {
+func (p *interference) dissimilarity(a, b string) float64 {
 	f, g := p.factors(a), p.factors(b)
 	if len(f.fills) == 0 || len(g.fills) == 0 {
 		return 1
@@ -72,12 +72,12 @@
 
 // learn takes a reading of a serving step's tail beside filling images with the shares of
 // the worker's processors that they use. at is when it was read, in seconds.
-func (p *pressure) learn(at float64, k *course, s *Step, tail time.Duration, use []usage) {
+func (p *interference) learn(at float64, k *loadForecast, s *Step, tail time.Duration, use []usage) {
 	if tail <= 0 {
 		return
 	}
 	f := p.factors(s.Image)
-	got := pressed(tail, s.Target)
+	got := pressureOf(tail, s.Target)
 	fill, unsure := f.expect(use)
 	load := k.load(at-lag, p.period)
 	if got >= fullPressure && load+fill >= fullPressure {
@@ -90,7 +90,7 @@
 }
 
 // age has older errors of the periods count less.
-func (p *pressure) age(at float64) {
+func (p *interference) age(at float64) {
 	x := math.Exp(-max(0, at-p.scored) / scoreMemory)
 	p.scored = max(p.scored, at)
 	for i := range p.score {
@@ -100,7 +100,7 @@
 }
 
 // choose makes the period that has told the loads best the one that counts.
-func (p *pressure) choose() {
+func (p *interference) choose() {
 	for i, score := range p.score {
 		if score < p.score[p.period] {
 			p.period = i
@@ -136,8 +136,8 @@
 // Learned returns what has been learned of images and loads, for a next holder: learning it anew
 // takes some ten seconds, in which serving tasks are disturbed or filling ones wait.
 func (c *Core) Learned() ([]byte, error) {
-	l := learned{Score: c.press.score[:]}
-	for serve, f := range c.press.pairs {
+	l := learned{Score: c.interference.score[:]}
+	for serve, f := range c.interference.pairs {
 		for i, fill := range f.fills {
 			l.Pairs = append(l.Pairs, learnedPair{serve, fill, f.value[i], math.Sqrt(max(0, f.cov[i][i]))})
 		}
@@ -148,8 +148,8 @@
 		}
 		for _, r := range c.jobs[id].rounds {
 			for _, s := range r.stages {
-				if k := s.course; k != nil && k.sums[c.press.period].w > 1 {
-					f := k.fits[c.press.period]
+				if k := s.load; k != nil && k.sums[c.interference.period].w > 1 {
+					f := k.fits[c.interference.period]
 					l.Loads = append(l.Loads, learnedLoad{id, s.round, s.idx, f.level, f.cos, f.sin})
 				}
 			}
@@ -166,19 +166,19 @@
 		return errors.Wrap(err, "sched: learned")
 	}
 	now := c.seconds(c.began)
-	c.press = pressure{scored: now}
+	c.interference = interference{scored: now}
 	if len(l.Score) == periods {
-		copy(c.press.score[:], l.Score)
+		copy(c.interference.score[:], l.Score)
 	}
 	for _, p := range l.Pairs {
-		f := c.press.factors(p.Serve)
+		f := c.interference.factors(p.Serve)
 		f.set(p.Fill, p.Factor, p.Spread)
 		f.at = now
 	}
-	c.press.choose()
+	c.interference.choose()
 	for _, f := range l.Loads {
 		if t := c.task(TaskID{Job: f.Job, Round: f.Round, Step: f.Step}); t != nil {
-			c.course(t.stage).seed(now, c.press.period, fit{f.Level, f.Cos, f.Sin})
+			c.loadOf(t.stage).seed(now, c.interference.period, harmonic{f.Level, f.Cos, f.Sin})
 		}
 	}
 	return nil
--- a/internal/batch/sched/course.go
+++ b/internal/batch/sched/load.go
@@ -12,22 +12,22 @@
 // the readings of all its tasks, and it can be told some seconds ahead: a filling task has to
 // be slowed, or be placed elsewhere, before the load has risen.
 
-// course is the load of a serving step: a level and a swing around it, fitted to the readings by
+// loadForecast is the load of a serving step: a level and a swing around it, fitted to the readings by
 // least squares in which older readings count less. It is fitted for each period tried, as the
 // period isn't known at first; pressure.period says which one tells best.
-type course struct {
+type loadForecast struct {
 	at   float64 // seconds; as of when the sums are
-	sums [periods]sums
-	fits [periods]fit
+	sums [periods]moments
+	fits [periods]harmonic
 }
 
 // sums are the weighted sums of least squares: of the weights, the swing's two parts and the load.
-type sums struct {
+type moments struct {
 	w, c, s, cc, cs, ss, y, cy, sy float64
 }
 
 // fit is level + cos x c(t) + sin x s(t).
-type fit struct {
+type harmonic struct {
 	level, cos, sin float64
 }
 
@@ -67,21 +67,21 @@
 	swingWeight = readingNoise * readingNoise / (swingSpread * swingSpread)
 )
 
-// turn is the angle a second of each period tried; 0: no swing. memory is how long it remembers.
-var turn, memory = func() (turn, memory [periods]float64) {
+// angularFrequency is the angle a second of each period tried; 0: no swing. memory is how long it remembers.
+var angularFrequency, memory = func() (angularFrequency, memory [periods]float64) {
 	memory[0] = steadyMemory
 	length := shortest
 	for i := 1; i < periods; i++ {
-		turn[i] = 2 * math.Pi / length
+		angularFrequency[i] = 2 * math.Pi / length
 		memory[i] = length
 		length *= periodStep
 	}
-	return turn, memory
+	return angularFrequency, memory
 }()
 
-// newCourse returns the course of a step without a reading.
-func newCourse(at float64) *course {
-	k := &course{at: at}
+// newLoadForecast returns the forecast for a step without a reading.
+func newLoadForecast(at float64) *loadForecast {
+	k := &loadForecast{at: at}
 	for i := range k.fits {
 		k.fits[i].level = firstLoad
 	}
@@ -89,19 +89,19 @@
 }
 
 // load returns the load expected at a time, for a period.
-func (k *course) load(at float64, period int) float64 {
+func (k *loadForecast) load(at float64, period int) float64 {
 	f := k.fits[period]
-	if turn[period] == 0 {
+	if angularFrequency[period] == 0 {
 		return f.level
 	}
-	sin, cos := math.Sincos(turn[period] * at)
+	sin, cos := math.Sincos(angularFrequency[period] * at)
 	return f.level + f.cos*cos + f.sin*sin
 }
 
 // spread returns the standard deviation of the load that is expected.
-func (k *course) spread(period int) float64 {
+func (k *loadForecast) spread(period int) float64 {
 	most := firstSpread
-	if turn[period] != 0 {
+	if angularFrequency[period] != 0 {
 		most = swingSpread
 	}
 	return most / math.Sqrt(1+k.sums[period].w)
@@ -109,7 +109,7 @@
 
 // learn takes a reading of the load, with a weight of sure against a plain one (1), and adds each
 // period's squared error to score.
-func (k *course) learn(at, load, sure float64, score *[periods]float64) {
+func (k *loadForecast) learn(at, load, sure float64, score *[periods]float64) {
 	aged := max(0, at-k.at)
 	k.at = max(k.at, at)
 	for i := range k.sums {
@@ -117,12 +117,12 @@
 		score[i] += sure * min(miss*miss, roughness*roughness)
 		weight := sure * min(1, roughness/max(math.Abs(miss), roughness))
 		k.sums[i].scale(math.Exp(-aged / memory[i]))
-		k.sums[i].add(turn[i]*at, load, weight)
-		k.fits[i] = k.sums[i].solve(turn[i] != 0)
+		k.sums[i].add(angularFrequency[i]*at, load, weight)
+		k.fits[i] = k.sums[i].solve(angularFrequency[i] != 0)
 	}
 }
 
-func (s *sums) scale(x float64) {
+func (s *moments) scale(x float64) {
 	s.w *= x
 	s.c *= x
 	s.s *= x
@@ -134,7 +134,7 @@
 	s.sy *= x
 }
 
-func (s *sums) add(angle, y, w float64) {
+func (s *moments) add(angle, y, w float64) {
 	sin, cos := math.Sincos(angle)
 	s.w += w
 	s.c += w * cos
@@ -149,17 +149,17 @@
 
 // solve returns the fit of least squares, with the assumptions before any reading as further
 // readings: without them the first few would give any swing.
-func (s *sums) solve(swings bool) fit {
+func (s *moments) solve(swings bool) harmonic {
 	w, y := s.w+levelWeight, s.y+levelWeight*firstLoad
 	if !swings {
-		return fit{level: y / w}
+		return harmonic{level: y / w}
 	}
 	cc, ss := s.cc+swingWeight, s.ss+swingWeight
 	// The level is eliminated first; what is left are two equations for the swing's parts.
 	a, b, d := cc-s.c*s.c/w, s.cs-s.c*s.s/w, ss-s.s*s.s/w
 	p, q := s.cy-s.c*y/w, s.sy-s.s*y/w
 	det := a*d - b*b
-	f := fit{cos: (p*d - q*b) / det, sin: (q*a - p*b) / det}
+	f := harmonic{cos: (p*d - q*b) / det, sin: (q*a - p*b) / det}
 	f.level = (y - f.cos*s.c - f.sin*s.s) / w
 	return f
 }
@@ -171,33 +171,33 @@
 	return time.Duration(c.began.UnixNano()).Seconds() + at.Sub(c.began).Seconds()
 }
 
-// seed has the course of a period begin with a fit that a former holder found, as if it
+// seed has the forecast of a period begin with a fit that a former holder found, as if it
 // came from some readings spread over a whole swing.
-func (k *course) seed(at float64, period int, f fit) {
+func (k *loadForecast) seed(at float64, period int, f harmonic) {
 	k.at = at
 	s := &k.sums[period]
-	*s = sums{w: seedReadings, y: seedReadings * f.level}
-	if turn[period] != 0 {
+	*s = moments{w: seedReadings, y: seedReadings * f.level}
+	if angularFrequency[period] != 0 {
 		s.cc, s.ss = seedReadings/2, seedReadings/2
 		s.cy, s.sy = s.cc*f.cos, s.ss*f.sin
 	}
-	k.fits[period] = s.solve(turn[period] != 0)
+	k.fits[period] = s.solve(angularFrequency[period] != 0)
 }
 
-// course returns the load of a serving step.
-func (c *Core) course(s *stage) *course {
-	if s.course == nil {
-		s.course = newCourse(c.seconds(s.at))
+// loadOf returns the load of a serving step.
+func (c *Core) loadOf(s *stage) *loadForecast {
+	if s.load == nil {
+		s.load = newLoadForecast(c.seconds(s.at))
 	}
-	return s.course
+	return s.load
 }
 
 // peak returns the most load expected of a serving step within some seconds.
-func (c *Core) peak(now time.Time, s *stage, ahead float64) float64 {
-	k, at := c.course(s), c.seconds(now)
+func (c *Core) peakLoad(now time.Time, s *stage, ahead float64) float64 {
+	k, at := c.loadOf(s), c.seconds(now)
 	most := 0.0
 	for _, x := range []float64{0, ahead / 2, ahead} {
-		most = max(most, k.load(at+x, c.press.period))
+		most = max(most, k.load(at+x, c.interference.period))
 	}
 	return most
 }
--- a/internal/batch/sched/course_test.go
+++ b/internal/batch/sched/load_test.go
@@ -26,8 +26,8 @@
 			truth := func(step int, at float64) float64 {
 				return 0.5 + tt.swing*math.Sin(2*math.Pi*at/tt.period+2*float64(step))
 			}
-			var p pressure
-			courses := []*course{newCourse(0), newCourse(0), newCourse(0)}
+			var p interference
+			courses := []*loadForecast{newLoadForecast(0), newLoadForecast(0), newLoadForecast(0)}
 			var n, square float64
 			for at := 0.0; at < 40; at += 0.2 {
 				for i, k := range courses {
@@ -60,12 +60,12 @@
 	former, next := New(Options{Term: 1}, start), New(Options{Term: 2}, start.Add(30*time.Second))
 	former.Admit(start, feed)
 	truth := func(at time.Time) float64 { return 0.5 + 0.24*math.Sin(2*math.Pi*at.Sub(start).Seconds()/20+1) }
-	k := former.course(former.jobs["feed"].rounds[0].stages[0])
+	k := former.loadOf(former.jobs["feed"].rounds[0].stages[0])
 	for at := start; at.Before(start.Add(30 * time.Second)); at = at.Add(200 * time.Millisecond) {
-		k.learn(former.seconds(at), truth(at), 1, &former.press.score)
-		former.press.age(former.seconds(at))
+		k.learn(former.seconds(at), truth(at), 1, &former.interference.score)
+		former.interference.age(former.seconds(at))
 	}
-	former.press.factors("a").set("book", 1.2, 0.05)
+	former.interference.factors("a").set("book", 1.2, 0.05)
 	data, err := former.Learned()
 	if err != nil {
 		t.Fatal(err)
@@ -77,20 +77,20 @@
 		t.Fatal(err)
 	}
 	// One reading that is far off changes neither the period nor a factor that was sure.
-	period := next.press.period
+	period := next.interference.period
 	stage := next.jobs["feed"].rounds[0].stages[0]
 	at := next.seconds(next.began.Add(200 * time.Millisecond))
-	next.press.learn(at, next.course(stage), stage.spec, 100*time.Millisecond, []usage{{"book", 0.2}})
-	if next.press.period != period || turn[period] == 0 {
-		t.Errorf("period %d after a reading, %d was handed on", next.press.period, period)
+	next.interference.learn(at, next.loadOf(stage), stage.spec, 100*time.Millisecond, []usage{{"book", 0.2}})
+	if next.interference.period != period || angularFrequency[period] == 0 {
+		t.Errorf("period %d after a reading, %d was handed on", next.interference.period, period)
 	}
-	if f := next.press.factors("a").of("book"); math.Abs(f-1.2) > 0.1 {
+	if f := next.interference.factors("a").of("book"); math.Abs(f-1.2) > 0.1 {
 		t.Errorf("factor %.2f after a reading, 1.20 was handed on", f)
 	}
 	for _, ahead := range []time.Duration{time.Second, 4 * time.Second, 9 * time.Second} {
 		at := next.began.Add(ahead)
-		next.course(next.jobs["feed"].rounds[0].stages[0]).learn(next.seconds(at), truth(at)+0.05, 1, &next.press.score)
-		got := next.course(next.jobs["feed"].rounds[0].stages[0]).load(next.seconds(at), next.press.period)
+		next.loadOf(next.jobs["feed"].rounds[0].stages[0]).learn(next.seconds(at), truth(at)+0.05, 1, &next.interference.score)
+		got := next.loadOf(next.jobs["feed"].rounds[0].stages[0]).load(next.seconds(at), next.interference.period)
 		if math.Abs(got-truth(at)) > 0.06 {
 			t.Errorf("load in %s: %.2f, want %.2f", ahead, got, truth(at))
 		}
--- a/internal/batch/sched/move.go
+++ b/internal/batch/sched/move.go
@@ -14,10 +14,10 @@
 	// leaveTime is how long before its worker may leave a lasting task is moved: a stop takes
 	// up to 0.4 s.
 	leaveTime = 600 * time.Millisecond
-	// ownKind is the kinship that a worker must have with a lasting task that is moved there.
+	// ownAffinity is the affinity that a worker must have with a lasting task that is moved there.
 	// Moved to wherever there was room, in four plays with half of the workers replaced feeds
 	// earned 0.87 instead of 0.84, but books 0.75 instead of 0.93: the images were mixed.
-	ownKind = 0.2
+	ownAffinity = 0.2
 )
 
 // move stops tasks that are better off elsewhere; they are placed anew with what they have
@@ -33,14 +33,14 @@
 			continue
 		}
 		for _, r := range w.list {
-			if r.task == nil || r.state != RunLive || r.task.stage.spec.Gang || !r.tardy(now) && !r.leaving(now, w) {
+			if r.task == nil || r.state != RunLive || r.task.stage.spec.Gang || !r.straggling(now) && !r.leaving(now, w) {
 				continue
 			}
 			to := c.pick(now, r.task, "")
 			if to == nil || to == w || taken[to] {
 				continue
 			}
-			if s := r.task.stage.spec; s.Lasting && c.kinship(to, s.Image) < ownKind {
+			if s := r.task.stage.spec; s.Lasting && c.affinity(to, s.Image) < ownAffinity {
 				continue
 			}
 			taken[to] = true
@@ -51,11 +51,11 @@
 	}
 }
 
-// tardy reports whether a filling run is slowed for so long that beginning anew elsewhere is
+// straggling reports whether a filling run is slowed for so long that beginning anew elsewhere is
 // worth what is lost: nothing where its progress is saved, else the time for which it has
 // worked. One task in twelve is slowed at some time, and half of these took over 4 s where
 // they stayed, a tenth over 13 s, instead of 1.5 s; a job is as late as its last task.
-func (r *run) tardy(now time.Time) bool {
+func (r *run) straggling(now time.Time) bool {
 	if r.slowed.IsZero() {
 		return false
 	}
--- a/internal/batch/sched/pace.go
+++ b/internal/batch/sched/pace.go
@@ -63,7 +63,7 @@
 	case d >= overSoon:
 		most = soonPace
 	}
-	f := c.press.factors(s.task.stage.spec.Image)
+	f := c.interference.factors(s.task.stage.spec.Image)
 	for i, r := range fills {
 		z := r.task.stage.spec
 		if most == 0 || f.of(z.Image)*z.share(w) > disturbs {
@@ -89,8 +89,8 @@
 		if !s.serves() || s.state != RunLive {
 			continue
 		}
-		f := c.press.factors(s.task.stage.spec.Image)
-		above := c.peak(now, s.task.stage, paceAhead) - targetPressure
+		f := c.interference.factors(s.task.stage.spec.Image)
+		above := c.peakLoad(now, s.task.stage, paceAhead) - targetPressure
 		adds := make([]float64, len(fills))
 		for i, r := range fills {
 			z := r.task.stage.spec
@@ -129,7 +129,7 @@
 	part := float64(b.paces[i]-pace) / fullPace
 	sum := -part
 	for k, x := range b.above {
-		sum += serveWorth * (over(x) - over(x-part*b.adds[k][i]))
+		sum += serveWorth * (overTargetProbability(x) - overTargetProbability(x-part*b.adds[k][i]))
 	}
 	return sum
 }
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -51,7 +51,7 @@
 		return false
 	}
 	for _, w := range c.ranks {
-		if w.heir && !w.told {
+		if w.inherited && !w.reported {
 			return true
 		}
 	}
@@ -111,7 +111,7 @@
 func (c *Core) placeStage(now time.Time, s *stage, doubt bool, orders []Order) []Order {
 	full := c.misfits(s)
 	if full.has(c.plans, s.spec.Size) {
-		c.lack(now, s)
+		c.noteUnplaced(now, s)
 		return orders
 	}
 	if s.spec.Gang {
@@ -133,7 +133,7 @@
 		}
 		i := ch.best(t)
 		if i < 0 {
-			c.lack(now, s)
+			c.noteUnplaced(now, s)
 			if s.spec.Apart == 0 {
 				full.add(c.plans, s.spec.Size)
 			}
@@ -233,20 +233,20 @@
 	return nil
 }
 
-// roomy reports whether a worker has room for a filling task of a stage.
-func (c *Core) roomy(now time.Time, w *worker, s *stage) bool {
+// hasRoom reports whether a worker has room for a filling task of a stage.
+func (c *Core) hasRoom(now time.Time, w *worker, s *stage) bool {
 	z, free := s.spec.Size, w.free()
-	return z.Mem <= free.Mem && z.Accel <= free.Accel && float64(c.look(now, w).left) >= fillShare*float64(z.CPU)
+	return z.Mem <= free.Mem && z.Accel <= free.Accel && float64(c.forecast(now, w).left) >= fillShare*float64(z.CPU)
 }
 
-// kinship prefers the worker that is fullest of the image, so that others stay free of serving
+// affinity prefers the worker that is fullest of the image, so that others stay free of serving
 // tasks for filling images that disturb them all, and, where images have to share a worker,
 // ones that the same filling images disturb.
 //
 // It is how much a serving task of an image is among its like on the worker, from -1 to
 // 1. Images differ in which filling images disturb them: with one serving image on a
 // worker, most filling images find workers where they disturb nobody.
-func (c *Core) kinship(w *worker, image string) float64 {
+func (c *Core) affinity(w *worker, image string) float64 {
 	sum := 0.0
 	for _, r := range w.list {
 		if r.task == nil || !r.task.stage.spec.Lasting {
@@ -255,7 +255,7 @@
 		s := r.task.stage.spec
 		like := 1.0
 		if s.Image != image {
-			like = -c.press.unlike(s.Image, image)
+			like = -c.interference.dissimilarity(s.Image, image)
 		}
 		sum += like * float64(s.Size.CPU)
 	}
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -72,7 +72,7 @@
 		}
 		for _, r := range w.list {
 			switch {
-			case r.condemned(now) && r.stops.due(now):
+			case r.stopDue(now) && r.stops.due(now):
 				r.sent = now
 				r.stops.begin()
 				orders = append(orders, r.order(VerbStop))
@@ -88,11 +88,11 @@
 	return orders
 }
 
-// condemned reports whether a run is to be stopped.
+// stopDue reports whether a run is to be stopped.
 //
 // One whose start went unanswered is left for a look to tell of, for a while. It may well run: a busy holder gets many
 // answers too late. Stopped at once, good runs were begun anew, with more orders from the same holder.
-func (r *run) condemned(now time.Time) bool {
+func (r *run) stopDue(now time.Time) bool {
 	since := now.Sub(r.sent)
 	switch r.state {
 	case RunStopping:
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -25,14 +25,14 @@
 			c.join(now, m, false)
 		}
 		w := c.workers[m.ID]
-		w.stored, w.heir = true, true
+		w.stored, w.inherited = true, true
 	}
 }
 
 func (c *Core) join(now time.Time, m Member, listed bool) {
 	w := c.workers[m.ID]
 	if w != nil && w.Born != 0 && m.Born > w.Born {
-		c.rebirth(now, w, m.Born)
+		c.restart(now, w, m.Born)
 	}
 	if w == nil {
 		w = &worker{runs: map[runKey]*run{}, lapse: c.clear()}
@@ -56,12 +56,12 @@
 	w.out = c.zones[m.Zone]
 }
 
-// rebirth notes that a worker has started anew under its id. What its former life has shown to run has ended
+// restart notes that a worker has started anew under its id. What its former life has shown to run has ended
 // with that. Any other order may have been carried out by the new one, or may be, as its fence is
 // unset, also where it was answered: answers don't name a life. Such runs stay until a look at
 // the new life, a stop or their time settles them. No lease of the new life has lapsed
 // before it is heard of: its ends would be passed over as of before a lapse, and be acknowledged uncounted.
-func (c *Core) rebirth(now time.Time, w *worker, born int64) {
+func (c *Core) restart(now time.Time, w *worker, born int64) {
 	for _, r := range w.all() {
 		switch {
 		case r.shown:
@@ -72,8 +72,8 @@
 	}
 	w.Born = born
 	w.lapse = now
-	w.fresh, w.told = true, false
-	w.acked, w.heard, w.owed = 0, 0, nil
+	w.fresh, w.reported = true, false
+	w.acked, w.heard, w.pending = 0, 0, nil
 	w.contact = ContactNone
 	w.stored = false
 	w.void = false
@@ -131,7 +131,7 @@
 		}
 		kept, prolonged := false, w.prolonged(now)
 		for _, r := range w.all() {
-			if r.adrift(now, w) || prolonged && r.born == w.Born {
+			if r.orphaned(now, w) || prolonged && r.born == w.Born {
 				kept = true
 				continue
 			}
@@ -154,16 +154,16 @@
 // soon as no such order can come any more, what was granted holds.
 func (w *worker) prolonged(now time.Time) bool {
 	for _, r := range w.list {
-		if r.adrift(now, w) {
+		if r.orphaned(now, w) {
 			return true
 		}
 	}
 	return false
 }
 
-// overlong notes how long the lease of a worker's present life may be by an order that was given to a former one and
+// extendLapse notes how long the lease of a worker's present life may be by an order that was given to a former one and
 // has been carried out up to now; see prolonged, which is for those that may come yet.
-func (c *Core) overlong(now time.Time, w *worker) {
+func (c *Core) extendLapse(now time.Time, w *worker) {
 	for _, r := range w.list {
 		if r.born != w.Born {
 			w.lapse = later(w.lapse, now.Add(c.lapses(c.opt.Hold)))
@@ -172,11 +172,11 @@
 	}
 }
 
-// adrift reports whether an order that was given to a former life of a worker may still be
+// orphaned reports whether an order that was given to a former life of a worker may still be
 // carried out by the present one. Its time, on the former life's clock, doesn't bound that:
 // the clock has begun anew. Only a stop settles it, or the time after which no order is
 // carried out any more.
-func (r *run) adrift(now time.Time, w *worker) bool {
+func (r *run) orphaned(now time.Time, w *worker) bool {
 	return !r.shown && r.state != RunStopped && r.born != w.Born && now.Sub(r.began) < lateMost
 }
 
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		if st := r.task.stage; r.ready {
-			c.press.learn(c.seconds(now), c.course(st), st.spec, r.tail, use)
+			c.interference.learn(c.seconds(now), c.loadOf(st), st.spec, r.tail, use)
 		}
 		r.clock(now, later(before, now.Add(-oldest)), w.share.busy)
 		if !r.over.IsZero() && now.Sub(r.over) >= overSoon {
@@ -107,8 +107,8 @@
 	return r.usage > size*(float64(r.pace)/fullPace+paceError)
 }
 
-// strained reports whether a serving task of the worker counts as over its target.
-func (w *worker) strained() bool {
+// overTarget reports whether a serving task of the worker counts as over its target.
+func (w *worker) overTarget() bool {
 	for _, r := range w.list {
 		if !r.over.IsZero() && r.serves() {
 			return true
--- a/internal/batch/sched/waits.go
+++ b/internal/batch/sched/waits.go
@@ -28,14 +28,14 @@
 }
 
 // lack notes that a task of a step has found no place.
-func (c *Core) lack(now time.Time, s *stage) {
+func (c *Core) noteUnplaced(now time.Time, s *stage) {
 	if s.short.IsZero() {
 		s.short = now
 	}
-	if s.told || now.Sub(s.short) < waitTold {
+	if s.noted || now.Sub(s.short) < waitTold {
 		return
 	}
-	s.told = true
+	s.noted = true
 	t := Wait{Job: s.job.ID, Step: s.idx, Tasks: s.waiting, Since: now.Sub(s.short)}
 	for _, w := range c.ranks {
 		if w.Service != s.job.Service {
@@ -49,7 +49,7 @@
 		case s.spec.Fills && w.share.shut:
 			t.Shut++
 		case fits:
-		case s.spec.Fills && c.roomy(now, w, s):
+		case s.spec.Fills && c.hasRoom(now, w, s):
 			t.Harm++
 		default:
 			t.Full++
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -80,20 +80,20 @@
 // worker is a life of a worker with the ledger of its runs.
 type worker struct {
 	Member
-	listed  bool      // in the directory
-	void    bool      // its runs were given up after a lapse and it hasn't been heard since
-	told    bool      // this life has told this holder all that it runs and all ends
-	fresh   bool      // it has started anew and hasn't been heard since
-	out     bool      // its failure domain is taken out
-	leaves  time.Time // when it may leave; zero: it doesn't drain
-	stored  bool      // in the store's record of workers that may hold runs
-	heir    bool      // the record named it as this holder took over; another life of it may have got an order too
-	contact Contact
-	until   time.Duration // the lease granted to this life, on its clock
-	lapse   time.Time     // when every run there has ended unless the lease is renewed
-	acked   int64         // ends up to here are recorded and may be forgotten there
-	heard   int64         // ends up to here have been handled
-	owed    []owed        // of these, in their order, whose jobs have to be stored first
+	listed    bool      // in the directory
+	void      bool      // its runs were given up after a lapse and it hasn't been heard since
+	reported  bool      // this life has told this holder all that it runs and all ends
+	fresh     bool      // it has started anew and hasn't been heard since
+	out       bool      // its failure domain is taken out
+	leaves    time.Time // when it may leave; zero: it doesn't drain
+	stored    bool      // in the store's record of workers that may hold runs
+	inherited bool      // the record named it as this holder took over; another life of it may have got an order too
+	contact   Contact
+	until     time.Duration // the lease granted to this life, on its clock
+	lapse     time.Time     // when every run there has ended unless the lease is renewed
+	acked     int64         // ends up to here are recorded and may be forgotten there
+	heard     int64         // ends up to here have been handled
+	pending   []pendingAck  // of these, in their order, whose jobs have to be stored first
 
 	runs  map[runKey]*run
 	list  []*run    // the same, in the order in which they came
@@ -105,9 +105,9 @@
 	bad   health
 	share sharing
 
-	outlook outlook
-	stale   bool     // in Core.stale
-	indexed *indexed // nil: not in Core.rooms
+	forecast forecast
+	stale    bool     // in Core.stale
+	indexed  *indexed // nil: not in Core.rooms
 }
 
 type runKey struct {
