--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -79,14 +79,14 @@
 	defer h.mu.Unlock()
 	r := &round{}
 	room := lead.MaxWrites
-	crew := h.core.Crew()
+	crew := h.core.Tracked()
 	if !same(crew, h.crew) {
 		data, err := json.Marshal(crew)
 		if err != nil {
 			return nil, errors.Wrap(err, "drive")
 		}
 		r.crew = crew
-		r.writes = append(r.writes, store.Write{Key: keyCrew, Value: data})
+		r.writes = append(r.writes, store.Write{Key: keyTracked, Value: data})
 		room--
 	}
 	if r.load = len(crew); r.load != h.counted {
@@ -155,7 +155,7 @@
 	h.core.Committed(r.batch)
 	if r.crew != nil {
 		h.crew = r.crew
-		h.core.CrewStored(r.crew)
+		h.core.TrackedStored(r.crew)
 	}
 	h.counted = r.load
 	close(h.stored)
--- a/internal/batch/drive/doc.go
+++ b/internal/batch/drive/doc.go
@@ -1,3 +1,3 @@
-// Package drive has a holder's decisions carried out: it loads what the store holds, looks
+// Package drive has a holder's decisions carried out: it loads what the store holds, polls
 // at the workers, sends the orders, stores what has changed and answers callers.
 package drive
--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -16,10 +16,10 @@
 	"bramleysail.example/bramleysail/internal/plat/store"
 )
 
-// Crew speaks to the workers.
-type Crew interface {
-	// Look asks a worker for its report; wait is bounded by the look's own.
-	Look(ctx context.Context, l sched.Look, fence int64) (sched.Report, sched.Outcome)
+// WorkerClient speaks to the workers.
+type WorkerClient interface {
+	// Poll asks a worker for its report; wait is bounded by the poll's own.
+	Poll(ctx context.Context, l sched.Poll, fence int64) (sched.Report, sched.Outcome)
 	// Order gives an order.
 	Order(ctx context.Context, o sched.Order, fence int64) sched.Outcome
 }
@@ -42,17 +42,17 @@
 
 // Options of a Holder.
 type Options struct {
-	Store  store.Multi
-	Crew   Crew
-	Codec  Codec
-	Lease  time.Duration // granted to workers
-	Hold   time.Duration // longest lease that workers grant
-	Sure   time.Duration // see sched.Options
-	Stop   time.Duration // longest time that a worker takes to stop a run
-	Keep   time.Duration // for which ended jobs are known
-	Log    logr.Logger
-	Tenure *lead.Tenure
-	Scope  tally.Scope // nil: nothing is counted
+	Store   store.Multi
+	Workers WorkerClient
+	Codec   Codec
+	Lease   time.Duration // granted to workers
+	Hold    time.Duration // longest lease that workers grant
+	Sure    time.Duration // see sched.Options
+	Stop    time.Duration // longest time that a worker takes to stop a run
+	Keep    time.Duration // for which ended jobs are known
+	Log     logr.Logger
+	Tenure  *lead.Tenure
+	Scope   tally.Scope // nil: nothing is counted
 	// Aided tells when most of this process's peers last reached the store as little as it
 	// did; nil: never.
 	Aided func() time.Time
@@ -62,7 +62,7 @@
 const (
 	keyJob     = "job/"    // a job as it was handed in, below its id
 	keyRun     = "run/"    // its progress
-	keyCrew    = "crew"    // the workers that may hold runs
+	keyTracked = "crew"    // the workers that may hold runs
 	keyLearned = "learned" // what has been learned of images
 )
 
@@ -78,8 +78,8 @@
 	// a busy day, and a call of the store costs as much as a tenth of a second of a task.
 	gatherPause  = 20 * time.Millisecond
 	loadPause    = 100 * time.Millisecond
-	missPause    = 150 * time.Millisecond // after a look without an answer
-	ackWait      = 500 * time.Millisecond // for the ends of a look to be stored
+	missPause    = 150 * time.Millisecond // after a poll without an answer
+	ackWait      = 500 * time.Millisecond // for the ends of a poll to be stored
 	forgetEvery  = 10 * time.Second
 	learnedEvery = 3 * time.Second // between two records of what has been learned
 	// stuckAfter is how long a write may take before hand-ins are refused at once.
@@ -101,7 +101,7 @@
 	mu      sync.Mutex
 	core    *sched.Core // nil until loaded
 	intent  bool        // a configuration is there
-	lookers map[string]bool
+	polled  map[string]bool
 	subs    []*submission
 	byID    map[string]*submission
 	waiting map[string][]chan struct{} // for a job's next record to be stored
@@ -130,7 +130,7 @@
 		plan:    make(chan struct{}, 1),
 		commit:  make(chan struct{}, 1),
 		rush:    make(chan struct{}, 1),
-		lookers: map[string]bool{},
+		polled:  map[string]bool{},
 		byID:    map[string]*submission{},
 		waiting: map[string][]chan struct{}{},
 		stored:  make(chan struct{}),
@@ -152,7 +152,7 @@
 	for _, f := range feeds {
 		h.wg.Go(func() { f.run(h.ctx) })
 	}
-	h.look()
+	h.poll()
 	h.wg.Go(h.commits)
 	h.wg.Go(h.forgets)
 	wait.Kick(h.commit)
@@ -193,7 +193,7 @@
 	core := sched.New(sched.Options{
 		Lease: h.opt.Lease, Hold: h.opt.Hold, Stop: h.opt.Stop, Sure: h.opt.Sure, Term: h.opt.Tenure.Term(),
 	}, began)
-	crew, err := h.readCrew()
+	crew, err := h.readTracked()
 	if err != nil {
 		return nil, err
 	}
@@ -220,8 +220,8 @@
 	return feeds, nil
 }
 
-func (h *Holder) readCrew() ([]sched.Member, error) {
-	e, err := h.opt.Store.Get(h.ctx, keyCrew)
+func (h *Holder) readTracked() ([]sched.Member, error) {
+	e, err := h.opt.Store.Get(h.ctx, keyTracked)
 	if errors.Is(err, store.ErrNotFound) {
 		return nil, nil
 	}
@@ -312,7 +312,7 @@
 	h.mu.Lock()
 	h.core.Roster(at, members)
 	h.mu.Unlock()
-	h.look()
+	h.poll()
 	wait.Kick(h.plan)
 	wait.Kick(h.commit)
 }
--- a/internal/batch/drive/fleet_test.go
+++ b/internal/batch/drive/fleet_test.go
@@ -27,7 +27,7 @@
 	crew  *fakecrew.Crew
 	hosts []*host
 
-	wrap func(drive.Crew) drive.Crew // around the crew as each host reaches it; nil: nothing
+	wrap func(drive.WorkerClient) drive.WorkerClient // around the crew as each host reaches it; nil: nothing
 
 	mu  sync.Mutex
 	cut string // failure domain that is cut off from everything else
@@ -106,7 +106,7 @@
 		}
 		return h.mode
 	})}
-	var crew drive.Crew = &slowCrew{cpu: cpu, Crew: h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })}
+	var crew drive.WorkerClient = &slowCrew{cpu: cpu, WorkerClient: h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })}
 	if h.f.wrap != nil {
 		crew = h.f.wrap(crew)
 	}
@@ -114,7 +114,7 @@
 	h.wg.Go(func() {
 		l.Run(ctx, func(t *lead.Tenure) {
 			_ = drive.Run(drive.Options{ // its error tells of the tenure's end
-				Store: client, Crew: crew, Codec: plain.Codec(), Tenure: t, Log: logr.Discard(),
+				Store: client, Workers: crew, Codec: plain.Codec(), Tenure: t, Log: logr.Discard(),
 				Lease: drive.WorkerLease(fakecrew.MaxHold), Hold: fakecrew.MaxHold, Sure: drive.Unsure, Stop: fakecrew.MaxStop, Keep: time.Hour,
 			}, func(d *drive.Holder) { h.set(d, t.Term()) })
 			h.set(nil, 0)
--- a/internal/batch/drive/slow_test.go
+++ b/internal/batch/drive/slow_test.go
@@ -50,15 +50,15 @@
 
 // slowCrew is a crew as a host reaches it whose processor is busy.
 type slowCrew struct {
-	drive.Crew
+	drive.WorkerClient
 	cpu *processor
 }
 
-func (c *slowCrew) Look(ctx context.Context, l sched.Look, fence int64) (sched.Report, sched.Outcome) {
+func (c *slowCrew) Poll(ctx context.Context, l sched.Poll, fence int64) (sched.Report, sched.Outcome) {
 	if !c.cpu.take(ctx) {
 		return sched.Report{}, sched.OutcomeUnknown
 	}
-	rep, out := c.Crew.Look(ctx, l, fence)
+	rep, out := c.WorkerClient.Poll(ctx, l, fence)
 	if !c.cpu.take(ctx) {
 		return sched.Report{}, sched.OutcomeUnknown
 	}
@@ -69,7 +69,7 @@
 	if !c.cpu.take(ctx) {
 		return sched.OutcomeUnknown
 	}
-	out := c.Crew.Order(ctx, o, fence)
+	out := c.WorkerClient.Order(ctx, o, fence)
 	if !c.cpu.take(ctx) {
 		return sched.OutcomeUnknown
 	}
--- a/internal/batch/drive/storm_test.go
+++ b/internal/batch/drive/storm_test.go
@@ -18,7 +18,7 @@
 
 // traffic counts a host's orders on their way to workers.
 type traffic struct {
-	drive.Crew
+	drive.WorkerClient
 	slow time.Duration   // added to each order's way
 	mute map[string]bool // workers that no order reaches
 
@@ -37,7 +37,7 @@
 		wait.For(ctx, callLimit)
 		return sched.OutcomeUnknown
 	}
-	out := c.Crew.Order(ctx, o, fence)
+	out := c.WorkerClient.Order(ctx, o, fence)
 	if o.Verb == sched.VerbStart && out == sched.OutcomeUnknown {
 		c.mu.Lock()
 		c.lost++
@@ -66,8 +66,8 @@
 func watched(t *testing.T, workers int, turn, slow time.Duration) (*fleet, *traffic) {
 	c := &traffic{slow: slow, stopped: map[int64]bool{}}
 	f := newFleet(t, 0, workers, source(1), seconds(forever))
-	f.wrap = func(crew drive.Crew) drive.Crew {
-		c.Crew = crew
+	f.wrap = func(crew drive.WorkerClient) drive.WorkerClient {
+		c.WorkerClient = crew
 		return c
 	}
 	f.add(1, turn, strongCarries)
@@ -97,7 +97,7 @@
 	})
 }
 
-// Many workers leave orders unanswered, while looks at them go well. Books that have nothing to do with these
+// Many workers leave orders unanswered, while polls of them go well. Books that have nothing to do with these
 // start seconds late, behind orders that wait for answers which don't come. A worker that doesn't
 // answer may hold up its own orders only.
 func TestSilentWorkersHoldUpNobody(t *testing.T) {
--- a/internal/batch/drive/times.go
+++ b/internal/batch/drive/times.go
@@ -9,7 +9,7 @@
 	HolderLease = 1200 * time.Millisecond
 	// Unsure is how long a holder that neither the store nor its peers confirm goes on starting tasks.
 	Unsure = 3 * time.Second
-	// workerLease is granted to workers at each look. What is left of it outlasts the loss of all
+	// workerLease is granted to workers at each poll. What is left of it outlasts the loss of all
 	// processes and a change of holder, some 3 s. A holder and a worker that are lost together cost
 	// HolderLease, the claim and this: operators allow 7 s until what ran there runs again.
 	workerLease = 4800 * time.Millisecond
--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -104,7 +104,7 @@
 	if cause != sched.CauseNone {
 		return sched.OutcomeUnsent, cause
 	}
-	return h.opt.Crew.Order(h.ctx, o, h.opt.Tenure.Term()), sched.CauseNone
+	return h.opt.Workers.Order(h.ctx, o, h.opt.Tenure.Term()), sched.CauseNone
 }
 
 // fenced ends the tenure: a worker knows a newer holder.
@@ -113,33 +113,33 @@
 	h.opt.Tenure.Over()
 }
 
-// look has a goroutine for each worker.
-func (h *Holder) look() {
+// poll has a goroutine for each worker.
+func (h *Holder) poll() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, m := range h.core.Workers() {
-		if !h.lookers[m.ID] {
-			h.lookers[m.ID] = true
-			h.wg.Go(func() { h.lookAt(m.ID) })
+		if !h.polled[m.ID] {
+			h.polled[m.ID] = true
+			h.wg.Go(func() { h.pollWorker(m.ID) })
 		}
 	}
 }
 
-func (h *Holder) lookAt(id string) {
+func (h *Holder) pollWorker(id string) {
 	good := true
 	for h.ctx.Err() == nil {
 		h.mu.Lock()
 		h.confirm()
 		sent := time.Now()
-		l, ok := h.core.Look(sent, id)
+		l, ok := h.core.Poll(sent, id)
 		if !ok {
-			delete(h.lookers, id)
+			delete(h.polled, id)
 		}
 		h.mu.Unlock()
 		if !ok {
 			return
 		}
-		rep, out := h.opt.Crew.Look(h.ctx, l, h.opt.Tenure.Term())
+		rep, out := h.opt.Workers.Poll(h.ctx, l, h.opt.Tenure.Term())
 		if h.ctx.Err() != nil {
 			return
 		}
@@ -151,7 +151,7 @@
 	}
 }
 
-func (h *Holder) hear(sent time.Time, l sched.Look, rep sched.Report, out sched.Outcome) {
+func (h *Holder) hear(sent time.Time, l sched.Poll, rep sched.Report, out sched.Outcome) {
 	now := time.Now()
 	var news []sched.Finished
 	h.mu.Lock()
@@ -177,7 +177,7 @@
 	h.awaitStored(l.ID)
 }
 
-// awaitStored waits until a worker's ends are stored, for a while: the next look tells the
+// awaitStored waits until a worker's ends are stored, for a while: the next poll tells the
 // worker to forget them and would be answered at once with the same ends before.
 func (h *Holder) awaitStored(id string) {
 	t := time.NewTimer(ackWait)
@@ -201,7 +201,7 @@
 	}
 }
 
-// logEnds tells of ends that are news. Until an end is acknowledged each look repeats it.
+// logEnds tells of ends that are news. Until an end is acknowledged each poll repeats it.
 func (h *Holder) logEnds(worker string, news []sched.Finished) {
 	for _, f := range news {
 		h.ends("end", string(f.How))
--- a/internal/batch/sched/answer.go
+++ b/internal/batch/sched/answer.go
@@ -79,7 +79,7 @@
 			r.sent = now
 		}
 	case OutcomeOld:
-		// It did run there and has ended; the next look tells how.
+		// It did run there and has ended; the next poll tells how.
 		r.state = RunStopped
 		r.sure = now
 	case OutcomeRoom:
--- a/internal/batch/sched/bench_test.go
+++ b/internal/batch/sched/bench_test.go
@@ -36,8 +36,8 @@
 		reports: map[string]*sched.Report{}, seq: map[string]int64{},
 	}
 	p.core.Roster(start(), members(workers))
-	p.core.CrewStored(p.core.Crew())
-	for _, m := range p.core.Crew() {
+	p.core.TrackedStored(p.core.Tracked())
+	for _, m := range p.core.Tracked() {
 		p.ids = append(p.ids, m.ID)
 		p.reports[m.ID] = &sched.Report{Born: 1}
 		p.hear(m.ID)
@@ -65,9 +65,9 @@
 	r := p.reports[id]
 	r.Clock = p.now.Sub(start())
 	p.core.Confirm(p.now)
-	p.core.Look(p.now, id)
+	p.core.Poll(p.now, id)
 	p.core.Hear(p.now.Add(-time.Millisecond), p.now, id, *r)
-	p.core.Look(p.now, id)
+	p.core.Poll(p.now, id)
 }
 
 // end has the oldest filling task of a worker end.
--- a/internal/batch/sched/changes_test.go
+++ b/internal/batch/sched/changes_test.go
@@ -31,7 +31,7 @@
 			o := b.core.Plan(b.now)[0]
 			b.core.Answer(b.now, o, tt.out)
 			if tt.shown {
-				b.look("w0", sched.Report{Running: []sched.Running{running(o)}})
+				b.poll("w0", sched.Report{Running: []sched.Running{running(o)}})
 			}
 			if got := b.core.Pending("q"); got != tt.pending {
 				t.Errorf("%d wait, want %d", got, tt.pending)
@@ -41,7 +41,7 @@
 }
 
 // More jobs change than one write takes, again and again. The ends of a worker were acknowledged
-// only once nothing at all was left to store: for as long as that lasted every look told
+// only once nothing at all was left to store: for as long as that lasted every poll told
 // all ends anew, and the holder had no time left for its work. An end is acknowledged as soon as its own job is stored.
 func TestAcksDontWaitForAll(t *testing.T) {
 	b := newBench(t, 1, 2).open()
@@ -52,29 +52,29 @@
 	var ends []sched.Finished
 	for _, o := range b.plan(sched.VerbStart) {
 		if o.Life.ID == "w0" {
-			b.look("w0", sched.Report{Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
+			b.poll("w0", sched.Report{Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
 			continue
 		}
 		ends = append(ends, finished(int64(len(ends)+1), o, sched.EndDone))
 	}
-	b.look("w1", sched.Report{Finished: ends})
+	b.poll("w1", sched.Report{Finished: ends})
 	for i, want := range []int64{1, 6} {
 		batch, err := b.core.Collect(2 + 3*i)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if l, _ := b.core.Look(b.now, "w1"); i == 0 && l.Acked != 0 {
+		if l, _ := b.core.Poll(b.now, "w1"); i == 0 && l.Acked != 0 {
 			t.Errorf("ends of w1 up to %d are acknowledged, and none is stored", l.Acked)
 		}
 		b.core.Committed(batch)
 		id := fmt.Sprintf("w%d", i)
-		if l, _ := b.core.Look(b.now, id); l.Acked != want {
+		if l, _ := b.core.Poll(b.now, id); l.Acked != want {
 			t.Errorf("ends of %s up to %d are acknowledged, want %d", id, l.Acked, want)
 		}
 	}
 }
 
-// A worker tells an end with each look until it is acknowledged. It is news once: logged and counted each time, it
+// A worker tells an end with each poll until it is acknowledged. It is news once: logged and counted each time, it
 // buries in the log what an engineer looks for, and takes the holder's time when it has least.
 func TestEndIsNewsOnce(t *testing.T) {
 	b := newBench(t, 1, 1).open()
@@ -99,7 +99,7 @@
 	}
 	fail := func(seq int64) {
 		for _, o := range b.plan(sched.VerbStart) {
-			b.look(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(seq, o, sched.EndFailed)}})
+			b.poll(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(seq, o, sched.EndFailed)}})
 			seq++
 		}
 	}
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -27,7 +27,7 @@
 
 func start() time.Time { return time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC) }
 
-// newBench returns a core of a term with n workers of 16 cores that have been looked at.
+// newBench returns a core of a term with n workers of 16 cores that have been polled.
 func newBench(t *testing.T, term int64, n int) *bench {
 	t.Helper()
 	b := &bench{t: t, now: start()}
@@ -47,11 +47,11 @@
 	return all
 }
 
-// open looks at every worker twice, so that tasks may be placed there.
+// open polls every worker twice, so that tasks may be placed there.
 func (b *bench) open() *bench {
-	b.core.CrewStored(b.core.Crew())
-	for _, m := range b.core.Crew() {
-		b.look(m.ID, sched.Report{})
+	b.core.TrackedStored(b.core.Tracked())
+	for _, m := range b.core.Tracked() {
+		b.poll(m.ID, sched.Report{})
 	}
 	return b
 }
@@ -62,10 +62,10 @@
 	b.core.Confirm(b.now)
 }
 
-// look has a worker answer a look at once, and the next one sent.
-func (b *bench) look(id string, rep sched.Report) {
+// poll has a worker answer a poll of once, and the next one sent.
+func (b *bench) poll(id string, rep sched.Report) {
 	b.t.Helper()
-	b.core.Look(b.now, id)
+	b.core.Poll(b.now, id)
 	if rep.Born == 0 {
 		rep.Born = 1
 	}
@@ -73,7 +73,7 @@
 	sent := b.now
 	b.after(time.Millisecond)
 	b.core.Hear(sent, b.now, id, rep)
-	b.core.Look(b.now, id)
+	b.core.Poll(b.now, id)
 }
 
 // plan returns the orders of a kind, each taken by its worker.
@@ -147,20 +147,20 @@
 		t.Fatalf("%d starts, want 1", len(first))
 	}
 	b.state("j", sched.StateRunning)
-	b.look(first[0].Life.ID, sched.Report{Finished: []sched.Finished{finished(1, first[0], sched.EndDone)}})
+	b.poll(first[0].Life.ID, sched.Report{Finished: []sched.Finished{finished(1, first[0], sched.EndDone)}})
 	second := b.plan(sched.VerbStart)
 	if len(second) != 2 {
 		t.Fatalf("%d starts of the second step, want 2", len(second))
 	}
 	for i, o := range second {
-		b.look(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(int64(i+2), o, sched.EndDone)}})
+		b.poll(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(int64(i+2), o, sched.EndDone)}})
 	}
 	b.state("j", sched.StateRunning)
 	b.store()
 	b.state("j", sched.StateCompleted)
 }
 
-// A caller sees a task run twice at the same time. A start is answered, and a look sent before
+// A caller sees a task run twice at the same time. A start is answered, and a poll sent before
 // that answer has overtaken the start on another connection, so its report doesn't show the
 // run. Taking the run for ended places the task a second time.
 func TestLookOvertakesStart(t *testing.T) {
@@ -172,7 +172,7 @@
 	}
 	b.after(time.Millisecond)
 	sent := b.now
-	b.core.Look(sent, "w0")
+	b.core.Poll(sent, "w0")
 	b.after(time.Millisecond)
 	b.core.Answer(b.now, orders[0], sched.OutcomeDone)
 	b.after(time.Millisecond)
@@ -191,7 +191,7 @@
 	b.core.Admit(b.now, job)
 	o := b.plan(sched.VerbStart)[0]
 	end := finished(1, o, sched.EndFailed)
-	b.look("w0", sched.Report{Finished: []sched.Finished{end}})
+	b.poll("w0", sched.Report{Finished: []sched.Finished{end}})
 	data := b.store()["j"]
 
 	next := newBench(t, 2, 1)
@@ -199,7 +199,7 @@
 		t.Fatal(err)
 	}
 	next.open()
-	next.look("w0", sched.Report{Finished: []sched.Finished{end}})
+	next.poll("w0", sched.Report{Finished: []sched.Finished{end}})
 	next.store()
 	if s, _ := next.core.State("j"); s.Final() {
 		t.Errorf("job is %s after one failure of two allowed", s)
@@ -208,7 +208,7 @@
 	if len(retry) != 1 || retry[0].Run <= o.Run {
 		t.Fatalf("retry %v after run %d", retry, o.Run)
 	}
-	next.look("w0", sched.Report{Finished: []sched.Finished{finished(2, retry[0], sched.EndFailed)}})
+	next.poll("w0", sched.Report{Finished: []sched.Finished{finished(2, retry[0], sched.EndFailed)}})
 	next.store()
 	next.state("j", sched.StateFailed)
 }
@@ -221,9 +221,9 @@
 	if err := b.core.Restore(b.now, "j", one("j", nil), nil); err != nil {
 		t.Fatal(err)
 	}
-	b.core.CrewStored(b.core.Crew())
-	b.look("w0", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "j.0.0.0", Run: 1_000_002, How: sched.EndFailed}}})
-	b.look("w1", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "j.0.0.0", Run: 1_000_001, How: sched.EndFailed}}})
+	b.core.TrackedStored(b.core.Tracked())
+	b.poll("w0", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "j.0.0.0", Run: 1_000_002, How: sched.EndFailed}}})
+	b.poll("w1", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "j.0.0.0", Run: 1_000_001, How: sched.EndFailed}}})
 	if got := b.plan(sched.VerbStart); len(got) != 0 {
 		t.Errorf("started %v after two failures", got)
 	}
@@ -232,14 +232,14 @@
 }
 
 // A start isn't answered and may come to life seconds later. Until a stop for it is
-// acknowledged and a later look doesn't show it, the task must not be placed again.
+// acknowledged and a later poll doesn't show it, the task must not be placed again.
 func TestUnansweredStart(t *testing.T) {
 	b := newBench(t, 1, 2).open()
 	b.core.Admit(b.now, one("j", nil))
 	o := b.core.Plan(b.now)[0]
 	b.core.Answer(b.now, o, sched.OutcomeUnknown)
 	b.after(time.Millisecond)
-	b.look(o.Life.ID, sched.Report{})
+	b.poll(o.Life.ID, sched.Report{})
 	if got := b.plan(sched.VerbStart); len(got) != 0 {
 		t.Fatalf("placed again before the stop: %v", got)
 	}
@@ -247,7 +247,7 @@
 	if got := b.plan(sched.VerbStop); len(got) != 1 {
 		t.Fatalf("%d stops, want 1", len(got))
 	}
-	b.look(o.Life.ID, sched.Report{})
+	b.poll(o.Life.ID, sched.Report{})
 	if got := b.plan(sched.VerbStart); len(got) != 1 || got[0].Run <= o.Run {
 		t.Fatalf("after the stop: %v", got)
 	}
--- a/internal/batch/sched/crowd_test.go
+++ b/internal/batch/sched/crowd_test.go
@@ -60,7 +60,7 @@
 					}
 					running[id] = rest
 					if len(rep.Finished) > 0 || b.now.Sub(start())%time.Second < step {
-						b.look(id, rep)
+						b.poll(id, rep)
 					}
 				}
 				b.store()
--- a/internal/batch/sched/depart_test.go
+++ b/internal/batch/sched/depart_test.go
@@ -19,7 +19,7 @@
 		{"nothing", func(*bench, sched.Order) {}, sched.CauseNone},
 		{"cancelled", func(b *bench, _ sched.Order) { b.core.Cancel(b.now, "j") }, sched.CauseRun},
 		{"ended elsewhere", func(b *bench, o sched.Order) {
-			b.look("w1", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: o.Task.String(), Run: 1, How: sched.EndDone}}})
+			b.poll("w1", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: o.Task.String(), Run: 1, How: sched.EndDone}}})
 		}, sched.CauseRun},
 		{"lapsed", func(b *bench, _ sched.Order) {
 			b.core.Missed(b.now, "w0", 1)
@@ -28,7 +28,7 @@
 		}, sched.CauseRun},
 		{"holder cut off", func(b *bench, _ sched.Order) { b.now = b.now.Add(unsure) }, sched.CauseTenure},
 		{"worker lost", func(b *bench, _ sched.Order) { b.core.Missed(b.now, "w0", 1) }, sched.CauseContact},
-		{"worker started anew", func(b *bench, _ sched.Order) { b.look("w0", sched.Report{Born: 2}) }, sched.CauseLife},
+		{"worker started anew", func(b *bench, _ sched.Order) { b.poll("w0", sched.Report{Born: 2}) }, sched.CauseLife},
 		{"worker leaves", func(b *bench, _ sched.Order) {
 			all := members(2)
 			all[0].Draining = true
@@ -86,8 +86,8 @@
 func TestLateDepartureIsWaitedFor(t *testing.T) {
 	b := newBench(t, 1, 2).open()
 	b.after(doubt)
-	b.look("w0", sched.Report{})
-	b.look("w1", sched.Report{})
+	b.poll("w0", sched.Report{})
+	b.poll("w1", sched.Report{})
 	b.core.Admit(b.now, one("j", nil))
 	o := b.core.Plan(b.now)[0]
 	other := other(o)
@@ -97,12 +97,12 @@
 	}
 	left := b.now
 	b.core.Answer(b.now, o, sched.OutcomeUnknown)
-	b.look(o.Life.ID, sched.Report{Born: 2})
+	b.poll(o.Life.ID, sched.Report{Born: 2})
 	b.core.Missed(b.now, o.Life.ID, 2)
 	const waited = 20 * time.Second
 	for b.now.Sub(left) < waited-time.Second {
 		b.after(500 * time.Millisecond)
-		b.look(other, sched.Report{})
+		b.poll(other, sched.Report{})
 		if got := b.plan(sched.VerbStart); len(got) != 0 {
 			t.Fatalf("placed %v, %v after the order left", got, b.now.Sub(left))
 		}
--- a/internal/batch/sched/doubt_test.go
+++ b/internal/batch/sched/doubt_test.go
@@ -12,15 +12,15 @@
 func TestLapse(t *testing.T) {
 	b := newBench(t, 1, 2).open()
 	b.core.Admit(b.now, one("j", nil))
-	b.look("w0", sched.Report{})
-	b.look("w1", sched.Report{})
+	b.poll("w0", sched.Report{})
+	b.poll("w1", sched.Report{})
 	o := b.plan(sched.VerbStart)[0]
 	granted := b.now
 	other := other(o)
 	b.core.Missed(b.now, o.Life.ID, 1)
-	b.look(other, sched.Report{})
+	b.poll(other, sched.Report{})
 	for b.now.Sub(granted) < lease*100/98 {
-		b.look(other, sched.Report{})
+		b.poll(other, sched.Report{})
 		if got := b.plan(sched.VerbStart); len(got) != 0 {
 			t.Fatalf("placed again %s after the lease was granted for %s", b.now.Sub(granted), lease)
 		}
@@ -31,23 +31,23 @@
 	if len(again) != 1 || again[0].Life.ID != other {
 		t.Fatalf("after the lapse: %v", again)
 	}
-	b.look(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
+	b.poll(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
 	b.store()
 	b.state("j", sched.StateRunning)
 }
 
-// A worker loses power. Until a look at it fails, it still gets starts, each with a new lease: its feeds
+// A worker loses power. Until a poll of it fails, it still gets starts, each with a new lease: its feeds
 // waited until the last of these leases must have run out, and stood still for longer than operators
-// allow. What the looks have granted bounds the wait, also when the store confirms the holder late.
+// allow. What the polls have granted bounds the wait, also when the store confirms the holder late.
 func TestStartsDontProlongLapse(t *testing.T) {
 	for _, age := range []time.Duration{0, 240 * time.Millisecond, 500 * time.Millisecond, time.Second} {
 		t.Run(age.String(), func(t *testing.T) {
 			b := newBench(t, 1, 2).open()
 			b.core.Admit(b.now, one("feed", func(j *sched.Job) { j.Steps[0].Lasting = true }))
 			o := b.plan(sched.VerbStart)[0]
-			b.look(o.Life.ID, sched.Report{Running: []sched.Running{running(o)}})
+			b.poll(o.Life.ID, sched.Report{Running: []sched.Running{running(o)}})
 			b.now = b.now.Add(age)
-			b.core.Look(b.now, o.Life.ID)
+			b.core.Poll(b.now, o.Life.ID)
 			lost := b.now
 			b.after(2050 * time.Millisecond)
 			b.now = b.now.Add(age)
@@ -57,7 +57,7 @@
 			}
 			b.core.Missed(b.now, o.Life.ID, 1)
 			b.after(doubt + 100*time.Millisecond - b.now.Sub(lost))
-			b.look(other(o), sched.Report{})
+			b.poll(other(o), sched.Report{})
 			for _, got := range b.plan(sched.VerbStart) {
 				if got.Task.Job == "feed" {
 					return
@@ -77,7 +77,7 @@
 	o := b.plan(sched.VerbStart)[0]
 	b.core.Missed(b.now, o.Life.ID, 1)
 	b.after(doubt - 500*time.Millisecond)
-	b.look(other(o), sched.Report{})
+	b.poll(other(o), sched.Report{})
 	b.now = b.now.Add(time.Second)
 	if got := b.core.Plan(b.now); len(got) != 0 {
 		t.Errorf("ordered %v by a confirmation of before the lapse", got)
@@ -95,22 +95,22 @@
 		t.Fatal(err)
 	}
 	b.core.Inherit(b.now, members(2))
-	b.look("w0", sched.Report{})
+	b.poll("w0", sched.Report{})
 	b.core.Admit(b.now, one("new", nil))
 	got := b.plan(sched.VerbStart)
 	if len(got) != 1 || got[0].Task.Job != "new" {
 		t.Fatalf("started %v, want the new job only", got)
 	}
-	b.look("w1", sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}})
+	b.poll("w1", sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}})
 	if got := b.plan(sched.VerbStart); len(got) != 0 {
 		t.Fatalf("started %v, though the task runs", got)
 	}
-	b.look("w1", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndDone}}})
+	b.poll("w1", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndDone}}})
 	b.store()
 	b.state("old", sched.StateCompleted)
 }
 
-// A holder takes over and looks at a worker that runs a task and has as many ends to tell as a report takes. Its
+// A holder takes over and polls a worker that runs a task and has as many ends to tell as a report takes. Its
 // running tasks were passed over, and as it had been reached, the task was started on another worker too.
 func TestFullReportShowsRuns(t *testing.T) {
 	b := newBench(t, 2, 2)
@@ -118,12 +118,12 @@
 		t.Fatal(err)
 	}
 	b.core.Inherit(b.now, members(2))
-	b.look("w0", sched.Report{})
+	b.poll("w0", sched.Report{})
 	rep := sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}}
 	for i := range int64(500) {
 		rep.Finished = append(rep.Finished, sched.Finished{Seq: i + 1, Task: "gone.0.0.0", Run: 1, How: sched.EndFailed})
 	}
-	b.look("w1", rep)
+	b.poll("w1", rep)
 	if got := b.plan(sched.VerbStart); len(got) != 0 {
 		t.Errorf("started %v, though the task runs", got)
 	}
@@ -137,16 +137,16 @@
 		t.Fatal(err)
 	}
 	b.core.Inherit(b.now, members(2))
-	b.look("w0", sched.Report{})
+	b.poll("w0", sched.Report{})
 	rep := sched.Report{}
 	for i := range int64(500) {
 		rep.Finished = append(rep.Finished, sched.Finished{Seq: i + 1, Task: "gone.0.0.0", Run: 1, How: sched.EndFailed})
 	}
-	b.look("w1", rep)
+	b.poll("w1", rep)
 	if got := b.plan(sched.VerbStart); len(got) != 0 {
 		t.Errorf("started %v with ends still to come", got)
 	}
-	b.look("w1", sched.Report{Finished: []sched.Finished{{Seq: 501, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndDone}}})
+	b.poll("w1", sched.Report{Finished: []sched.Finished{{Seq: 501, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndDone}}})
 	b.store()
 	b.state("old", sched.StateCompleted)
 }
@@ -161,8 +161,8 @@
 	}
 	b.core.Inherit(b.now, members(2))
 	b.after(unsure)
-	b.look("w0", sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}})
-	b.look("w0", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndFailed}}})
+	b.poll("w0", sched.Report{Running: []sched.Running{{Task: "old.0.0.0", Run: 1_000_001}}})
+	b.poll("w0", sched.Report{Finished: []sched.Finished{{Seq: 1, Task: "old.0.0.0", Run: 1_000_001, How: sched.EndFailed}}})
 	if got := b.plan(sched.VerbStart); len(got) != 1 {
 		t.Errorf("started %v after its run had ended, want the task once", got)
 	}
@@ -185,14 +185,14 @@
 		return b
 	}
 	former, next := take(1, start()), take(2, start().Add(1300*time.Millisecond))
-	former.look("w1", sched.Report{})
-	next.look("w2", sched.Report{})
+	former.poll("w1", sched.Report{})
+	next.poll("w2", sched.Report{})
 	for _, b := range []*bench{former, next} {
-		b.look("w0", sched.Report{Running: []sched.Running{{Task: task, Run: run}}})
+		b.poll("w0", sched.Report{Running: []sched.Running{{Task: task, Run: run}}})
 	}
 	started := 0
 	for _, b := range []*bench{former, next} {
-		b.look("w0", sched.Report{Born: 2})
+		b.poll("w0", sched.Report{Born: 2})
 		started += len(b.plan(sched.VerbStart))
 	}
 	if started > 1 {
@@ -210,7 +210,7 @@
 	}
 	b.core.Inherit(b.now, members(1))
 	b.core.Roster(b.now, members(2))
-	b.look("w0", sched.Report{})
+	b.poll("w0", sched.Report{})
 	if got := b.plan(sched.VerbStart); len(got) != 1 {
 		t.Errorf("started %v, want the task taken over", got)
 	}
@@ -223,18 +223,18 @@
 	b.core.Missed(b.now, "w1", 1)
 	b.after(doubt + lease)
 	b.plan(sched.VerbStart)
-	if got := b.core.Crew(); len(got) != 1 || got[0].ID != "w0" {
+	if got := b.core.Tracked(); len(got) != 1 || got[0].ID != "w0" {
 		t.Errorf("handed on as workers that may hold runs: %v, want w0 only", got)
 	}
-	b.look("w1", sched.Report{})
-	if got := b.core.Crew(); len(got) != 2 {
+	b.poll("w1", sched.Report{})
+	if got := b.core.Tracked(); len(got) != 2 {
 		t.Errorf("handed on once it is back: %v, want both", got)
 	}
 	b.core.Admit(b.now, one("j", func(j *sched.Job) { j.Steps[0].Label = "w1" }))
 	if got := b.plan(sched.VerbStart); len(got) != 0 {
 		t.Errorf("started %v on a worker that the record doesn't name", got)
 	}
-	b.core.CrewStored(b.core.Crew())
+	b.core.TrackedStored(b.core.Tracked())
 	if got := b.plan(sched.VerbStart); len(got) != 1 {
 		t.Errorf("started %v once the record names it, want the task", got)
 	}
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -11,8 +11,8 @@
 // slowest is how slow a worker's clock may be against ours.
 const slowest = 0.98
 
-// Look is what to ask of a worker next.
-type Look struct {
+// Poll is what to ask of a worker next.
+type Poll struct {
 	Life
 	Addr  string
 	Acked int64         // ends up to here may be forgotten
@@ -31,43 +31,43 @@
 	return k.value + t.Sub(k.at)
 }
 
-// Times between two looks at a worker; a look that waits is answered at once by an end.
+// Times between two polls a worker; a poll that waits is answered at once by an end.
 const (
-	// lookIdle leaves enough of the lease that the former look renewed: a holder that is lost just
+	// pollIdle leaves enough of the lease that the former poll renewed: a holder that is lost just
 	// before the next one is replaced within it.
-	lookIdle = 1400 * time.Millisecond
-	// lookShared is for a worker where tasks that fill run beside one that serves: its tail
+	pollIdle = 1400 * time.Millisecond
+	// pollShared is for a worker where tasks that fill run beside one that serves: its tail
 	// is a figure of half a second, and pacing has to follow within a few of them.
-	lookShared = 700 * time.Millisecond
-	// lookOverTarget is for one of these whose serving task is over its target.
-	lookOverTarget = 300 * time.Millisecond
-	// lookUnsure is for a worker with runs whose fate has to be settled.
-	lookUnsure = 50 * time.Millisecond
+	pollShared = 700 * time.Millisecond
+	// pollOverTarget is for one of these whose serving task is over its target.
+	pollOverTarget = 300 * time.Millisecond
+	// pollUnsure is for a worker with runs whose fate has to be settled.
+	pollUnsure = 50 * time.Millisecond
 )
 
-// Look returns what to ask of the worker, and false when it isn't to be looked at any more.
-func (c *Core) Look(now time.Time, id string) (Look, bool) {
+// Poll returns what to ask of the worker, and false when it isn't to be polled any more.
+func (c *Core) Poll(now time.Time, id string) (Poll, bool) {
 	w := c.workers[id]
 	if w == nil {
-		return Look{}, false
+		return Poll{}, false
 	}
-	l := Look{Life: w.Life, Addr: w.Addr}
+	l := Poll{Life: w.Life, Addr: w.Addr}
 	if w.contact != ContactGood {
 		// It may have started anew meanwhile under its id, with ends that count from 1: by the
 		// numbers of its former life it would forget some that nobody has heard of.
 		return l, true
 	}
 	l.Acked = w.acked
-	l.Wait = lookIdle
+	l.Wait = pollIdle
 	if w.shared() {
-		l.Wait = lookShared
+		l.Wait = pollShared
 		if w.overTarget() {
-			l.Wait = lookOverTarget
+			l.Wait = pollOverTarget
 		}
 	}
 	for _, r := range w.list {
 		if r.state == RunUnsure || r.state == RunStopped {
-			l.Wait = lookUnsure
+			l.Wait = pollUnsure
 		}
 	}
 	if w.heard > w.acked {
@@ -96,22 +96,22 @@
 	return until.Truncate(time.Millisecond)
 }
 
-// lends reports whether enough is left of the lease that a worker has by its looks for a start to carry it.
+// lends reports whether enough is left of the lease that a worker has by its polls for a start to carry it.
 //
-// A worker that has lost power still gets starts until a look at it fails. With a new lease in each, what ran
+// A worker that has lost power still gets starts until a poll of it fails. With a new lease in each, what ran
 // there had to wait until the last of these had run out.
 func (w *worker) lends(now time.Time) bool {
 	return w.until-w.clock.now(now) >= leastLent
 }
 
 // leastLent is the least that is left of a start's lease as it leaves: less may be over before the next
-// look renews it.
+// poll renews it.
 const leastLent = time.Second
 
 // lapseSlack is for a worker's noticing that its lease has run out.
 const lapseSlack = 100 * time.Millisecond
 
-// Hear takes a worker's answer to a look that was sent at sent and returns the ends that are news.
+// Hear takes a worker's answer to a poll that was sent at sent and returns the ends that are news.
 func (c *Core) Hear(sent, now time.Time, id string, rep Report) []Finished {
 	w := c.workers[id]
 	if w == nil {
@@ -193,7 +193,7 @@
 // missing gives up the runs that a report doesn't show and would if they were there.
 func (c *Core) missing(sent time.Time, w *worker, shown map[runKey]bool) {
 	for _, r := range w.all() {
-		// A look that was sent before the start was answered may have overtaken it.
+		// A poll that was sent before the start was answered may have overtaken it.
 		if shown[r.runKey] || !r.sure.Before(sent) {
 			continue
 		}
--- a/internal/batch/sched/late_test.go
+++ b/internal/batch/sched/late_test.go
@@ -13,31 +13,31 @@
 func TestOrderOfFormerLifeProlongsLease(t *testing.T) {
 	b := newBench(t, 1, 2).open()
 	b.after(doubt)
-	b.look("w0", sched.Report{})
+	b.poll("w0", sched.Report{})
 	b.core.Missed(b.now, "w1", 1)
 	b.core.Admit(b.now, one("j", nil))
 	o := b.core.Plan(b.now)[0]
 	ordered := b.now
 	b.core.Answer(b.now, o, sched.OutcomeUnknown)
-	b.look("w0", sched.Report{Born: 2})
-	b.core.CrewStored(b.core.Crew())
+	b.poll("w0", sched.Report{Born: 2})
+	b.core.TrackedStored(b.core.Tracked())
 	b.core.Admit(b.now, one("k", nil))
 	k := b.plan(sched.VerbStart)
 	if len(k) != 1 || k[0].Life.ID != "w0" {
 		t.Fatalf("placed %v, want one on w0", k)
 	}
-	b.look("w0", sched.Report{Born: 2, Running: []sched.Running{running(k[0])}})
+	b.poll("w0", sched.Report{Born: 2, Running: []sched.Running{running(k[0])}})
 	b.core.Missed(b.now, "w0", 2)
 	for b.now.Sub(ordered) < 12*time.Second+lease {
-		b.look("w1", sched.Report{})
-		b.core.CrewStored(b.core.Crew())
+		b.poll("w1", sched.Report{})
+		b.core.TrackedStored(b.core.Tracked())
 		if got := b.plan(sched.VerbStart); len(got) != 0 {
 			t.Fatalf("placed %v, %v after the order", got, b.now.Sub(ordered))
 		}
 		b.after(200 * time.Millisecond)
 	}
 	b.after(5 * time.Second)
-	b.look("w1", sched.Report{})
+	b.poll("w1", sched.Report{})
 	if got := b.plan(sched.VerbStart); len(got) != 2 {
 		t.Errorf("placed %v once the order can't be carried out any more, want both tasks", got)
 	}
@@ -53,23 +53,23 @@
 	b.core.Roster(b.now, members(2))
 	b.open()
 	b.after(doubt)
-	b.look("w0", sched.Report{})
+	b.poll("w0", sched.Report{})
 	b.core.Missed(b.now, "w1", 1)
 	b.core.Admit(b.now, one("j", nil))
 	o := b.core.Plan(b.now)[0]
-	b.look("w0", sched.Report{Born: 2})
+	b.poll("w0", sched.Report{Born: 2})
 	b.core.Answer(b.now, o, sched.OutcomeDone)
 	answered := b.now
-	b.core.CrewStored(b.core.Crew())
-	b.look("w0", sched.Report{Born: 2, Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
+	b.core.TrackedStored(b.core.Tracked())
+	b.poll("w0", sched.Report{Born: 2, Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
 	b.core.Admit(b.now, one("k", nil))
 	if got := b.plan(sched.VerbStart); len(got) != 1 || got[0].Life.ID != "w0" {
 		t.Fatalf("placed %v, want one on w0", got)
 	}
 	b.core.Missed(b.now, "w0", 2)
 	for b.now.Sub(answered) < hold {
-		b.look("w1", sched.Report{})
-		b.core.CrewStored(b.core.Crew())
+		b.poll("w1", sched.Report{})
+		b.core.TrackedStored(b.core.Tracked())
 		if got := b.plan(sched.VerbStart); len(got) != 0 {
 			t.Fatalf("placed %v, %v after the answer", got, b.now.Sub(answered))
 		}
--- a/internal/batch/sched/life_test.go
+++ b/internal/batch/sched/life_test.go
@@ -17,14 +17,14 @@
 	for i, o := range b.plan(sched.VerbStart) {
 		ends = append(ends, finished(int64(40+i), o, sched.EndDone))
 	}
-	b.look("w0", sched.Report{Finished: ends})
-	b.look("w0", sched.Report{Born: 2})
+	b.poll("w0", sched.Report{Finished: ends})
+	b.poll("w0", sched.Report{Born: 2})
 	batch, err := b.core.Collect(1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	b.core.Committed(batch)
-	if l, _ := b.core.Look(b.now, "w0"); l.Acked != 0 {
+	if l, _ := b.core.Poll(b.now, "w0"); l.Acked != 0 {
 		t.Errorf("ends up to %d of the new life are acknowledged, and it has told none", l.Acked)
 	}
 }
@@ -34,10 +34,10 @@
 func TestLeaseOfFormerLife(t *testing.T) {
 	b := newBench(t, 1, 1).open()
 	b.after(time.Minute)
-	b.look("w0", sched.Report{})
+	b.poll("w0", sched.Report{})
 	b.core.Hear(b.now, b.now, "w0", sched.Report{Born: 2, Clock: time.Second})
-	b.core.Look(b.now, "w0")
-	b.core.CrewStored(b.core.Crew())
+	b.core.Poll(b.now, "w0")
+	b.core.TrackedStored(b.core.Tracked())
 	b.core.Admit(b.now, one("a", nil))
 	got := b.plan(sched.VerbStart)
 	if len(got) != 1 || got[0].Until > time.Second+lease {
@@ -61,7 +61,7 @@
 			ordered := b.now
 			other := other(o)
 			b.after(time.Millisecond)
-			b.look(o.Life.ID, sched.Report{})
+			b.poll(o.Life.ID, sched.Report{})
 			b.after(400 * time.Millisecond)
 			if got := b.plan(sched.VerbStop); len(got) != 1 {
 				t.Fatalf("stops: %v", got)
@@ -74,7 +74,7 @@
 			}
 			b.core.Roster(b.now, all)
 			if tt.again {
-				b.look(o.Life.ID, sched.Report{Born: 2})
+				b.poll(o.Life.ID, sched.Report{Born: 2})
 				if got := b.plan(sched.VerbStart); len(got) != 0 {
 					t.Fatalf("started %v before the new life has taken the stop", got)
 				}
@@ -82,14 +82,14 @@
 				if got := b.plan(sched.VerbStop); len(got) != 1 || got[0].Life.Born != 2 {
 					t.Fatalf("stops for the new life: %v", got)
 				}
-				b.look(o.Life.ID, sched.Report{Born: 2})
+				b.poll(o.Life.ID, sched.Report{Born: 2})
 				if got := b.plan(sched.VerbStart); len(got) != 1 {
 					t.Errorf("started %v after the stop, want the task", got)
 				}
 				return
 			}
 			for b.now.Sub(ordered) < 12*time.Second+lease {
-				b.look(other, sched.Report{})
+				b.poll(other, sched.Report{})
 				if got := b.plan(sched.VerbStart); len(got) != 0 {
 					t.Fatalf("placed again %s after the order", b.now.Sub(ordered))
 				}
@@ -110,8 +110,8 @@
 	}{
 		{"new life out of reach", func(b *bench, id string) {}},
 		{"new life reached and lost", func(b *bench, id string) {
-			b.look(id, sched.Report{Born: 2})
-			b.core.CrewStored(b.core.Crew())
+			b.poll(id, sched.Report{Born: 2})
+			b.core.TrackedStored(b.core.Tracked())
 			if got := b.plan(sched.VerbStart); len(got) != 1 || got[0].Life.ID != id {
 				b.t.Fatalf("started %v, want the feed again in the new life", got)
 			}
@@ -123,7 +123,7 @@
 			b := newBench(t, 1, 2).open()
 			b.core.Admit(b.now, one("feed", feed))
 			o := b.plan(sched.VerbStart)[0]
-			b.look(o.Life.ID, sched.Report{Running: []sched.Running{running(o)}})
+			b.poll(o.Life.ID, sched.Report{Running: []sched.Running{running(o)}})
 			all := members(2)
 			for i := range all {
 				if all[i].ID == o.Life.ID {
@@ -132,7 +132,7 @@
 			}
 			b.core.Roster(b.now, all)
 			tt.lose(b, o.Life.ID)
-			b.look(other(o), sched.Report{})
+			b.poll(other(o), sched.Report{})
 			for _, got := range b.plan(sched.VerbStart) {
 				if got.Task.Job == "feed" {
 					return
@@ -147,14 +147,14 @@
 // stored; the acknowledgement of these makes it forget the new life's ends unheard.
 func TestAckOfFormerLife(t *testing.T) {
 	b := newBench(t, 1, 1).open()
-	b.look("w0", sched.Report{Finished: []sched.Finished{{Seq: 40, Task: "x.0.0.0", Run: 1, How: sched.EndDone}}})
+	b.poll("w0", sched.Report{Finished: []sched.Finished{{Seq: 40, Task: "x.0.0.0", Run: 1, How: sched.EndDone}}})
 	batch, err := b.core.Collect(10)
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.look("w0", sched.Report{Born: 2})
+	b.poll("w0", sched.Report{Born: 2})
 	b.core.Committed(batch)
-	if l, _ := b.core.Look(b.now, "w0"); l.Acked != 0 {
+	if l, _ := b.core.Poll(b.now, "w0"); l.Acked != 0 {
 		t.Errorf("ends up to %d of the new life acknowledged unheard", l.Acked)
 	}
 }
@@ -173,8 +173,8 @@
 	all := members(1)
 	all[0].Born = 2
 	b.core.Roster(b.now, all)
-	b.core.CrewStored(b.core.Crew())
-	b.look("w0", sched.Report{Born: 2})
+	b.core.TrackedStored(b.core.Tracked())
+	b.poll("w0", sched.Report{Born: 2})
 	again := b.plan(sched.VerbStart)
 	if len(again) != 1 || again[0].Task != orders[0].Task {
 		t.Fatalf("placed %v, want %v", again, orders[0].Task)
@@ -187,17 +187,17 @@
 func TestOrderOfFormerLife(t *testing.T) {
 	b := newBench(t, 1, 2).open()
 	b.after(doubt)
-	b.look("w0", sched.Report{})
-	b.look("w1", sched.Report{})
+	b.poll("w0", sched.Report{})
+	b.poll("w1", sched.Report{})
 	b.core.Admit(b.now, one("j", nil))
 	o := b.core.Plan(b.now)[0]
 	b.core.Answer(b.now, o, sched.OutcomeUnknown)
 	ordered := b.now
 	other := other(o)
-	b.look(o.Life.ID, sched.Report{Born: 2})
+	b.poll(o.Life.ID, sched.Report{Born: 2})
 	b.core.Missed(b.now, o.Life.ID, 2)
 	for b.now.Sub(ordered) < 12*time.Second+lease {
-		b.look(other, sched.Report{})
+		b.poll(other, sched.Report{})
 		if got := b.plan(sched.VerbStart); len(got) != 0 {
 			t.Fatalf("placed again %s after the order", b.now.Sub(ordered))
 		}
@@ -206,7 +206,7 @@
 }
 
 // A check-in runs twice. Its worker starts anew, carries out an order in its new life and ends
-// it before it is looked at; the former life's lease has lapsed by then, so the end is passed
+// it before it is polled; the former life's lease has lapsed by then, so the end is passed
 // over as of before a lapse, and acknowledged.
 func TestLapseOfFormerLife(t *testing.T) {
 	b := newBench(t, 1, 1).open()
@@ -218,31 +218,31 @@
 	all[0].Born = 2
 	b.core.Roster(b.now, all)
 	b.plan(sched.VerbStart)
-	b.look("w0", sched.Report{Born: 2, Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
+	b.poll("w0", sched.Report{Born: 2, Finished: []sched.Finished{finished(1, o, sched.EndDone)}})
 	b.store()
 	b.state("j", sched.StateCompleted)
 }
 
 // A book is finished twice. Its worker is cut off, starts anew behind the cut under the same id, and
 // carries out an order that was meant for its former life; the book is done there before the cut
-// heals. The first look after it must not acknowledge ends by the former life's numbers: the
+// heals. The first poll after it must not acknowledge ends by the former life's numbers: the
 // worker would forget the success before anybody heard of it.
 func TestAckAfterBrokenContact(t *testing.T) {
 	b := newBench(t, 1, 1).open()
 	b.core.Admit(b.now, one("j", nil))
 	o := b.plan(sched.VerbStart)[0]
-	b.look(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(1, o, sched.EndFailed)}})
+	b.poll(o.Life.ID, sched.Report{Finished: []sched.Finished{finished(1, o, sched.EndFailed)}})
 	b.store()
-	l, _ := b.core.Look(b.now, o.Life.ID)
+	l, _ := b.core.Poll(b.now, o.Life.ID)
 	if l.Acked != 1 {
 		t.Fatalf("acknowledged up to %d, want 1", l.Acked)
 	}
 	b.core.Missed(b.now, o.Life.ID, 1)
-	if l, _ = b.core.Look(b.now, o.Life.ID); l.Acked != 0 {
-		t.Errorf("after a look without an answer, ends up to %d are acknowledged to whoever answers next", l.Acked)
+	if l, _ = b.core.Poll(b.now, o.Life.ID); l.Acked != 0 {
+		t.Errorf("after a poll without an answer, ends up to %d are acknowledged to whoever answers next", l.Acked)
 	}
-	b.look(o.Life.ID, sched.Report{})
-	if l, _ = b.core.Look(b.now, o.Life.ID); l.Acked != 1 {
+	b.poll(o.Life.ID, sched.Report{})
+	if l, _ = b.core.Poll(b.now, o.Life.ID); l.Acked != 1 {
 		t.Errorf("with the same life again, ends up to %d are acknowledged, want 1", l.Acked)
 	}
 }
--- a/internal/batch/sched/move_test.go
+++ b/internal/batch/sched/move_test.go
@@ -35,8 +35,8 @@
 			row := running(first)
 			row.Part = 100
 			b.after(100 * time.Millisecond)
-			b.look("w0", sched.Report{Running: []sched.Running{row}})
-			b.look("w1", sched.Report{Finished: []sched.Finished{finished(1, big, sched.EndDone)}})
+			b.poll("w0", sched.Report{Running: []sched.Running{row}})
+			b.poll("w1", sched.Report{Finished: []sched.Finished{finished(1, big, sched.EndDone)}})
 			beside := serving("beside", tt.image)
 			beside.Steps[0].Count, beside.Steps[0].Label = 2, "w1"
 			b.core.Admit(b.now, beside)
@@ -54,7 +54,7 @@
 			if !tt.moves {
 				return
 			}
-			b.look("w0", sched.Report{Finished: []sched.Finished{finished(1, first, sched.EndStopped)}})
+			b.poll("w0", sched.Report{Finished: []sched.Finished{finished(1, first, sched.EndStopped)}})
 			again := b.plan(sched.VerbStart)
 			if len(again) != 1 || again[0].Life.ID != "w1" {
 				t.Errorf("begun anew: %v", again)
--- a/internal/batch/sched/pace.go
+++ b/internal/batch/sched/pace.go
@@ -14,7 +14,7 @@
 	// the users: four sixths of a job's 0.35 in 2 s for one over its target, against 1.2 to
 	// 1.5 for some 30 s of tasks.
 	serveWorth = 3
-	// paceAhead is until when, in seconds, a pace has to suit: it is set anew with the next look.
+	// paceAhead is until when, in seconds, a pace has to suit: it is set anew with the next poll.
 	paceAhead = 1.0
 	// paceStep is the most that a pace is raised at a time, in percent; it is lowered at once.
 	paceStep = 25
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -90,7 +90,7 @@
 
 // stopDue reports whether a run is to be stopped.
 //
-// One whose start went unanswered is left for a look to tell of, for a while. It may well run: a busy holder gets many
+// One whose start went unanswered is left for a poll to tell of, for a while. It may well run: a busy holder gets many
 // answers too late. Stopped at once, good runs were begun anew, with more orders from the same holder.
 func (r *run) stopDue(now time.Time) bool {
 	since := now.Sub(r.sent)
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -194,10 +194,10 @@
 	return all
 }
 
-// Crew returns every worker that may hold runs, in the order of their ids: what a next
+// Tracked returns every worker that may hold runs, in the order of their ids: what a next
 // holder has to reach. Where all runs have lapsed there is nothing to wait for. Such a worker gets
 // no task, should it come back, until it has been stored again.
-func (c *Core) Crew() []Member {
+func (c *Core) Tracked() []Member {
 	var all []Member
 	for _, w := range c.ranks {
 		if w.void && len(w.list) == 0 {
@@ -209,9 +209,9 @@
 	return all
 }
 
-// CrewStored tells that the members of crew stand in the store's record; tasks may be placed there.
-func (c *Core) CrewStored(crew []Member) {
-	for _, m := range crew {
+// TrackedStored tells that the members stand in the store's record; tasks may be placed there.
+func (c *Core) TrackedStored(members []Member) {
+	for _, m := range members {
 		if w := c.workers[m.ID]; w != nil && w.Life == m.Life {
 			w.stored = true
 		}
--- a/internal/batch/sched/repeat.go
+++ b/internal/batch/sched/repeat.go
@@ -5,8 +5,8 @@
 const (
 	// resendStop is how long a run is left alone after an order before a stop follows.
 	resendStop = 300 * time.Millisecond
-	// unsureMost is how long a look may take to tell of a start without an answer, one that is under way included.
-	unsureMost = lookIdle + resendStop
+	// unsureMost is how long a poll may take to tell of a start without an answer, one that is under way included.
+	unsureMost = pollIdle + resendStop
 	// resendPace is the least time between two paces for a task.
 	resendPace = 200 * time.Millisecond
 	// resendFirst is the pause after the first of a run's orders without an answer, and
@@ -19,7 +19,7 @@
 //
 // Against a storm of orders: a worker that is busy, or a holder that is, leaves orders unanswered, and each one
 // sent anew before that needs another connection and more time of both. It shows as workers that
-// refuse connections and as looks without an answer. With one order under way at a time and
+// refuse connections and as polls without an answer. With one order under way at a time and
 // longer pauses, the orders to a run become fewer the longer nothing is answered.
 type repeat struct {
 	open  bool          // one is under way
--- a/internal/batch/sched/repeat_test.go
+++ b/internal/batch/sched/repeat_test.go
@@ -60,7 +60,7 @@
 
 // Feeds stand still after a change of holder. The workers are busy and leave orders unanswered; the
 // holder sends each stop anew before it has given up the former one, on one more connection, until workers refuse
-// connections and even looks fail.
+// connections and even polls fail.
 func TestStopsDontPileUp(t *testing.T) {
 	b := newBench(t, 1, 1).open()
 	b.core.Admit(b.now, one("j", nil))
@@ -98,12 +98,12 @@
 	o := b.core.Plan(b.now)[0]
 	b.core.Answer(b.now, o, sched.OutcomeUnknown)
 	b.after(time.Second)
-	b.look("w0", sched.Report{})
+	b.poll("w0", sched.Report{})
 	stops := b.core.Plan(b.now)
 	if len(stops) != 1 || stops[0].Verb != sched.VerbStop {
 		t.Fatalf("planned %v, want a stop", stops)
 	}
-	b.look("w0", sched.Report{Born: 2})
+	b.poll("w0", sched.Report{Born: 2})
 	b.core.Answer(b.now, stops[0], sched.OutcomeGone)
 	b.after(time.Second)
 	if got := b.plan(sched.VerbStop); len(got) != 1 {
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -7,7 +7,7 @@
 )
 
 // Roster takes the directory's list of workers. One that is missing gets nothing more; it
-// is looked at on until it is surely empty.
+// is polled on until it is surely empty.
 func (c *Core) Roster(now time.Time, members []Member) {
 	for _, w := range c.workers {
 		w.listed = false
@@ -58,7 +58,7 @@
 
 // restart notes that a worker has started anew under its id. What its former life has shown to run has ended
 // with that. Any other order may have been carried out by the new one, or may be, as its fence is
-// unset, also where it was answered: answers don't name a life. Such runs stay until a look at
+// unset, also where it was answered: answers don't name a life. Such runs stay until a poll of
 // the new life, a stop or their time settles them. No lease of the new life has lapsed
 // before it is heard of: its ends would be passed over as of before a lapse, and be acknowledged uncounted.
 func (c *Core) restart(now time.Time, w *worker, born int64) {
@@ -111,7 +111,7 @@
 	c.sweep(now)
 }
 
-// Missed tells that a look at a worker was not answered.
+// Missed tells that a poll of a worker was not answered.
 func (c *Core) Missed(now time.Time, id string, born int64) {
 	if w := c.workers[id]; w != nil && w.Born == born && w.contact == ContactGood {
 		w.contact = ContactLost
--- a/internal/batch/sched/share_test.go
+++ b/internal/batch/sched/share_test.go
@@ -16,7 +16,7 @@
 	s, f := running(serve), running(fill)
 	s.Part, s.Tail = 100, tail
 	f.Usage = use
-	b.look(serve.Life.ID, sched.Report{Running: []sched.Running{s, f}})
+	b.poll(serve.Life.ID, sched.Report{Running: []sched.Running{s, f}})
 }
 
 // sharing starts a serving task and a filling one on the only worker.
@@ -136,7 +136,7 @@
 			return all
 		}
 		b.after(600 * time.Millisecond)
-		b.look(at[image], sched.Report{Running: rows(5 * time.Millisecond)})
+		b.poll(at[image], sched.Report{Running: rows(5 * time.Millisecond)})
 		probe := filling("p"+image, "x", 3000)
 		probe.Steps[0].Count = 1
 		probe.Steps[0].Label = at[image]
@@ -146,17 +146,17 @@
 			b.after(600 * time.Millisecond)
 			row := running(o)
 			row.Usage = 3000
-			b.look(at[image], sched.Report{Running: append(rows(tail), row)})
+			b.poll(at[image], sched.Report{Running: append(rows(tail), row)})
 		}
 		done := sched.Report{Running: rows(16 * time.Millisecond), Finished: []sched.Finished{finished(1, o, sched.EndDone)}}
 		for range 10 {
 			b.after(600 * time.Millisecond)
-			b.look(at[image], done)
+			b.poll(at[image], done)
 		}
 		last[at[image]] = done
 	}
 	for id, rep := range last {
-		b.look(id, rep)
+		b.poll(id, rep)
 	}
 	next := filling("n", "x", 1500)
 	next.Steps[0].Count = 1
@@ -237,7 +237,7 @@
 					t.Fatalf("stopped without another place: %v", got)
 				}
 			}
-			b.look(big.Life.ID, sched.Report{Finished: []sched.Finished{finished(1, big, sched.EndDone)}})
+			b.poll(big.Life.ID, sched.Report{Finished: []sched.Finished{finished(1, big, sched.EndDone)}})
 			var stops []sched.Order
 			for range 2 {
 				b.show(serve, fill, 90*time.Millisecond, 0)
@@ -253,7 +253,7 @@
 			end.Save = "half"
 			s := running(serve)
 			s.Part, s.Tail = 100, 20*time.Millisecond
-			b.look(serve.Life.ID, sched.Report{Running: []sched.Running{s}, Finished: []sched.Finished{end}})
+			b.poll(serve.Life.ID, sched.Report{Running: []sched.Running{s}, Finished: []sched.Finished{end}})
 			again := b.plan(sched.VerbStart)
 			if len(again) != 1 || again[0].Life.ID != big.Life.ID || again[0].Save != "half" {
 				t.Errorf("started anew: %v", again)
--- a/internal/batch/sched/standing.go
+++ b/internal/batch/sched/standing.go
@@ -4,8 +4,8 @@
 
 // Standing is what a holder has and knows, for its logs and metrics.
 type Standing struct {
-	Good    int           // workers whose last look was answered
-	Lost    int           // workers whose last look wasn't
+	Good    int           // workers whose last poll was answered
+	Lost    int           // workers whose last poll wasn't
 	Unheard int           // workers that this holder hasn't heard from
 	Held    int           // tasks held back because a worker that isn't reached may run them
 	Left    time.Duration // for which they are held back at most
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -59,7 +59,7 @@
 	Save string
 }
 
-// Report is a worker's answer to a look: everything that it runs and every end not yet acknowledged.
+// Report is a worker's answer to a poll: everything that it runs and every end not yet acknowledged.
 type Report struct {
 	Born     int64
 	Clock    time.Duration // of the worker, since its start
@@ -73,7 +73,7 @@
 // The states of contact with a worker.
 const (
 	ContactNone Contact = ""     // not fenced by this holder yet
-	ContactGood Contact = "good" // the last look was answered
+	ContactGood Contact = "good" // the last poll was answered
 	ContactLost Contact = "lost" // it wasn't
 )
 
@@ -124,7 +124,7 @@
 	RunLive     RunState = "live"     // there
 	RunUnsure   RunState = "unsure"   // the order was not answered: it may come to life until it's stopped or lapsed
 	RunStopping RunState = "stopping" // to be stopped
-	RunStopped  RunState = "stopped"  // the stop is acknowledged; gone with the next look that doesn't show it
+	RunStopped  RunState = "stopped"  // the stop is acknowledged; gone with the next poll that doesn't show it
 )
 
 type run struct {
@@ -135,7 +135,7 @@
 	born   int64     // life of the worker that was meant
 	shown  bool      // a report of that life has shown it
 	sent   time.Time // of the newest order about it
-	absent bool      // a look that was sent after its start went unanswered hasn't shown it
+	absent bool      // a poll that was sent after its start went unanswered hasn't shown it
 	stops  repeat
 	paces  repeat
 	began  time.Time // first seen or ordered
--- a/internal/ctrl/lead/patience_test.go
+++ b/internal/ctrl/lead/patience_test.go
@@ -114,7 +114,7 @@
 }
 
 // A process that is about to stop, or has handed over, rests from claiming. Its callers are refused until it
-// knows of the next holder: it slept through its rest and looked at the store only then.
+// knows of the next holder: it slept through its rest and polled the store only then.
 func TestRestHears(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &multi.Service{}
--- a/internal/fake/crew/crew.go
+++ b/internal/fake/crew/crew.go
@@ -191,13 +191,13 @@
 	return w == nil || v.cut(w.Member)
 }
 
-// Look implements drive.Crew.
-func (v *View) Look(ctx context.Context, l sched.Look, fence int64) (sched.Report, sched.Outcome) {
+// Poll implements drive.WorkerClient.
+func (v *View) Poll(ctx context.Context, l sched.Poll, fence int64) (sched.Report, sched.Outcome) {
 	if v.lost(l.ID) {
 		wait.For(ctx, unanswered)
 		return sched.Report{}, sched.OutcomeUnknown
 	}
-	rep, out := v.c.Look(ctx, l, fence)
+	rep, out := v.c.Poll(ctx, l, fence)
 	if v.lost(l.ID) {
 		wait.For(ctx, unanswered)
 		return sched.Report{}, sched.OutcomeUnknown
@@ -205,7 +205,7 @@
 	return rep, out
 }
 
-// Order implements drive.Crew.
+// Order implements drive.WorkerClient.
 func (v *View) Order(ctx context.Context, o sched.Order, fence int64) sched.Outcome {
 	if v.lost(o.Life.ID) {
 		wait.For(ctx, unanswered)
@@ -214,8 +214,8 @@
 	return v.c.Order(ctx, o, fence)
 }
 
-// Look implements drive.Crew.
-func (c *Crew) Look(ctx context.Context, l sched.Look, fence int64) (sched.Report, sched.Outcome) {
+// Poll implements drive.WorkerClient.
+func (c *Crew) Poll(ctx context.Context, l sched.Poll, fence int64) (sched.Report, sched.Outcome) {
 	if !wait.For(ctx, travel) {
 		return sched.Report{}, sched.OutcomeUnknown
 	}
@@ -260,8 +260,8 @@
 	}
 }
 
-// forget takes note of the ends that a look acknowledges.
-func (c *Crew) forget(w *worker, l sched.Look) {
+// forget takes note of the ends that a poll acknowledges.
+func (c *Crew) forget(w *worker, l sched.Poll) {
 	if l.Born != 0 && l.Born != w.Born {
 		return
 	}
@@ -286,7 +286,7 @@
 	return rep
 }
 
-// Order implements drive.Crew.
+// Order implements drive.WorkerClient.
 func (c *Crew) Order(ctx context.Context, o sched.Order, fence int64) sched.Outcome {
 	if !wait.For(ctx, travel) {
 		return sched.OutcomeUnknown
--- a/internal/model/trial/first.go
+++ b/internal/model/trial/first.go
@@ -48,7 +48,7 @@
 	f.byID[j.ID] = fj
 }
 
-func (f *first) Look(_ time.Time, id string) (time.Duration, int64) { return firstWait, f.acked[id] }
+func (f *first) Poll(_ time.Time, id string) (time.Duration, int64) { return firstWait, f.acked[id] }
 
 func (f *first) Hear(_, _ time.Time, id string, rep sched.Report) {
 	for _, e := range rep.Finished {
--- a/internal/model/trial/play.go
+++ b/internal/model/trial/play.go
@@ -22,7 +22,7 @@
 	// latest is how many times its objective a job may take to earn as a late one.
 	latest = 3
 	// planEvery and answerIn are the time between plans without an event, and that between an
-	// order or a look and its answer.
+	// order or a poll and its answer.
 	planEvery = 100 * time.Millisecond
 	answerIn  = world.Tick
 )
@@ -107,14 +107,14 @@
 	policy Policy
 	jobs   []*trace.Job
 	open   []*trace.Job // handed in and not seen completed
-	looks  []look
+	polls  []poll
 	orders []sched.Order // on their way
 	kick   bool
 	res    *Result
 }
 
-// look is a look under way at a worker, in the workers' order.
-type look struct {
+// poll is a poll under way at a worker, in the workers' order.
+type poll struct {
 	sent, until time.Time
 	acked       int64
 }
@@ -123,9 +123,9 @@
 func play(d *trace.Day, jobs []*trace.Job, start time.Time, seed uint64, policy func(time.Time) Policy) *Result {
 	p := &day{world: world.New(d, start, jobs, seed), policy: policy(start), jobs: jobs, res: &Result{}}
 	p.policy.Join(start, p.world.Members())
-	p.looks = make([]look, len(p.world.Workers))
-	for i := range p.looks {
-		p.looks[i] = look{sent: start, until: start}
+	p.polls = make([]poll, len(p.world.Workers))
+	for i := range p.polls {
+		p.polls[i] = poll{sent: start, until: start}
 	}
 	end := start.Add(d.Length + tailing)
 	planned := start
@@ -137,7 +137,7 @@
 			p.orders = p.policy.Plan(now)
 		}
 		for _, k := range p.world.Step(now) {
-			p.lookSoon(now, k)
+			p.pollSoon(now, k)
 		}
 		p.answers(now)
 		p.finish(now, start)
@@ -173,25 +173,25 @@
 	p.orders = nil
 }
 
-// lookSoon has the look at a worker on which something ended answered.
-func (p *day) lookSoon(now time.Time, k *world.Worker) {
+// pollSoon has the poll of a worker on which something ended answered.
+func (p *day) pollSoon(now time.Time, k *world.Worker) {
 	for i, w := range p.world.Workers {
-		if w == k && p.looks[i].until.After(now.Add(answerIn)) {
-			p.looks[i].until = now.Add(answerIn)
+		if w == k && p.polls[i].until.After(now.Add(answerIn)) {
+			p.polls[i].until = now.Add(answerIn)
 		}
 	}
 }
 
 func (p *day) answers(now time.Time) {
 	for i, k := range p.world.Workers {
-		l := &p.looks[i]
+		l := &p.polls[i]
 		if now.Before(l.until) {
 			continue
 		}
 		p.policy.Hear(l.sent, now, k.Member.ID, p.world.Report(now, k, l.acked))
 		p.kick = true
-		wait, acked := p.policy.Look(now, k.Member.ID)
-		*l = look{sent: now, until: now.Add(max(wait, answerIn)), acked: acked}
+		wait, acked := p.policy.Poll(now, k.Member.ID)
+		*l = poll{sent: now, until: now.Add(max(wait, answerIn)), acked: acked}
 	}
 }
 
--- a/internal/model/trial/policy.go
+++ b/internal/model/trial/policy.go
@@ -12,8 +12,8 @@
 type Policy interface {
 	Join(now time.Time, members []sched.Member)
 	Admit(now time.Time, j *sched.Job)
-	// Look returns how long to wait for an end, and up to which end the worker may forget.
-	Look(now time.Time, id string) (wait time.Duration, acked int64)
+	// Poll returns how long to wait for an end, and up to which end the worker may forget.
+	Poll(now time.Time, id string) (wait time.Duration, acked int64)
 	Hear(sent, now time.Time, id string, rep sched.Report)
 	Plan(now time.Time) []sched.Order
 	Answer(now time.Time, o sched.Order, out sched.Outcome)
@@ -39,14 +39,14 @@
 
 func (p *product) Join(now time.Time, members []sched.Member) {
 	p.core.Roster(now, members)
-	p.core.CrewStored(p.core.Crew())
+	p.core.TrackedStored(p.core.Tracked())
 }
 
 func (p *product) Admit(now time.Time, j *sched.Job) { p.core.Admit(now, j) }
 
-func (p *product) Look(now time.Time, id string) (time.Duration, int64) {
+func (p *product) Poll(now time.Time, id string) (time.Duration, int64) {
 	p.core.Confirm(now)
-	l, _ := p.core.Look(now, id)
+	l, _ := p.core.Poll(now, id)
 	return l.Wait, l.Acked
 }
 
--- a/internal/model/world/world.go
+++ b/internal/model/world/world.go
@@ -297,7 +297,7 @@
 	return true
 }
 
-// Report answers a look.
+// Report answers a poll.
 func (w *World) Report(now time.Time, k *Worker, acked int64) sched.Report {
 	for len(k.ends) > 0 && k.ends[0].Seq <= acked {
 		k.ends = k.ends[1:]
--- a/internal/proc/demo/hosts.go
+++ b/internal/proc/demo/hosts.go
@@ -103,7 +103,7 @@
 		}
 		var err error
 		h.host, err = front.Start(set, front.Outside{
-			Store: d.store.Client(h.get), Crew: d.crew.From(func(sched.Member) bool { return false }), Codec: plain.Codec(),
+			Store: d.store.Client(h.get), Workers: d.crew.From(func(sched.Member) bool { return false }), Codec: plain.Codec(),
 			Callers: func(desk *front.Desk) http.Handler {
 				h.desk = desk
 				return http.NotFoundHandler()
--- a/internal/proc/front/carry.go
+++ b/internal/proc/front/carry.go
@@ -10,7 +10,7 @@
 const (
 	coresEach  = 0.0012 // of a core
 	memoryEach = 0.25   // MiB
-	filesEach  = 5      // descriptors: connections for looks and orders
+	filesEach  = 5      // descriptors: connections for polls and orders
 	linkEach   = 0.02   // Mbit/s, of a takeover, when all workers are asked at once
 )
 
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -25,7 +25,7 @@
 // Outside is how the platform is met: whatever has names and formats of its own.
 type Outside struct {
 	Store     store.Multi
-	Crew      drive.Crew
+	Workers   drive.WorkerClient
 	Codec     drive.Codec
 	Callers   func(*Desk) http.Handler
 	Readiness func(ready func() bool) http.Handler
@@ -160,7 +160,7 @@
 	h.wg.Go(func() { h.peer.aid(t) })
 	h.wg.Go(func() { h.hand(t) })
 	err := drive.Run(drive.Options{
-		Store: h.out.Store, Crew: h.out.Crew, Codec: h.out.Codec, Tenure: t, Log: h.log,
+		Store: h.out.Store, Workers: h.out.Workers, Codec: h.out.Codec, Tenure: t, Log: h.log,
 		Lease: drive.WorkerLease(conf.Milliseconds(h.set.Bound.Hold)), Sure: drive.Unsure,
 		Hold:  conf.Milliseconds(h.set.Bound.Hold),
 		Stop:  conf.Milliseconds(h.set.Bound.Stop),
