--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -53,9 +53,9 @@
 	Log     logr.Logger
 	Tenure  *lead.Tenure
 	Scope   tally.Scope // nil: nothing is counted
-	// Aided tells when most of this process's peers last reached the store as little as it
+	// PeersSure tells when most of this process's peers last reached the store as little as it
 	// did; nil: never.
-	Aided func() time.Time
+	PeersSure func() time.Time
 }
 
 // Keys in the store.
@@ -143,13 +143,13 @@
 	h.orders = countBy(h.opt.Scope, "orders")
 	h.ends = countBy(h.opt.Scope, "ends")
 	began := time.Now()
-	feeds, err := h.load(began)
+	watches, err := h.load(began)
 	if err != nil {
 		return err
 	}
 	h.log.Info("took over", "jobs", len(h.core.Jobs()), "workers", len(h.core.Workers()), "took", time.Since(began))
 	ready(h)
-	for _, f := range feeds {
+	for _, f := range watches {
 		h.wg.Go(func() { f.run(h.ctx) })
 	}
 	h.poll()
@@ -176,11 +176,11 @@
 }
 
 // load reads everything from the store, again until it succeeds or the tenure is over.
-func (h *Holder) load(began time.Time) ([]*feed, error) {
+func (h *Holder) load(began time.Time) ([]*watch, error) {
 	for {
-		feeds, err := h.tryLoad(began)
+		watches, err := h.tryLoad(began)
 		if err == nil {
-			return feeds, nil
+			return watches, nil
 		}
 		h.log.Info("not loaded yet", "cause", err.Error())
 		if !wait.For(h.ctx, loadPause) {
@@ -189,7 +189,7 @@
 	}
 }
 
-func (h *Holder) tryLoad(began time.Time) ([]*feed, error) {
+func (h *Holder) tryLoad(began time.Time) ([]*watch, error) {
 	core := sched.New(sched.Options{
 		Lease: h.opt.Lease, Hold: h.opt.Hold, Stop: h.opt.Stop, Sure: h.opt.Sure, Term: h.opt.Tenure.Term(),
 	}, began)
@@ -208,16 +208,16 @@
 	h.core = core
 	h.crew = crew
 	h.mu.Unlock()
-	feeds := []*feed{
+	watches := []*watch{
 		{store: h.opt.Store, prefix: h.opt.Codec.IntentPrefix, plain: intentEvery, apply: h.applyIntent},
 		{store: h.opt.Store, prefix: h.opt.Codec.RosterPrefix, plain: rosterEvery, pause: rosterPause, apply: h.applyRoster},
 	}
-	for _, f := range feeds {
+	for _, f := range watches {
 		if err := f.load(h.ctx); err != nil {
 			return nil, err
 		}
 	}
-	return feeds, nil
+	return watches, nil
 }
 
 func (h *Holder) readTracked() ([]sched.Member, error) {
--- a/internal/batch/drive/feed.go
+++ b/internal/batch/drive/watch.go
@@ -11,12 +11,12 @@
 	"bramleysail.example/bramleysail/internal/plat/store"
 )
 
-// feed keeps a copy of the keys below a prefix and tells of each change.
-type feed struct {
+// watch keeps a copy of the keys below a prefix and tells of each change.
+type watch struct {
 	store  store.Multi
 	prefix string
 	// plain is how often the keys are read besides being watched: a watch may be cut off from
-	// its news, which silence doesn't tell from there being none.
+	// its changes, which silence doesn't tell from there being none.
 	plain time.Duration
 	// pause is between two watches: changes that come meanwhile are told by one call.
 	pause time.Duration
@@ -27,60 +27,60 @@
 }
 
 const (
-	// feedWait is how long a watch waits; each is a call.
-	feedWait = 10 * time.Second
-	// feedPause is between two tries when the store doesn't answer.
-	feedPause = 150 * time.Millisecond
+	// watchWait is how long a watch waits; each is a call.
+	watchWait = 10 * time.Second
+	// watchPause is between two tries when the store doesn't answer.
+	watchPause = 150 * time.Millisecond
 )
 
 // load reads the keys for the first time.
-func (f *feed) load(ctx context.Context) error {
+func (w *watch) load(ctx context.Context) error {
 	at := time.Now()
-	p, err := f.store.Range(ctx, f.prefix)
+	p, err := w.store.Range(ctx, w.prefix)
 	if err != nil {
 		return err
 	}
-	if p.Rev < f.rev {
+	if p.Rev < w.rev {
 		return nil
 	}
-	f.rev = p.Rev
-	f.rows = make(map[string]store.Entry, len(p.Entries))
+	w.rev = p.Rev
+	w.rows = make(map[string]store.Entry, len(p.Entries))
 	for _, e := range p.Entries {
-		f.rows[e.Key] = e
+		w.rows[e.Key] = e
 	}
-	f.tell(at)
+	w.notify(at)
 	return nil
 }
 
-func (f *feed) tell(at time.Time) {
-	entries := make([]store.Entry, 0, len(f.rows))
-	for _, e := range f.rows {
+func (w *watch) notify(at time.Time) {
+	entries := make([]store.Entry, 0, len(w.rows))
+	for _, e := range w.rows {
 		entries = append(entries, e)
 	}
 	sort.Slice(entries, func(i, k int) bool { return entries[i].Key < entries[k].Key })
-	f.apply(at, entries)
+	w.apply(at, entries)
 }
 
-type news struct {
+type events struct {
 	changes []store.Change
 	rev     uint64
 	err     error
 }
 
 // run watches until ctx ends.
-func (f *feed) run(ctx context.Context) {
-	tick := time.NewTicker(f.plain)
+func (w *watch) run(ctx context.Context) {
+	tick := time.NewTicker(w.plain)
 	defer tick.Stop()
-	got := make(chan news, 1)
+	got := make(chan events, 1)
 	watch := func() {
-		rev := f.rev
+		rev := w.rev
 		go func() {
-			wait.For(ctx, f.pause)
-			changes, next, err := f.store.Watch(ctx, f.prefix, rev, feedWait)
+			wait.For(ctx, w.pause)
+			changes, next, err := w.store.Watch(ctx, w.prefix, rev, watchWait)
 			if err != nil && !errors.Is(err, store.ErrCompacted) {
-				wait.For(ctx, feedPause)
+				wait.For(ctx, watchPause)
 			}
-			got <- news{changes, next, err}
+			got <- events{changes, next, err}
 		}()
 	}
 	watch()
@@ -91,32 +91,32 @@
 			return
 		case <-tick.C:
 			// The watch goes on: what it brings is no older than its own start.
-			_ = f.load(ctx) // without an answer the copy stays, and the age of its confirmation tells
+			_ = w.load(ctx) // without an answer the copy stays, and the age of its confirmation tells
 		case n := <-got:
-			f.take(ctx, n)
+			w.take(ctx, n)
 			watch()
 		}
 	}
 }
 
-func (f *feed) take(ctx context.Context, n news) {
+func (w *watch) take(ctx context.Context, n events) {
 	if n.err != nil {
-		_ = f.load(ctx) // as above
+		_ = w.load(ctx) // as above
 		return
 	}
-	if n.rev < f.rev {
+	if n.rev < w.rev {
 		return
 	}
-	f.rev = n.rev
+	w.rev = n.rev
 	if len(n.changes) == 0 {
 		return
 	}
 	for _, c := range n.changes {
 		if c.Deleted {
-			delete(f.rows, c.Key)
-		} else if c.Rev >= f.rows[c.Key].Rev {
-			f.rows[c.Key] = c.Entry
+			delete(w.rows, c.Key)
+		} else if c.Rev >= w.rows[c.Key].Rev {
+			w.rows[c.Key] = c.Entry
 		}
 	}
-	f.tell(time.Now())
+	w.notify(time.Now())
 }
--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -65,8 +65,8 @@
 // confirm tells the core how fresh the tenure is; h.mu is held.
 func (h *Holder) confirm() {
 	h.core.Confirm(h.opt.Tenure.Sure())
-	if h.opt.Aided != nil {
-		h.core.Aid(h.opt.Aided())
+	if h.opt.PeersSure != nil {
+		h.core.ConfirmByPeers(h.opt.PeersSure())
 	}
 }
 
--- a/internal/batch/sched/choice.go
+++ b/internal/batch/sched/choice.go
@@ -192,7 +192,7 @@
 			return 0, false
 		}
 		harm, advantage := c.effect(now, w, s.spec)
-		return leftWeight*left/whole + advantageWeight*advantage - harm, harm <= mostHarm
+		return leftWeight*left/whole + advantageWeight*advantage - harm, harm <= maxHarm
 	case !free.Covers(s.spec.Size):
 		return 0, false
 	case s.spec.Lasting:
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -16,11 +16,11 @@
 
 // Core holds the jobs and workers of a holder's term.
 type Core struct {
-	opt   Options
-	conf  Config
-	began time.Time
-	sure  time.Time // when the store last confirmed this holder
-	aided time.Time // when its peers last did
+	opt       Options
+	conf      Config
+	began     time.Time
+	sure      time.Time // when the store last confirmed this holder
+	peersSure time.Time // when its peers last did
 
 	jobs         map[string]*job
 	waiting      waiting // steps with tasks that wait for a worker
@@ -129,11 +129,11 @@
 	}
 }
 
-// Aid tells that most of this holder's peers reach the store as little as it does, and know
+// ConfirmByPeers tells that most of this holder's peers reach the store as little as it does, and know
 // of no other holder.
-func (c *Core) Aid(at time.Time) {
-	if at.After(c.aided) {
-		c.aided = at
+func (c *Core) ConfirmByPeers(at time.Time) {
+	if at.After(c.peersSure) {
+		c.peersSure = at
 	}
 }
 
@@ -159,7 +159,7 @@
 
 // age returns how long ago this process was last confirmed as the holder.
 func (c *Core) age(now time.Time) time.Duration {
-	return min(since(now, c.sure), since(now, c.aided))
+	return min(since(now, c.sure), since(now, c.peersSure))
 }
 
 // since returns how long ago a moment was, by the steady clock or the time of day, whichever says more.
--- a/internal/batch/sched/factor.go
+++ b/internal/batch/sched/factor.go
@@ -21,8 +21,7 @@
 }
 
 const (
-	// firstFactor and factorSpread are what is assumed of a pair never seen. Of the pairs
-	// measured, half were at 0.1 and half at 1 to 2.
+	// firstFactor and factorSpread are the mean and standard deviation assumed of a pair never seen.
 	firstFactor  = 0.5
 	factorSpread = 0.6
 	// factorDrift is how far a factor may move within a second.
--- a/internal/batch/sched/forecast.go
+++ b/internal/batch/sched/forecast.go
@@ -3,10 +3,8 @@
 import "time"
 
 const (
-	// mostHarm is how many serving tasks a filling task may bring over their target: what a place
-	// gains and what it costs are even at a third (see serveWorth). In plays of 26 days 0.3 earned
-	// 0.67, 0.15 0.65 and 0.5 0.64.
-	mostHarm = 0.3
+	// maxHarm bounds the expected number of latency-critical tasks that a placement pushes over target.
+	maxHarm = 0.3
 	// pressureSpread is how far a serving task's pressure may be from what is expected.
 	pressureSpread = 0.1
 	// placeAhead is for how long, in seconds, a place has to suit a filling task, which stays
--- a/internal/batch/sched/interference.go
+++ b/internal/batch/sched/interference.go
@@ -23,9 +23,8 @@
 }
 
 const (
-	// restShare is the share of its target that a tail without any load takes, a sixth of the
-	// ones measured. Where it's another, load and factors come out larger or smaller, and the
-	// model holds all the same: its pressure is a straight line of the true one.
+	// restShare is the share of its target that a tail without any load takes. Where it's another, load and factors
+	// come out larger or smaller, and the model still holds: its pressure is a straight line of the true one.
 	restShare = 1.0 / 6
 	// targetPressure is the pressure at which a tail is at its target.
 	targetPressure = 1 - restShare
--- a/internal/batch/sched/load.go
+++ b/internal/batch/sched/load.go
@@ -5,12 +5,9 @@
 	"time"
 )
 
-// Users' load on a serving step swings, and all of its tasks show the same load at a time: in
-// the readings of four days of both users' workloads, a level and one swing for each job
-// and a factor for each pair of images explain 0.84 to 0.89 of the variance of the pressure,
-// 0.72 with the load of each task followed for itself. So the load is kept for the step, from
-// the readings of all its tasks, and it can be told some seconds ahead: a filling task has to
-// be slowed, or be placed elsewhere, before the load has risen.
+// Users' load on a serving step swings, and all of its tasks show the same load at a time. So the load is kept for
+// the step, from the readings of all its tasks, and is told some seconds ahead: a filling task has to be slowed, or
+// be placed elsewhere, before the load has risen.
 
 // loadForecast is the load of a serving step: a level and a swing around it, fitted to the readings by
 // least squares in which older readings count less. It is fitted for each period tried, as the
@@ -32,9 +29,8 @@
 }
 
 const (
-	// periods is how many periods are tried: none, and from shortest on by periodStep. They
-	// reach a minute; the swings measured take 10 and 20 s. What swings more slowly is
-	// followed by the level alone.
+	// periods is how many periods are tried: none, and from shortest on by periodStep, up to a minute. What swings
+	// more slowly is followed by the level alone.
 	periods    = 28
 	shortest   = 5.0 // seconds
 	periodStep = 1.1
@@ -45,11 +41,10 @@
 	// scoreMemory is how long, in seconds, a period's errors count.
 	scoreMemory = 30.0
 
-	// readingNoise is the standard deviation of the pressure that a reading shows: 0.05 to 0.07
-	// of the readings measured.
+	// readingNoise is the standard deviation of the pressure that a reading shows.
 	readingNoise = 0.06
-	// firstLoad and firstSpread are the level assumed before any reading and how far it may be
-	// off: the ones measured were 0.45 to 0.55. swingSpread is the same of a swing's parts.
+	// firstLoad and firstSpread are the level assumed before any reading and how far it may be off; swingSpread is
+	// the same of a swing's parts.
 	firstLoad   = 0.5
 	firstSpread = 0.1
 	swingSpread = 0.17
--- a/internal/batch/sched/move.go
+++ b/internal/batch/sched/move.go
@@ -14,9 +14,8 @@
 	// leaveTime is how long before its worker may leave a lasting task is moved: a stop takes
 	// up to 0.4 s.
 	leaveTime = 600 * time.Millisecond
-	// ownAffinity is the affinity that a worker must have with a lasting task that is moved there.
-	// Moved to wherever there was room, in four plays with half of the workers replaced feeds
-	// earned 0.87 instead of 0.84, but books 0.75 instead of 0.93: the images were mixed.
+	// ownAffinity is the affinity that a worker must have with a lasting task that is moved there: images that
+	// are mixed leave no worker to the filling images that disturb one of them.
 	ownAffinity = 0.2
 )
 
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -12,8 +12,7 @@
 	// runStride parts the run numbers of one holder's term from the next: no task is started
 	// so often within a term.
 	runStride = 1_000_000
-	// baseLoad is the share of their declared processors that serving tasks use, from
-	// measurements of the users' workloads: about half, swinging by half of that.
+	// baseLoad is the share of their declared processors that serving tasks are taken to use.
 	baseLoad = 0.6
 	// fillShare is how much of a filling task's processors must be left for it to be placed.
 	fillShare = 0.9
--- a/internal/model/world/world.go
+++ b/internal/model/world/world.go
@@ -12,7 +12,7 @@
 	"bramleysail.example/bramleysail/internal/model/trace"
 )
 
-// Figures of the workers, from readings of both users' workloads.
+// Figures of the workers.
 const (
 	// Tick is how far the model moves at a time.
 	Tick = 10 * time.Millisecond
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -162,11 +162,11 @@
 	err := drive.Run(drive.Options{
 		Store: h.out.Store, Workers: h.out.Workers, Codec: h.out.Codec, Tenure: t, Log: h.log,
 		Lease: drive.WorkerLease(conf.Milliseconds(h.set.Bound.Hold)), Sure: drive.Unsure,
-		Hold:  conf.Milliseconds(h.set.Bound.Hold),
-		Stop:  conf.Milliseconds(h.set.Bound.Stop),
-		Keep:  2 * conf.Seconds(h.set.Bound.Keep),
-		Aided: h.peer.Aided,
-		Scope: h.desk.scope,
+		Hold:      conf.Milliseconds(h.set.Bound.Hold),
+		Stop:      conf.Milliseconds(h.set.Bound.Stop),
+		Keep:      2 * conf.Seconds(h.set.Bound.Keep),
+		PeersSure: h.peer.confirmed,
+		Scope:     h.desk.scope,
 	}, h.desk.setOwn)
 	cause := ""
 	if err != nil {
--- a/internal/proc/front/peers.go
+++ b/internal/proc/front/peers.go
@@ -50,7 +50,7 @@
 
 	mu      sync.Mutex
 	seen    map[string]time.Time
-	aided   time.Time
+	sure    time.Time
 	reached time.Time     // when the holder last answered this process
 	away    chan struct{} // closed while neither the holder nor the store answers this process; nil: as if open
 	isAway  bool
@@ -84,11 +84,11 @@
 	return all
 }
 
-// Aided returns when the peers last backed this holder.
-func (p *peers) Aided() time.Time {
+// confirmed returns when the peers last confirmed this holder.
+func (p *peers) confirmed() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.aided
+	return p.sure
 }
 
 // follow tells the holder regularly that this process follows it.
@@ -181,7 +181,7 @@
 		addrs := p.known(t.Sure())
 		if backed(t.Term(), p.ask(t.Context(), addrs, aidLimit), len(addrs)) {
 			p.mu.Lock()
-			p.aided = now
+			p.sure = now
 			p.mu.Unlock()
 		}
 	}
