batch/drive: a holder knows by how much it is behind, and polls less often then

Cause: nothing told how far a holder was behind its events: plan_late is the ticker's alone.

Change: behind is the age of the oldest event that a plan covers: a gauge, a log line as it begins and ends, and a rest between two polls of a worker, so that one answer tells of several ends.

--- a/internal/batch/drive/answer.go
+++ b/internal/batch/drive/answer.go
@@ -195,7 +195,7 @@
 	h.waiting[id] = append(h.waiting[id], done)
 	h.mu.Unlock()
 	wait.Kick(h.rush)
-	wait.Kick(h.plan)
+	h.event()
 	select {
 	case <-done:
 		h.log.Info("cancelled", "job", id, "was", was)
--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -164,7 +164,7 @@
 	for _, w := range r.waiters {
 		close(w)
 	}
-	wait.Kick(h.plan)
+	h.event()
 }
 
 // forgets drops jobs that ended long ago, here and in the store.
--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -96,6 +96,7 @@
 	plan   chan struct{}
 	commit chan struct{}
 	rush   chan struct{} // commit, with a caller waiting
+	lag    lag
 	wg     sync.WaitGroup
 
 	mu      sync.Mutex
@@ -143,6 +144,7 @@
 	h.orders = countBy(h.opt.Scope, "orders")
 	h.ends = countBy(h.opt.Scope, "ends")
 	began := time.Now()
+	h.lag.began = began
 	watches, err := h.load(began)
 	if err != nil {
 		return err
@@ -304,7 +306,7 @@
 			h.log.Info("refused", "upkeep", u, "cause", "upkeep of workers' hosts isn't served")
 		}
 	}
-	wait.Kick(h.plan)
+	h.event()
 }
 
 func (h *Holder) applyRoster(at time.Time, entries []store.Entry) {
@@ -313,7 +315,7 @@
 	h.core.Roster(at, members)
 	h.mu.Unlock()
 	h.poll()
-	wait.Kick(h.plan)
+	h.event()
 	wait.Kick(h.commit)
 }
 
--- a/internal/batch/drive/standing.go
+++ b/internal/batch/drive/standing.go
@@ -18,6 +18,9 @@
 	late  tally.Histogram
 	shown time.Time
 	held  int
+	// behind is the most that a plan of late came after its oldest event, and slow whether that was told.
+	behind time.Duration
+	slow   bool
 }
 
 // lateTimes are the bounds of the histogram of a holder's lateness with its own work.
@@ -32,8 +35,9 @@
 	s.late.RecordDuration(d)
 }
 
-// due reports whether the standing is to be shown again.
-func (s *standing) due(now time.Time) bool {
+// due reports whether the standing is to be shown again. behind is by how much a plan came after its oldest event.
+func (s *standing) due(now time.Time, behind time.Duration) bool {
+	s.behind = max(s.behind, behind)
 	return now.Sub(s.shown) >= standingEvery
 }
 
@@ -53,6 +57,18 @@
 		h.log.Info("holds nothing back", "tasks", s.held, "unheard", st.Unheard)
 	}
 	s.held = st.Held
+	s.showBehind(h, st)
+}
+
+// showBehind sets the gauge of how far the holder is behind, and tells when it begins and ends to be.
+func (s *standing) showBehind(h *Holder, st sched.Standing) {
+	s.scope.Gauge("behind").Update(s.behind.Seconds())
+	s.scope.Gauge("starts_open").Update(float64(st.Open))
+	if slow := s.behind >= behindAfter; slow != s.slow {
+		s.slow = slow
+		h.log.Info("behind", "now", slow, "by", s.behind, "starts", st.Open, "window", st.Window)
+	}
+	s.behind = 0
 }
 
 // clear takes back the gauges of a tenure that is over: they would show its last state for good.
@@ -63,4 +79,6 @@
 	}
 	s.scope.Gauge("tasks_held").Update(0)
 	s.scope.Gauge("confirmed_age").Update(0)
+	s.scope.Gauge("behind").Update(0)
+	s.scope.Gauge("starts_open").Update(0)
 }
--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -24,12 +24,13 @@
 		h.mu.Lock()
 		now := time.Now()
 		h.confirm()
+		behind := h.lag.planned(now)
 		orders := h.core.Plan(now)
 		took := time.Since(now)
 		waits := h.core.Waits()
 		placed, endings := h.core.Notes()
 		var stand sched.Standing
-		show := shown.due(now)
+		show := shown.due(now, behind)
 		if show {
 			stand = h.core.Standing(now)
 		}
@@ -88,7 +89,7 @@
 	limited := h.core.Limited()
 	h.mu.Unlock()
 	if out != sched.OutcomeDone || limited {
-		wait.Kick(h.plan)
+		h.event()
 	}
 }
 
@@ -148,6 +149,9 @@
 			h.log.Info("contact", "worker", id, "outcome", out, "took", time.Since(sent))
 		}
 		h.hear(sent, l, rep, out)
+		if rest := h.lag.rest(); rest > 0 {
+			wait.For(h.ctx, rest)
+		}
 	}
 }
 
@@ -169,7 +173,7 @@
 		return
 	}
 	h.logEnds(l.ID, news)
-	wait.Kick(h.plan)
+	h.event()
 	if out != sched.OutcomeDone {
 		wait.For(h.ctx, missPause)
 		return
--- a/internal/batch/sched/standing.go
+++ b/internal/batch/sched/standing.go
@@ -10,6 +10,8 @@
 	Held    int           // tasks held back because a worker that isn't reached may run them
 	Left    time.Duration // for which they are held back at most
 	Age     time.Duration // since this process was last confirmed as the holder
+	Open    int           // starts under way
+	Window  int           // starts that may be
 }
 
 // unseen returns how many tasks wait of which this holder has seen no run.
@@ -25,7 +27,7 @@
 
 // Standing returns the state at a time.
 func (c *Core) Standing(now time.Time) Standing {
-	s := Standing{Age: c.age(now)}
+	s := Standing{Age: c.age(now), Open: len(c.flow.under), Window: c.flow.window}
 	for _, w := range c.ranks {
 		switch w.contact {
 		case ContactGood:
