batch/sched: a task far behind the others of its step is begun anew elsewhere

Change: once half of a step's tasks have ended, one that has run for twice as long, and whose rest at its own pace takes 1.5 times as long as anew elsewhere, is stopped and placed elsewhere; its worker counts as if the task had failed there. Runs that were paced down, taken over, gangs and lasting tasks are left out.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -101,11 +101,12 @@
 	rank    precedence
 	misfits *misfits // of its kind; nil: not looked up yet
 	at      time.Time
-	short   time.Time     // since when a task of it has found no place; zero: none has lacked one
-	noted   bool          // that was told
-	due     time.Time     // latest start for the job to be on time
-	worth   time.Time     // latest start for it to be worth something, late
-	load    *loadForecast // of a serving step: its users' load
+	short   time.Time       // since when a task of it has found no place; zero: none has lacked one
+	noted   bool            // that was told
+	due     time.Time       // latest start for the job to be on time
+	worth   time.Time       // latest start for it to be worth something, late
+	took    []time.Duration // that its tasks ran which have ended
+	load    *loadForecast   // of a serving step: its users' load
 }
 
 type task struct {
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -213,6 +213,7 @@
 		r.sure = now
 	}
 	r.usage, r.tail = row.Usage, row.Tail
+	r.part = row.Part
 	r.ready = row.Part >= whole
 	if r.outpaced(now) {
 		r.pace = unknownPace
@@ -222,7 +223,7 @@
 // adopt enters a run that a worker shows and the ledger doesn't: of a former holder, or of
 // an order given up for lost. It is kept if its task has no other run, and stopped otherwise.
 func (c *Core) adopt(now time.Time, w *worker, key runKey) *run {
-	r := &run{runKey: key, worker: w, state: RunLive, born: w.Born, began: now, sent: now, sure: now, pace: fullPace, want: fullPace}
+	r := &run{runKey: key, worker: w, adopted: true, state: RunLive, born: w.Born, began: now, sent: now, sure: now, pace: fullPace, want: fullPace}
 	t := c.task(key.task)
 	if t == nil || t.done || t.run != nil || t.stage.job.state.Final() {
 		r.state = RunStopping
@@ -287,7 +288,11 @@
 	w.bad.good()
 	if r != nil && t.run == r {
 		t.run = nil
-		c.speeds.note(t.stage.job.Queue, t.stage.spec.Estimate, now.Sub(r.began))
+		took := now.Sub(r.began)
+		c.speeds.note(t.stage.job.Queue, t.stage.spec.Estimate, took)
+		if !r.adopted {
+			t.stage.took = append(t.stage.took, took)
+		}
 	} else if t.run != nil {
 		c.stop(t.run)
 	} else {
--- a/internal/batch/sched/move.go
+++ b/internal/batch/sched/move.go
@@ -27,12 +27,13 @@
 	}
 	c.moved = now
 	taken := map[*worker]bool{}
+	c.replaceStragglers(now, taken)
 	for _, w := range c.ranks {
 		if w.contact != ContactGood || w.fill == 0 && !w.Draining {
 			continue
 		}
 		for _, r := range w.list {
-			if r.task == nil || r.state != RunLive || r.task.stage.spec.Gang || !r.straggling(now) && !r.leaving(now, w) {
+			if r.task == nil || r.state != RunLive || r.task.stage.spec.Gang || !r.throttled(now) && !r.leaving(now, w) {
 				continue
 			}
 			to := c.pick(now, r.task, "")
@@ -50,11 +51,9 @@
 	}
 }
 
-// straggling reports whether a filling run is slowed for so long that beginning anew elsewhere is
-// worth what is lost: nothing where its progress is saved, else the time for which it has
-// worked. One task in twelve is slowed at some time, and half of these took over 4 s where
-// they stayed, a tenth over 13 s, instead of 1.5 s; a job is as late as its last task.
-func (r *run) straggling(now time.Time) bool {
+// throttled reports whether a filling run is paced down for so long that beginning anew elsewhere is worth what is
+// lost: nothing where its progress is saved, else the time for which it has worked.
+func (r *run) throttled(now time.Time) bool {
 	if r.slowed.IsZero() {
 		return false
 	}
--- /dev/null
+++ b/internal/batch/sched/straggler_test.go
@@ -0,0 +1,66 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+)
+
+// A job waits for one task on a worker that has turned slow, or where tasks stand still, while its other tasks have long ended.
+func TestStraggler(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		part  int // percent of the last task's work after three times what the others took
+		saves bool
+		want  bool // it is begun anew
+	}{
+		{"stands still", 0, false, true},
+		{"a fifth of the speed", 60, false, false},
+		{"a tenth of the speed", 30, false, true},
+		{"nearly done", 95, false, false},
+		{"saved, a fifth of the speed", 60, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t, 1, 2).open()
+			b.core.Admit(b.now, one("j", func(j *sched.Job) {
+				j.Steps[0].Count, j.Steps[0].Saves = 4, tt.saves
+			}))
+			orders := b.plan(sched.VerbStart)
+			if len(orders) != 4 {
+				t.Fatalf("%d starts, want 4", len(orders))
+			}
+			slow := orders[0]
+			b.after(time.Second)
+			ends := map[string][]sched.Finished{}
+			for _, o := range orders[1:] {
+				id := o.Life.ID
+				ends[id] = append(ends[id], finished(int64(len(ends[id])+1), o, sched.EndDone))
+			}
+			row := running(slow)
+			row.Part = tt.part
+			for range 4 {
+				for _, id := range []string{"w0", "w1"} {
+					rep := sched.Report{Finished: ends[id]}
+					if id == slow.Life.ID {
+						rep.Running = []sched.Running{row}
+					}
+					b.poll(id, rep)
+				}
+				b.after(500 * time.Millisecond)
+			}
+			stops := b.plan(sched.VerbStop)
+			if got := len(stops) == 1 && stops[0].Task == slow.Task; got != tt.want {
+				t.Fatalf("stopped %v, want it %v", stops, tt.want)
+			}
+			if !tt.want {
+				return
+			}
+			b.poll(slow.Life.ID, sched.Report{Finished: append(ends[slow.Life.ID], finished(int64(len(ends[slow.Life.ID])+1), slow, sched.EndStopped))})
+			starts := b.plan(sched.VerbStart)
+			if len(starts) != 1 || starts[0].Life.ID != other(slow) {
+				t.Errorf("begun anew by %v, want one start on %s", starts, other(slow))
+			}
+		})
+	}
+}
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -129,25 +129,27 @@
 
 type run struct {
 	runKey
-	task   *task // nil: of a job that isn't known here
-	worker *worker
-	state  RunState
-	born   int64     // life of the worker that was meant
-	shown  bool      // a report of that life has shown it
-	sent   time.Time // of the newest order about it
-	absent bool      // a poll that was sent after its start went unanswered hasn't shown it
-	stops  repeat
-	paces  repeat
-	began  time.Time // first seen or ordered
-	sure   time.Time // since when it was known to be there, or its stop to be acknowledged
-	pace   int       // percent, as the worker was told
-	paced  time.Time // when it was
-	want   int       // percent, as it should be
-	slowed time.Time // since when that is below movePace; zero: it isn't
-	usage  float64   // millicores
-	tail   time.Duration
-	ready  bool      // a serving task past its startup
-	over   time.Time // since when the tail is over its target; zero: it isn't
+	task    *task // nil: of a job that isn't known here
+	worker  *worker
+	state   RunState
+	born    int64     // life of the worker that was meant
+	shown   bool      // a report of that life has shown it
+	sent    time.Time // of the newest order about it
+	absent  bool      // a poll that was sent after its start went unanswered hasn't shown it
+	stops   repeat
+	paces   repeat
+	began   time.Time // first seen or ordered
+	sure    time.Time // since when it was known to be there, or its stop to be acknowledged
+	pace    int       // percent, as the worker was told
+	paced   time.Time // when it was
+	want    int       // percent, as it should be
+	slowed  time.Time // since when that is below movePace; zero: it isn't
+	usage   float64   // millicores
+	tail    time.Duration
+	adopted bool      // it began before this holder knew of it
+	part    int       // percent of its work that is done
+	ready   bool      // a serving task past its startup
+	over    time.Time // since when the tail is over its target; zero: it isn't
 }
 
 func (w *worker) free() wire.Size {
