batch/sched: what serving tasks leave is told from their load; pacing weighs a job's lateness

Cause (ablation): serving tasks were taken to use six tenths of what they declare.

Change: the use of each serving step is its load as forecast; the weight is 1.5.

--- a/internal/batch/sched/forecast.go
+++ b/internal/batch/sched/forecast.go
@@ -38,8 +38,11 @@
 	}
 	o.fresh, o.at = true, now
 	o.exposed = o.exposed[:0]
-	fill := 0
+	fill, lasting := 0, 0.0
 	for _, r := range w.list {
+		if r.task != nil && r.task.stage.spec.Lasting {
+			lasting += c.use(now, r) * float64(r.task.stage.spec.Size.CPU)
+		}
 		if r.fills() {
 			fill += r.task.stage.spec.Size.CPU * r.want / fullPace
 		}
@@ -47,7 +50,7 @@
 			o.exposed = append(o.exposed, exposure{c.interference.factors(r.task.stage.spec.Image), c.expectedPressure(now, w, r) - targetPressure})
 		}
 	}
-	o.left = w.Size.CPU - int(baseLoad*float64(w.base)) - (w.used.CPU - w.base) - fill
+	o.left = w.Size.CPU - int(lasting) - (w.used.CPU - w.base) - fill
 	return o
 }
 
@@ -64,6 +67,15 @@
 	return sum
 }
 
+// use returns the share of its declared processors that a lasting run is expected to use while a task placed now
+// would run: what its users' load makes of it, as far as that shows.
+func (c *Core) use(now time.Time, r *run) float64 {
+	if !r.serves() {
+		return baseLoad
+	}
+	return min(1, c.loadOf(r.task.stage).load(c.seconds(now)+placeAhead/2, c.interference.period))
+}
+
 // share returns the share of a worker's processors that a task of the step asks for.
 func (s *Step) share(w *worker) float64 {
 	return float64(s.Size.CPU) / float64(max(w.Size.CPU, 1))
--- a/internal/batch/sched/pace.go
+++ b/internal/batch/sched/pace.go
@@ -10,10 +10,9 @@
 	fullPace = 100
 	// unknownPace has a pace ordered anew.
 	unknownPace = -1
-	// serveWorth is how many seconds of a filling task a second of a serving one is worth to
-	// the users: four sixths of a job's 0.35 in 2 s for one over its target, against 1.2 to
-	// 1.5 for some 30 s of tasks.
-	serveWorth = 3
+	// serveWorth is how many seconds of a filling task a second of a serving one is worth. A job is as late as the last
+	// of its tasks, so slowing one costs more than its own time.
+	serveWorth = 1.5
 	// paceAhead is until when, in seconds, a pace has to suit: it is set anew with the next poll.
 	paceAhead = 1.0
 	// paceStep is the most that a pace is raised at a time, in percent; it is lowered at once.
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -12,7 +12,7 @@
 	// runStride parts the run numbers of one holder's term from the next: no task is started
 	// so often within a term.
 	runStride = 1_000_000
-	// baseLoad is the share of their declared processors that serving tasks are taken to use.
+	// baseLoad is the share of their declared processors that lasting tasks are taken to use whose load doesn't show.
 	baseLoad = 0.6
 	// fillShare is how much of a filling task's processors must be left for it to be placed.
 	fillShare = 0.9
