proc/front: a holder that is behind keeps the key again

Holders that were behind handed over one after the other; each process does so once a minute at most, but nothing keeps its successor from it, and each one waits anew for workers that it hasn't heard of.

It needs a sign of the machine's own slowness, not of load, or a pause that successors share.

--- a/internal/batch/drive/lag.go
+++ b/internal/batch/drive/lag.go
@@ -21,7 +21,6 @@
 	began  time.Time    // by its steady clock: the time of day may be set meanwhile
 	since  atomic.Int64 // of the oldest event without a plan, in nanoseconds from began; 0: there is none
 	behind atomic.Int64 // nanoseconds by which the newest plan came after its oldest event
-	slow   atomic.Int64 // since when every second had such a plan that was behind, in nanoseconds from began; 0: the last one had none
 }
 
 // event has a plan made for an event.
@@ -40,25 +39,6 @@
 	return behind
 }
 
-// second notes whether a plan of the last second was behind.
-func (l *lag) second(slow bool) {
-	switch {
-	case !slow:
-		l.slow.Store(0)
-	case l.slow.Load() == 0:
-		l.slow.Store(max(1, int64(time.Since(l.began))))
-	}
-}
-
-// Behind returns for how long this holder has been behind its work, in spans of a second; 0: it isn't.
-func (h *Holder) Behind() time.Duration {
-	at := h.lag.slow.Load()
-	if at == 0 {
-		return 0
-	}
-	return time.Since(h.lag.began) - time.Duration(at)
-}
-
 // rest returns how long a worker is left alone after a poll.
 func (l *lag) rest() time.Duration {
 	behind := time.Duration(l.behind.Load())
--- a/internal/batch/drive/standing.go
+++ b/internal/batch/drive/standing.go
@@ -64,9 +64,7 @@
 func (s *standing) showBehind(h *Holder, st sched.Standing) {
 	s.scope.Gauge("behind").Update(s.behind.Seconds())
 	s.scope.Gauge("starts_open").Update(float64(st.Open))
-	slow := s.behind >= behindAfter
-	h.lag.second(slow)
-	if slow != s.slow {
+	if slow := s.behind >= behindAfter; slow != s.slow {
 		s.slow = slow
 		h.log.Info("behind", "now", slow, "by", s.behind, "starts", st.Open, "window", st.Window)
 	}
--- a/internal/proc/front/hand.go
+++ b/internal/proc/front/hand.go
@@ -12,12 +12,8 @@
 	// handAfter is how long a holder does its work before it may hand over: by then it has heard of
 	// the workers and renewed their leases, which outlast the change.
 	handAfter = 3 * time.Second
-	// handCheck is how often a holder checks whether it should hand over, and handEvery the time between two searches
-	// for a successor, each a call to every follower.
-	handCheck = 500 * time.Millisecond
+	// handEvery is between two looks for a successor, each a call to every follower.
 	handEvery = 2 * time.Second
-	// slowAfter is how long after the first second in which a holder was behind it hands over, if it still is.
-	slowAfter = 500 * time.Millisecond
 	handLimit = time.Second
 	// handRest keeps a holder that has handed over from claiming: its successor claims at once.
 	handRest = 2 * time.Second
@@ -39,29 +35,16 @@
 // successor chooses the follower to hand over to: the one that carries most. There is none if the
 // holder of a term carries its workers, or if no follower carries clearly more and reaches the store.
 func successor(carries, workers int, term int64, offers []offer) (offer, bool) {
+	var best offer
 	if carries <= 0 || workers <= carries {
-		return offer{}, false
+		return best, false
 	}
-	best := strongest(term, offers)
-	return best, float64(best.Carries) >= handGain*float64(carries)
-}
-
-// faster chooses the follower to hand over to for a holder that is behind its work: the one that carries most, if that
-// is all workers.
-func faster(workers int, term int64, offers []offer) (offer, bool) {
-	best := strongest(term, offers)
-	return best, best.Carries >= workers
-}
-
-// strongest returns the offer of the follower that carries most and reaches the store.
-func strongest(term int64, offers []offer) offer {
-	var best offer
 	for _, o := range offers {
 		if !o.Failing && o.Term <= term && o.Carries > best.Carries {
 			best = o
 		}
 	}
-	return best
+	return best, float64(best.Carries) >= handGain*float64(carries)
 }
 
 // hand gives the key up once when this holder carries fewer workers than there are and a follower
@@ -71,37 +54,26 @@
 // were away, a weak host becomes the holder and stays so for good; under it orders time out and
 // workers' leases lapse. Given up, the key goes to a host that carries the workers, as the others leave
 // it a vacant one (see lead.Options).
-//
-// So does a holder that is behind its work for long though it should carry it: its machine has turned slow.
 func (h *Host) hand(t *lead.Tenure) {
 	carries := carries(h.set.Limit)
-	began, first := time.Now(), handAfter
-	rested := true // it hasn't handed over of late
+	first := handAfter
 	if at := h.handed.Load(); at != nil {
 		first = max(first, handAgain-time.Since(*at))
-		rested = time.Since(*at) >= handAgain
 	}
-	for wait.For(t.Context(), handCheck) {
+	if carries <= 0 || !wait.For(t.Context(), first) {
+		return
+	}
+	for ; t.Context().Err() == nil; wait.For(t.Context(), handEvery) {
 		d := h.desk.own()
-		if d == nil || carries <= 0 || time.Since(t.Sure()) > aidAfter {
+		if d == nil || time.Since(t.Sure()) > aidAfter || d.Workers() <= carries || d.Waiting() {
 			continue
 		}
 		workers := d.Workers()
-		weak := workers > carries && !d.Waiting() && time.Since(began) >= first
-		slow := rested && d.Behind() >= slowAfter
-		if !weak && !slow {
-			continue
-		}
-		offers := h.peer.ask(t.Context(), h.peer.known(t.Sure()), handLimit)
-		to, ok := successor(carries, workers, t.Term(), offers)
-		if !ok && slow {
-			to, ok = faster(workers, t.Term(), offers)
-		}
+		to, ok := successor(carries, workers, t.Term(), h.peer.ask(t.Context(), h.peer.known(t.Sure()), handLimit))
 		if !ok {
-			wait.For(t.Context(), handEvery)
 			continue
 		}
-		h.log.Info("hands over", "term", t.Term(), "carries", carries, "workers", workers, "behind", d.Behind(), "to", to.addr, "offers", to.Carries)
+		h.log.Info("hands over", "term", t.Term(), "carries", carries, "workers", workers, "to", to.addr, "offers", to.Carries)
 		now := time.Now()
 		h.handed.Store(&now)
 		h.lead.Rest(handRest)
--- a/internal/proc/front/hand_test.go
+++ b/internal/proc/front/hand_test.go
@@ -34,23 +34,3 @@
 		}
 	}
 }
-
-// A holder whose machine has turned slow is behind its work though its limits say that it carries it; only a follower that
-// carries all workers is worth the change.
-func TestFaster(t *testing.T) {
-	for _, tt := range []struct {
-		name   string
-		offers []offer
-		want   string // "": nobody
-	}{
-		{"one as strong as the holder", []offer{{"weak", Outlook{Carries: 91}}, {"strong", Outlook{Carries: 666}}}, "strong"},
-		{"weaker ones only", []offer{{"weak", Outlook{Carries: 91}}}, ""},
-		{"the store fails it", []offer{{"strong", Outlook{Carries: 666, Failing: true}}}, ""},
-		{"no followers", nil, ""},
-	} {
-		got, ok := faster(350, 3, tt.offers)
-		if ok != (tt.want != "") || ok && got.addr != tt.want {
-			t.Errorf("%s: %q, %v, want %q", tt.name, got.addr, ok, tt.want)
-		}
-	}
-}
