batch/sched: failures at once are one rest, and no rest outlasts what a lasting task may wait

Change: failures that come during a rest don't lengthen it, and the longest rest is 6 s: a lasting task has to run 7 s after the last disturbance.

--- a/internal/batch/sched/health.go
+++ b/internal/batch/sched/health.go
@@ -18,7 +18,9 @@
 	// restFirst is the first rest; it doubles, as a worker that fails all it starts would
 	// otherwise get the tries of one job after another.
 	restFirst = 3 * time.Second
-	restMost  = 12 * time.Second
+	// restMost is below the 7 s after which a lasting task has to run where only this worker has room, from when it is
+	// sound again.
+	restMost = 6 * time.Second
 )
 
 func (h *health) failed(now time.Time, job string) {
@@ -26,6 +28,9 @@
 		h.jobs = map[string]bool{}
 	}
 	h.jobs[job] = true
+	if h.resting(now) {
+		return // what began before the rest says nothing of how the worker is after it
+	}
 	if len(h.jobs) < restAfter && h.turns == 0 {
 		return
 	}
