batch/sched: a worker without a rack stands among the choices once

Found in reading the change: for a step without a rack the workers that name none were scored before the sample and in it again. After a start only one of the two was scored anew, so a worker got more tasks of a step than may run on one, or than fit (TestApartWithoutRack: 2 starts, 1 allowed).

Run: go vet, the tests of batch/sched and batch/drive.

--- a/internal/batch/sched/choice.go
+++ b/internal/batch/sched/choice.go
@@ -126,8 +126,10 @@
 	}
 	// A sample may miss the few workers beside the data.
 	near := s.spec.Rack
-	for _, w := range r.racks[near] {
-		c.consider(now, ch, w, s)
+	if near != "" {
+		for _, w := range r.racks[near] {
+			c.consider(now, ch, w, s)
+		}
 	}
 	c.sampled++
 	for w := range in.Sample(least/levelStep, maxScored, c.sampled) {
