--- a/internal/batch/drive/standing.go
+++ b/internal/batch/drive/standing.go
@@ -50,6 +50,8 @@
 	}
 	s.scope.Gauge("tasks_held").Update(float64(st.Held))
 	s.scope.Gauge("confirmed_age").Update(st.Age.Seconds())
+	s.scope.Gauge("steps_waiting").Update(float64(st.Waiting))
+	s.scope.Gauge("longest_wait").Update(st.Longest.Seconds())
 	switch {
 	case s.held == 0 && st.Held > 0:
 		h.log.Info("holds back", "tasks", st.Held, "unheard", st.Unheard, "workers", st.Good+st.Lost+st.Unheard, "left", st.Left)
@@ -79,6 +81,8 @@
 	}
 	s.scope.Gauge("tasks_held").Update(0)
 	s.scope.Gauge("confirmed_age").Update(0)
+	s.scope.Gauge("steps_waiting").Update(0)
+	s.scope.Gauge("longest_wait").Update(0)
 	s.scope.Gauge("behind").Update(0)
 	s.scope.Gauge("starts_open").Update(0)
 }
--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -39,8 +39,8 @@
 			shown.show(h, now, stand)
 		}
 		for _, w := range waits {
-			h.log.Info("waits", "job", w.Job, "step", w.Step, "tasks", w.Tasks, "since", w.Since, "workers", w.Workers,
-				"closed", w.Closed, "shut", w.Shut, "full", w.Full, "memory", w.Memory, "harm", w.Harm)
+			h.log.Info("waits", "job", w.Job, "step", w.Step, "image", w.Image, "tasks", w.Tasks, "since", w.Since, "workers", w.Workers,
+				"closed", w.Closed, "shut", w.Shut, "full", w.Full, "memory", w.Memory, "harm", w.Harm, "least", w.Least)
 		}
 		h.tell(placed, endings)
 		for _, o := range orders {
--- a/internal/batch/sched/standing.go
+++ b/internal/batch/sched/standing.go
@@ -12,6 +12,8 @@
 	Age     time.Duration // since this process was last confirmed as the holder
 	Open    int           // starts under way
 	Window  int           // starts that may be
+	Waiting int           // steps with tasks that have found no place
+	Longest time.Duration // since when one of these waits
 }
 
 // unseen returns how many tasks wait of which this holder has seen no run.
@@ -38,6 +40,12 @@
 			s.Unheard++
 		}
 	}
+	for _, st := range c.waiting.all() {
+		if st.waiting > 0 && !st.short.IsZero() && !st.job.state.Final() {
+			s.Waiting++
+			s.Longest = max(s.Longest, now.Sub(st.short))
+		}
+	}
 	if !c.inDoubt(now) {
 		return s
 	}
--- a/internal/batch/sched/waits.go
+++ b/internal/batch/sched/waits.go
@@ -1,11 +1,15 @@
 package sched
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Wait tells why tasks of a step have found no place for a while.
 type Wait struct {
 	Job     string
 	Step    int
+	Image   string
 	Tasks   int // that wait
 	Since   time.Duration
 	Workers int // of the service
@@ -14,29 +18,34 @@
 	Full    int // without room for it
 	Memory  int // of these, with the processors it asks for
 	Harm    int // where they would disturb serving tasks too much
+	// Least is the least harm among these: the expected number of serving tasks brought over their target.
+	Least float64
 }
 
 // waitTold is after how long without a place a step is told of: one that is on time as a rule
 // waits for less.
 const waitTold = time.Second
 
-// Waits returns the steps that have newly waited for long. Each is told once.
+// Waits returns the steps that have waited for long since the last call. Each is told again whenever its wait has
+// doubled.
 func (c *Core) Waits() []Wait {
 	w := c.waits
 	c.waits = nil
 	return w
 }
 
-// lack notes that a task of a step has found no place.
+// noteUnplaced notes that a task of a step has found no place.
 func (c *Core) noteUnplaced(now time.Time, s *stage) {
 	if s.short.IsZero() {
 		s.short = now
 	}
-	if s.noted || now.Sub(s.short) < waitTold {
+	since := now.Sub(s.short)
+	if since < max(waitTold, 2*s.told) {
 		return
 	}
-	s.noted = true
-	t := Wait{Job: s.job.ID, Step: s.idx, Tasks: s.waiting, Since: now.Sub(s.short)}
+	s.told = since
+	t := Wait{Job: s.job.ID, Step: s.idx, Image: s.spec.Image, Tasks: s.waiting, Since: since}
+	least := math.Inf(1)
 	for _, w := range c.ranks {
 		if w.Service != s.job.Service {
 			continue
@@ -51,6 +60,8 @@
 		case fits:
 		case s.spec.Fills && c.hasRoom(now, w, s):
 			t.Harm++
+			harm, _ := c.effect(now, w, s.spec)
+			least = min(least, harm)
 		default:
 			t.Full++
 			if free := w.free(); free.Mem < s.spec.Size.Mem && (s.spec.Fills || free.CPU >= s.spec.Size.CPU) {
@@ -58,5 +69,8 @@
 			}
 		}
 	}
+	if t.Harm > 0 {
+		t.Least = least
+	}
 	c.waits = append(c.waits, t)
 }
--- a/internal/proc/report/report.go
+++ b/internal/proc/report/report.go
@@ -212,12 +212,17 @@
 // wait counts why steps found no place for long, and why hand-ins were refused.
 func (r *Report) wait(lines []story.Line, jobs map[string]*job) {
 	causes := map[string]int{}
+	type step struct{ job, step string }
+	told := map[step]bool{}
 	for i := range lines {
 		l := &lines[i]
 		switch {
 		case jobs[l.Job()] == nil:
 		case l.Msg == "waits":
-			causes[cause(l)]++
+			if k := (step{l.Job(), l.Field("step")}); !told[k] {
+				told[k] = true
+				causes[cause(l)]++
+			}
 		case l.Msg == "answer" && l.Field("result") == "refused":
 			r.Refusals[l.Field("why")]++
 		}
