--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -76,7 +76,7 @@
 	began := time.Now()
 	out, cause := h.give(o)
 	if o.Verb == sched.VerbStart || out != sched.OutcomeDone || o.Pace == 0 {
-		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Life.ID, "pace", o.Pace, "outcome", out, "cause", cause,
+		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Life.ID, "pace", o.Pace, "starved", o.Starved, "outcome", out, "cause", cause,
 			"took", time.Since(began))
 	}
 	h.orders(string(o.Verb), string(out))
--- a/internal/batch/sched/answer.go
+++ b/internal/batch/sched/answer.go
@@ -73,6 +73,9 @@
 			r.state = RunLive
 			r.sure = now
 		}
+		if r.starved {
+			c.pace(now, w)
+		}
 	case OutcomeUnknown, OutcomeBad:
 		if r.state == RunSent {
 			r.state = RunUnsure
--- a/internal/batch/sched/choice.go
+++ b/internal/batch/sched/choice.go
@@ -33,12 +33,17 @@
 // attach enters a run into its worker's ledger.
 func (c *Core) attach(r *run) {
 	r.worker.add(r)
+	if r.task != nil {
+		r.task.stage.job.count(r, 1)
+	}
 	c.touch(r.worker)
 }
 
 // detach takes a run out of its worker's ledger.
 func (c *Core) detach(r *run) {
-	r.worker.drop(r)
+	if r.worker.drop(r) && r.task != nil {
+		r.task.stage.job.count(r, -1)
+	}
 	c.touch(r.worker)
 }
 
@@ -117,6 +122,9 @@
 	in, least := &r.declared, s.spec.Size.CPU
 	if s.spec.Fills {
 		in, least = &r.unused, int(fillShare*float64(least))
+		if s.starved {
+			least = 0
+		}
 	}
 	if rack != "" {
 		for _, w := range r.racks[rack] {
@@ -194,7 +202,7 @@
 			return 0, false
 		}
 		harm, advantage := c.effect(now, w, s.spec)
-		return leftWeight*left/whole + advantageWeight*advantage - harm, harm <= maxHarm
+		return leftWeight*left/whole + advantageWeight*advantage - harm, harm <= maxHarm || s.starved
 	case !free.Covers(s.spec.Size):
 		return 0, false
 	case s.spec.Lasting:
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -34,7 +34,8 @@
 	sampled      int               // how often workers were sampled
 	zones        map[string]bool   // failure domains that are taken out
 	flow         flow
-	plans        int // so far
+	plans        int            // so far
+	timely       map[string]int // the newest of these, by service, in which a filling step that can be on time found no place
 	kinds        map[kind]*misfits
 	speeds       learner
 	interference interference
@@ -55,6 +56,7 @@
 		rooms:   map[string]*rooms{},
 		kinds:   map[kind]*misfits{},
 		zones:   map[string]bool{},
+		timely:  map[string]int{},
 	}
 }
 
@@ -69,10 +71,13 @@
 	ended    time.Time
 	tries    map[TaskID]tries
 	saves    map[TaskID]string
-	changes  int  // how often it has changed
-	taken    int  // of these, known to the newest record that was taken to be stored
-	queued   bool // in Core.changes
-	rushed   bool // there, with a caller waiting
+	changes  int       // how often it has changed
+	taken    int       // of these, known to the newest record that was taken to be stored
+	live     int       // runs on workers
+	starved  int       // of these, placed as a starved job's
+	idle     time.Time // since when it has had no others while a task of it waits; zero: it has, or that wasn't looked at
+	queued   bool      // in Core.changes
+	rushed   bool      // there, with a caller waiting
 }
 
 // tries are the runs of a task that failed. They are kept by number: an end that was stored
@@ -100,6 +105,7 @@
 	listed  bool // in Core.waiting
 	rank    precedence
 	misfits *misfits // of its kind; nil: not looked up yet
+	starved bool     // see Core.starve
 	at      time.Time
 	short   time.Time       // since when a task of it has found no place; zero: none has lacked one
 	told    time.Duration   // how long it had waited when that was last told; 0: it wasn't
@@ -348,7 +354,7 @@
 func (c *Core) Forget(now time.Time, keep time.Duration) []string {
 	var gone []string
 	for id, j := range c.jobs {
-		if j.state.Final() && j.shown == j.state && now.Sub(j.ended) > keep && !j.runs() {
+		if j.state.Final() && j.shown == j.state && now.Sub(j.ended) > keep && j.live == 0 {
 			delete(c.jobs, id)
 			gone = append(gone, id)
 		}
@@ -356,19 +362,6 @@
 	return gone
 }
 
-func (j *job) runs() bool {
-	for _, r := range j.rounds {
-		for _, s := range r.stages {
-			for _, t := range s.tasks {
-				if t.run != nil {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // complete finishes a job all of whose tasks are done.
 func (c *Core) complete(now time.Time, j *job) {
 	if j.state.Final() || len(j.rounds) < max(j.Times, 1) {
--- a/internal/batch/sched/forecast.go
+++ b/internal/batch/sched/forecast.go
@@ -43,7 +43,7 @@
 		if r.task != nil && r.task.stage.spec.Lasting {
 			lasting += c.use(now, r) * float64(r.task.stage.spec.Size.CPU)
 		}
-		if r.fills() {
+		if r.fills() && !r.starved {
 			fill += r.task.stage.spec.Size.CPU * r.want / fullPace
 		}
 		if r.serves() && r.state == RunLive {
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -60,13 +60,14 @@
 // kind is what, besides its size, decides whether a task fits somewhere.
 type kind struct {
 	fills   bool
+	starved bool
 	image   string // of a task that fills: what it disturbs depends on it
 	label   string
 	service string
 }
 
 func (s *stage) kind() kind {
-	k := kind{fills: s.spec.Fills, label: s.spec.Label, service: s.job.Service}
+	k := kind{fills: s.spec.Fills, starved: s.starved, label: s.spec.Label, service: s.job.Service}
 	if k.fills {
 		k.image = s.spec.Image
 	}
@@ -108,6 +109,7 @@
 
 // placeStage places the tasks of a stage; with doubt only those of which this holder has seen a run.
 func (c *Core) placeStage(now time.Time, s *stage, doubt bool, orders []Order) []Order {
+	c.starve(now, s)
 	full := c.misfits(s)
 	if full.has(c.plans, s.spec.Size) {
 		c.noteUnplaced(now, s)
@@ -139,6 +141,13 @@
 			break
 		}
 		orders = append(orders, c.start(now, t, ch.workers[i], t.next(c.opt.Term)))
+		if s.starved {
+			// One task keeps the job going; the others wait for a place where they disturb nobody.
+			if s.waiting > 0 {
+				c.noteUnplaced(now, s)
+			}
+			break
+		}
 		c.rescore(now, ch, i)
 	}
 	return orders
@@ -206,7 +215,8 @@
 }
 
 func (c *Core) start(now time.Time, t *task, w *worker, number int64) Order {
-	r := &run{runKey: runKey{t.id(), number}, task: t, worker: w, state: RunSent, born: w.Born, sent: now, began: now, pace: fullPace, want: fullPace}
+	r := &run{runKey: runKey{t.id(), number}, task: t, worker: w, state: RunSent, born: w.Born, sent: now, began: now, pace: fullPace, want: fullPace,
+		starved: t.stage.starved}
 	t.run = r
 	t.n = number
 	s := t.stage
@@ -219,6 +229,7 @@
 	o := r.order(VerbStart)
 	o.Spec = s.job.Spec
 	o.Save = s.job.saves[t.id()]
+	o.Starved = s.starved
 	o.Until = w.until.Truncate(time.Millisecond)
 	return o
 }
@@ -235,7 +246,7 @@
 // hasRoom reports whether a worker has room for a filling task of a stage.
 func (c *Core) hasRoom(now time.Time, w *worker, s *stage) bool {
 	z, free := s.spec.Size, w.free()
-	return z.Mem <= free.Mem && z.Accel <= free.Accel && float64(c.forecast(now, w).left) >= fillShare*float64(z.CPU)
+	return z.Mem <= free.Mem && z.Accel <= free.Accel && (s.starved || float64(c.forecast(now, w).left) >= fillShare*float64(z.CPU))
 }
 
 // affinity prefers the worker that is fullest of the image, so that others stay free of serving
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -25,6 +25,8 @@
 	Save  string        // of a start: the checkpoint to resume from
 	Until time.Duration // of a start: lease to grant, on the worker's clock
 	Pace  int           // of a pace, percent
+	// Starved tells of a start that its job had nothing running, and that the task may disturb serving ones.
+	Starved bool
 }
 
 // Outcome is how a worker took an order.
--- a/internal/batch/sched/starve_test.go
+++ b/internal/batch/sched/starve_test.go
@@ -28,12 +28,103 @@
 	for waited := time.Duration(0); waited < 3*time.Second; waited += 200 * time.Millisecond {
 		b.after(200 * time.Millisecond)
 		b.poll("w0", sched.Report{Running: []sched.Running{row}})
-		if got := b.plan(sched.VerbStart); len(got) > 0 {
-			if len(got) != 1 {
-				t.Errorf("started %v, want one task that keeps the job going", got)
-			}
-			return
+		got := b.plan(sched.VerbStart)
+		if len(got) == 0 {
+			continue
+		}
+		if len(got) != 1 {
+			t.Fatalf("started %v, want one task that keeps the job going", got)
 		}
+		b.poll("w0", sched.Report{Running: []sched.Running{row}, Finished: []sched.Finished{finished(1, got[0], sched.EndDone)}})
+		if next := b.plan(sched.VerbStart); len(next) != 1 {
+			t.Errorf("started %v as that task has ended, want the next one", next)
+		}
+		return
 	}
 	t.Error("no task of the job runs within 3s")
 }
+
+// A task that was placed where it disturbs a serving one works at full speed until the next reading, and the feed's users
+// wait meanwhile.
+func TestStarvedTaskIsSlowedAtOnce(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	feed := serving("s", "serve")
+	feed.Steps[0].Count = 1
+	b.core.Admit(b.now, feed)
+	row := running(b.plan(sched.VerbStart)[0])
+	row.Part, row.Tail = 100, 18*time.Millisecond
+	for range 10 {
+		b.after(600 * time.Millisecond)
+		b.poll("w0", sched.Report{Running: []sched.Running{row}})
+	}
+	b.core.Admit(b.now, filling("f", "fill", 6000))
+	b.plan(sched.VerbStart)
+	b.after(2 * time.Second)
+	b.poll("w0", sched.Report{Running: []sched.Running{row}})
+	if got := b.plan(sched.VerbStart); len(got) != 1 {
+		t.Fatalf("started %v, want one task", got)
+	}
+	b.after(300 * time.Millisecond)
+	if got := b.plan(sched.VerbPace); len(got) != 1 || got[0].Pace == 100 {
+		t.Errorf("orders %v, want a lower pace", got)
+	}
+}
+
+// Hopeless jobs that are kept going take the processors of jobs that can be on time.
+func TestStarvedTaskTakesNoRoom(t *testing.T) {
+	b := newBench(t, 1, 1).open()
+	book := func(id string, aim time.Duration) *sched.Job {
+		j := filling(id, "fill", 3000)
+		j.Steps[0].Count, j.Aim, j.At = 5, aim, b.now
+		return j
+	}
+	b.core.Admit(b.now, book("first", time.Minute))
+	var rep sched.Report
+	var ends []sched.Finished
+	for i, o := range b.plan(sched.VerbStart) {
+		rep.Running = append(rep.Running, running(o))
+		ends = append(ends, finished(int64(i+1), o, sched.EndDone))
+	}
+	if len(ends) != 5 {
+		t.Fatalf("%d tasks of the first book started, want 5", len(ends))
+	}
+	wait := func(d time.Duration) []sched.Order {
+		b.after(d)
+		b.poll("w0", rep)
+		return b.plan(sched.VerbStart)
+	}
+	late := book("late", 0)
+	late.Stretch, late.At = 0, start().Add(-time.Hour)
+	b.core.Admit(b.now, late)
+	b.core.Admit(b.now, book("timely", time.Minute))
+	for range 3 {
+		for _, o := range wait(time.Second) {
+			if o.Task.Job == "late" {
+				t.Fatalf("started %v while a job that can be on time waits", o)
+			}
+		}
+	}
+	b.core.Cancel(b.now, "timely")
+	var hopeless []sched.Order
+	for range 3 {
+		hopeless = append(hopeless, wait(time.Second)...)
+		for _, o := range hopeless {
+			rep.Running = append(rep.Running[:5:5], running(o))
+		}
+	}
+	if len(hopeless) != 1 || hopeless[0].Task.Job != "late" {
+		t.Fatalf("started %v, want one task of the late job", hopeless)
+	}
+	rep = sched.Report{Running: rep.Running[5:], Finished: ends}
+	b.core.Cancel(b.now, "first")
+	b.core.Admit(b.now, book("next", time.Minute))
+	next := 0
+	for _, o := range wait(10 * time.Millisecond) {
+		if o.Task.Job == "next" {
+			next++
+		}
+	}
+	if next != 5 {
+		t.Errorf("%d tasks of the next book started, want 5", next)
+	}
+}
--- a/internal/batch/sched/waits.go
+++ b/internal/batch/sched/waits.go
@@ -36,6 +36,9 @@
 
 // noteUnplaced notes that a task of a step has found no place.
 func (c *Core) noteUnplaced(now time.Time, s *stage) {
+	if s.spec.Fills && s.rank.prospect <= prospectFresh {
+		c.timely[s.job.Service] = c.plans
+	}
 	if s.short.IsZero() {
 		s.short = now
 	}
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -147,6 +147,7 @@
 	usage   float64   // millicores
 	tail    time.Duration
 	adopted bool      // it began before this holder knew of it
+	starved bool      // its job was as it was placed; see Core.starve
 	part    int       // percent of its work that is done
 	ready   bool      // a serving task past its startup
 	over    time.Time // since when the tail is over its target; zero: it isn't
@@ -165,15 +166,16 @@
 	w.count(r, 1)
 }
 
-// drop takes a run out of the ledger; see Core.detach.
-func (w *worker) drop(r *run) {
+// drop takes a run out of the ledger and reports whether it was there; see Core.detach.
+func (w *worker) drop(r *run) bool {
 	if w.runs[r.runKey] != r {
-		return
+		return false
 	}
 	delete(w.runs, r.runKey)
 	i := slices.Index(w.list, r)
 	w.list = slices.Delete(w.list, i, i+1)
 	w.count(r, -1)
+	return true
 }
 
 func (w *worker) count(r *run, sign int) {
