--- a/internal/peer/member/group.go
+++ b/internal/peer/member/group.go
@@ -220,9 +220,14 @@
 }
 
 // hold writes this process's key when the view lacks it or shows it otherwise.
+//
+// A key that the view shows under another lease is an old one: it is gone already or lapses
+// with that lease, and others then take over what this process holds.
 func (g *Group) hold(ctx context.Context, lease string, self Member) error {
-	if m, ok := g.View().Get(self.ID); ok && m == self {
-		return nil
+	if v := g.View(); v.leases[self.ID] == lease {
+		if m, ok := v.Get(self.ID); ok && m == self {
+			return nil
+		}
 	}
 	value, err := json.Marshal(self)
 	if err != nil {
--- a/internal/peer/member/view.go
+++ b/internal/peer/member/view.go
@@ -31,16 +31,18 @@
 type View struct {
 	epoch   uint64
 	members []Member
+	leases  map[string]string // that hold the members' keys, by id
 }
 
 const prefix = "member/"
 
 func newView(p store.Page) View {
-	v := View{epoch: p.Rev}
+	v := View{epoch: p.Rev, leases: map[string]string{}}
 	for _, e := range p.Entries {
 		var m Member
 		if json.Unmarshal(e.Value, &m) == nil && m.ID == strings.TrimPrefix(e.Key, prefix) {
 			v.members = append(v.members, m)
+			v.leases[m.ID] = e.Lease
 		}
 	}
 	slices.SortFunc(v.members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
