--- a/internal/peer/member/group.go
+++ b/internal/peer/member/group.go
@@ -52,7 +52,8 @@
 
 	mu     sync.Mutex
 	view   View
-	lease  string
+	lease  string // open in the store
+	member bool   // the own key is held under the lease
 	joined time.Time
 	self   Member
 	until  time.Time // own authority by the store's lease, on the monotonic clock
@@ -109,7 +110,7 @@
 	if now.Before(g.until) {
 		return true
 	}
-	if !g.away || g.lease == "" {
+	if !g.away || !g.member {
 		return false
 	}
 	seconds := 1
@@ -186,18 +187,22 @@
 	}
 	if errors.Is(err, store.ErrLapsed) {
 		g.mu.Lock()
-		g.lease, g.until = "", time.Time{}
+		g.lease, g.member, g.until = "", false, time.Time{}
 		g.mu.Unlock()
 		return g.renew(ctx)
 	}
 	if err == nil {
+		g.mu.Lock()
+		// Kept even if the key isn't: a write whose answer is lost may hold the key for it.
+		g.lease = lease
+		g.mu.Unlock()
 		err = g.hold(ctx, lease, self)
 	}
 	g.mu.Lock()
 	g.away = err != nil
-	anew := err == nil && g.lease != lease
+	anew := err == nil && !g.member
 	if err == nil {
-		g.lease = lease
+		g.member = true
 		// Reckoned from before the renewal was sent, less a margin for clocks that
 		// run at different rates.
 		g.until = sent.Add(g.o.Lease - g.o.Lease/10)
@@ -395,7 +400,7 @@
 	if g.abandoned {
 		lease = ""
 	}
-	g.lease, g.until = "", time.Time{}
+	g.lease, g.member, g.until = "", false, time.Time{}
 	g.mu.Unlock()
 	if lease == "" {
 		return
--- a/internal/peer/member/group_test.go
+++ b/internal/peer/member/group_test.go
@@ -7,20 +7,37 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	fakestore "bramleysail.example/bramleysail/internal/fake/store"
 	"bramleysail.example/bramleysail/internal/peer/link"
 	"bramleysail.example/bramleysail/internal/plat/store"
 )
 
-func newGroup(t *testing.T) *Group {
+// deaf carries out the next Hold and loses its answer.
+type deaf struct {
+	store.Store
+	lose bool
+}
+
+func (d *deaf) Hold(ctx context.Context, lease, key string, value []byte) error {
+	err := d.Store.Hold(ctx, lease, key, value)
+	if d.lose && err == nil {
+		d.lose = false
+		return errors.Wrap(store.ErrUnknown, "answer lost")
+	}
+	return err
+}
+
+func newGroup(t *testing.T) (*Group, *deaf) {
 	t.Helper()
 	srv := httptest.NewServer(new(fakestore.Store).Handler())
 	t.Cleanup(srv.Close)
+	s := &deaf{Store: store.NewHTTP(srv.URL, time.Minute)}
 	return New(Options{
 		Self:  Member{ID: "e1", Zone: "cartago", State: StateLive},
-		Store: store.NewHTTP(srv.URL, time.Minute), Links: &link.Set{}, Lease: time.Hour, Log: logr.Discard(),
-	})
+		Store: s, Links: &link.Set{}, Lease: time.Hour, Log: logr.Discard(),
+	}), s
 }
 
 // see makes the group's view that of the store.
@@ -47,12 +64,12 @@
 // what the others have taken over.
 func TestJoinByStaleView(t *testing.T) {
 	ctx := context.Background()
-	g := newGroup(t)
+	g, s := newGroup(t)
 	if err := g.renew(ctx); err != nil {
 		t.Fatal(err)
 	}
 	see(t, g)
-	if err := g.o.Store.Close(ctx, g.lease); err != nil {
+	if err := s.Close(ctx, g.lease); err != nil {
 		t.Fatal(err)
 	}
 	if err := g.renew(ctx); err != nil {
@@ -63,3 +80,25 @@
 	}
 	checkHeld(t, g)
 }
+
+// The answer to the write of a process's key is lost. The process must not go on under a
+// lease that doesn't hold the key: the key would lapse while the process acts on.
+func TestHoldAnswerLost(t *testing.T) {
+	ctx := context.Background()
+	g, s := newGroup(t)
+	s.lose = true
+	if err := g.renew(ctx); !errors.Is(err, store.ErrUnknown) {
+		t.Fatalf("joined without an answer: %v", err)
+	}
+	if g.Lawful() {
+		t.Error("lawful before it is known that the key is held")
+	}
+	see(t, g)
+	if err := g.renew(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if !g.Lawful() {
+		t.Error("not lawful after joining")
+	}
+	checkHeld(t, g)
+}
