--- a/internal/batch/hold/hold.go
+++ b/internal/batch/hold/hold.go
@@ -145,9 +145,13 @@
 			h.begin(ctx, BucketTable, name, row, h.takeBucket)
 		}
 	}
+	zones := h.rackZones()
 	for name, row := range racks {
-		if h.racks[name] == nil {
-			h.begin(ctx, RackTable, name, row, h.takeRack)
+		// A rack that the host list doesn't name yet stays with its former holder.
+		if zone, ok := zones[name]; ok && h.racks[name] == nil {
+			h.begin(ctx, RackTable, name, row, func(_ context.Context, name string, row shard.Row) {
+				h.takeRack(name, zone, row)
+			})
 		}
 	}
 }
--- /dev/null
+++ b/internal/batch/hold/hold_test.go
@@ -0,0 +1,90 @@
+package hold
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	tally "github.com/uber-go/tally/v4"
+
+	"bramleysail.example/bramleysail/internal/ctrl/shard"
+	"bramleysail.example/bramleysail/internal/ctrl/sheet"
+	fakestore "bramleysail.example/bramleysail/internal/fake/store"
+	"bramleysail.example/bramleysail/internal/peer/link"
+	"bramleysail.example/bramleysail/internal/peer/member"
+	"bramleysail.example/bramleysail/internal/plat/hosts"
+	"bramleysail.example/bramleysail/internal/plat/store"
+)
+
+// newHolder returns the holder of the only member, to whom the table gives rack0. The
+// host list is empty until it is set.
+func newHolder(t *testing.T, list *[]hosts.Host) *Holder {
+	t.Helper()
+	srv := httptest.NewServer(new(fakestore.Store).Handler())
+	t.Cleanup(srv.Close)
+	s := store.NewHTTP(srv.URL, time.Minute)
+	links := &link.Set{}
+	joined := make(chan struct{}, 1)
+	group := member.New(member.Options{
+		Self: member.Member{ID: "e0", Zone: "heredia", State: member.StateLive}, Store: s, Links: links,
+		Lease: time.Hour, Wait: time.Minute, Beat: time.Minute, Timeout: time.Minute, Log: logr.Discard(),
+		Joined: func() { joined <- struct{}{} },
+	})
+	keeper := shard.NewKeeper(shard.Options{
+		Store: s, Group: group, Wait: time.Minute, Log: logr.Discard(),
+		Items:   func() map[string][]shard.Item { return nil },
+		Changed: func(string, shard.Table) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		group.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	<-joined
+	value, err := json.Marshal(shard.Table{ID: "1", Seq: 1, Rows: map[string]shard.Row{"rack0": {By: "e0", Ep: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Swap(ctx, "assign/"+RackTable, value, 0); err != nil {
+		t.Fatal(err)
+	}
+	if err := keeper.Refresh(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return New(Options{
+		Store: s, Group: group, Keeper: keeper, Links: links,
+		Config:  func() sheet.Config { return sheet.Config{} },
+		Age:     func() time.Duration { return 0 },
+		Hosts:   func() []hosts.Host { return *list },
+		Buckets: 1, Lease: time.Minute, Poll: time.Second, Fresh: time.Minute, Timeout: time.Minute,
+		Log: logr.Discard(), Scope: tally.NoopScope,
+	})
+}
+
+// A process that has just started is given a rack before it has read the host list.
+// Holding the rack without its failure domain, it would never get a task for it.
+func TestRackBeforeHosts(t *testing.T) {
+	var list []hosts.Host
+	h := newHolder(t, &list)
+	follow := func() []*rackHolding {
+		h.follow(context.Background())
+		h.wg.Wait()
+		return h.heldRacks()
+	}
+	for _, r := range follow() {
+		t.Errorf("%s is held in failure domain %q", r.name, r.core.Zone())
+	}
+	list = []hosts.Host{{Addr: "w0", Kind: hosts.KindWorker, Zone: "cartago", Rack: "rack0", State: hosts.StateLive}}
+	racks := follow()
+	if len(racks) != 1 {
+		t.Fatalf("%d racks are held", len(racks))
+	}
+	if zone := racks[0].core.Zone(); zone != "cartago" {
+		t.Errorf("%s is held in failure domain %q", racks[0].name, zone)
+	}
+}
--- a/internal/batch/hold/rack.go
+++ b/internal/batch/hold/rack.go
@@ -28,15 +28,14 @@
 }
 
 // takeRack holds a rack from now on; its workers are fenced one by one.
-func (h *Holder) takeRack(_ context.Context, name string, row shard.Row) {
-	zone := h.rackZones()[name]
+func (h *Holder) takeRack(name, zone string, row shard.Row) {
 	r := &rackHolding{name: name, ep: row.Ep, waiting: map[string]int{}, urgent: map[string]int{}, polled: map[string]bool{},
 		core: rack.New(time.Now(), rack.Options{Rack: name, Zone: zone, Ep: row.Ep, Lease: h.o.Lease, Fresh: h.o.Fresh, Bucket: h.Bucket})}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if mine, ok := h.o.Keeper.Mine(RackTable)[name]; ok && mine.Ep == row.Ep && h.racks[name] == nil {
 		h.racks[name] = r
-		h.o.Log.Info("rack held", "rack", name, "ep", row.Ep)
+		h.o.Log.Info("rack held", "rack", name, "zone", zone, "ep", row.Ep)
 	}
 }
 
