--- a/internal/peer/member/group.go
+++ b/internal/peer/member/group.go
@@ -77,6 +77,15 @@
 	return g.view
 }
 
+// Read returns the members as the store has them now, which may be ahead of View.
+func (g *Group) Read(ctx context.Context) (View, error) {
+	p, err := g.o.Store.List(ctx, prefix, 0, 0)
+	if err != nil {
+		return View{}, err
+	}
+	return newView(p), nil
+}
+
 // Self returns this process as a member.
 func (g *Group) Self() Member {
 	g.mu.Lock()
--- a/internal/route/broker/claim.go
+++ b/internal/route/broker/claim.go
@@ -81,14 +81,19 @@
 	if row.Was == self {
 		return nil, slots, true
 	}
-	view := b.o.Group.View()
-	if m, ok := view.Get(row.Was); ok {
+	if m, ok := b.o.Group.View().Get(row.Was); ok {
 		cctx, cancel := context.WithTimeout(ctx, b.o.Timeout)
 		defer cancel()
 		rep, err := link.Call[ClaimArgs, ClaimReply](cctx, b.o.Links.To(m.Addr), "Peer.Claim",
 			ClaimArgs{b.o.Service, addr, self, row.Ep})
 		return rep.Held, rep.Ghosts, err == nil && rep.OK
 	}
+	// The view may be older than the table, and the previous holder have joined since. One
+	// that joins after this reading gives up what it owned, and finds the new row.
+	view, err := b.o.Group.Read(ctx)
+	if err != nil {
+		return nil, 0, false
+	}
 	return b.collect(ctx, view, HeldArgs{b.o.Service, addr, self, row.Ep}, slots)
 }
 
