--- a/internal/route/broker/claim.go
+++ b/internal/route/broker/claim.go
@@ -86,7 +86,9 @@
 		defer cancel()
 		rep, err := link.Call[ClaimArgs, ClaimReply](cctx, b.o.Links.To(m.Addr), "Peer.Claim",
 			ClaimArgs{b.o.Service, addr, self, row.Ep})
-		return rep.Held, rep.Ghosts, err == nil && rep.OK
+		if err != nil || !rep.Absent {
+			return rep.Held, rep.Ghosts, err == nil && rep.OK
+		}
 	}
 	// The view may be older than the table, and the previous holder have joined since. One
 	// that joins after this reading gives up what it owned, and finds the new row.
@@ -97,7 +99,7 @@
 	return b.collect(ctx, view, HeldArgs{b.o.Service, addr, self, row.Ep}, slots)
 }
 
-// collect asks every process about a target whose holder is gone.
+// collect asks every process about a target whose holder is gone or never had it.
 func (b *Broker) collect(ctx context.Context, view member.View, in HeldArgs, slots int) ([]pool.Held, int, bool) {
 	held := b.Held(in).Held
 	for _, m := range view.Members() {
@@ -148,8 +150,9 @@
 
 // Claim answers the process that holds a target by a newer table.
 //
-// A target that passed on before it was ever taken over here is first taken over from
-// the holder before: that one may be using it still, and the claimant doesn't know it.
+// A target that is being taken over here is first taken over from the holder before: that
+// one may be using it still, and the claimant doesn't know it. One that passed on before it
+// was taken over here may be in use anywhere.
 func (b *Broker) Claim(in ClaimArgs) ClaimReply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -158,10 +161,10 @@
 	}
 	b.epochs[in.Target] = max(b.epochs[in.Target], in.Ep)
 	if !b.owns(in.Target) {
-		return ClaimReply{OK: true, Ghosts: allSlots}
+		return ClaimReply{Absent: true}
 	}
 	held, ghosts := b.core.Disown(time.Now(), in.Target, in.By)
-	return ClaimReply{true, held, ghosts}
+	return ClaimReply{OK: true, Held: held, Ghosts: ghosts}
 }
 
 // owns reports whether the target is owned here; the lock is held.
@@ -174,9 +177,6 @@
 	return false
 }
 
-// allSlots stands for as many untracked requests as the target has slots.
-const allSlots = 1 << 20
-
 // Held names the permits of a target that are in use here, and gives the target up if
 // it was owned here by an older table.
 func (b *Broker) Held(in HeldArgs) HeldReply {
--- a/internal/route/broker/claim_test.go
+++ b/internal/route/broker/claim_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/ctrl/shard"
 	fakestore "bramleysail.example/bramleysail/internal/fake/store"
 	"bramleysail.example/bramleysail/internal/peer/link"
@@ -19,19 +20,25 @@
 // blind is a store whose watches answer only once.
 type blind struct{ store.Store }
 
-func (b blind) List(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Page, error) {
-	if after > 0 && wait > 0 {
+func (b blind) List(ctx context.Context, prefix string, after uint64, hold time.Duration) (store.Page, error) {
+	if after > 0 && hold > 0 {
 		<-ctx.Done()
 		return store.Page{}, ctx.Err()
 	}
-	return b.Store.List(ctx, prefix, after, wait)
+	return b.Store.List(ctx, prefix, after, hold)
 }
 
 // peer answers what processes ask each other about targets.
-type peer struct{ b *Broker }
+type peer struct {
+	b     *Broker
+	asked func() // called at each claim, if there is one
+}
 
 // Claim is called by its name over net/rpc.
 func (p *peer) Claim(in ClaimArgs, out *ClaimReply) error {
+	if p.asked != nil {
+		p.asked()
+	}
 	*out = p.b.Claim(in)
 	return nil
 }
@@ -42,24 +49,41 @@
 	return nil
 }
 
-// join returns the broker of a process that has joined and answers its peers.
-func join(t *testing.T, id string, s store.Store) *Broker {
+// proc is a process with a broker.
+type proc struct {
+	*Broker
+	changed chan struct{} // its view
+}
+
+// meet waits until the process's view shows another.
+func (p *proc) meet(id string) {
+	for {
+		if _, ok := p.o.Group.View().Get(id); ok {
+			return
+		}
+		<-p.changed
+	}
+}
+
+// join returns a process that has joined and answers its peers.
+func join(t *testing.T, id string, s store.Store, asked func()) *proc {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	links := &link.Set{}
-	joined := make(chan struct{}, 1)
+	joined, changed := make(chan struct{}, 1), make(chan struct{}, 1)
 	b := New(Options{
 		Service: "registro", Links: links, Timeout: time.Minute, Log: logr.Discard(),
 		Group: member.New(member.Options{
 			Self: member.Member{ID: id, Addr: lis.Addr().String(), State: member.StateLive}, Store: s, Links: links,
 			Lease: time.Hour, Wait: time.Minute, Beat: time.Minute, Timeout: time.Minute, Log: logr.Discard(),
-			Joined: func() { joined <- struct{}{} },
+			Joined:  func() { joined <- struct{}{} },
+			Changed: func(member.View) { wait.Kick(changed) },
 		}),
 	})
-	server, err := link.NewServer("Peer", &peer{b})
+	server, err := link.NewServer("Peer", &peer{b, asked})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,11 +98,11 @@
 		<-done
 	})
 	<-joined
-	return b
+	return &proc{b, changed}
 }
 
 // follow gives the target to the process by a row and waits until it has taken it over.
-func follow(b *Broker, target string, row shard.Row) {
+func follow(b *proc, target string, row shard.Row) {
 	b.Follow(context.Background(), map[string]shard.Row{target: row}, 4)
 	b.wg.Wait()
 }
@@ -89,8 +113,8 @@
 	srv := httptest.NewServer(new(fakestore.Store).Handler())
 	t.Cleanup(srv.Close)
 	s := store.NewHTTP(srv.URL, time.Minute)
-	next := join(t, "e0", blind{s})
-	holder := join(t, "e1", s)
+	next := join(t, "e0", blind{s}, nil)
+	holder := join(t, "e1", s, nil)
 	follow(holder, "target", shard.Row{By: "e1", Ep: 1})
 	if len(holder.Targets()) != 1 {
 		t.Fatal("the first holder has no target")
@@ -100,3 +124,19 @@
 		t.Errorf("the next holder has %d, the previous %d", len(next.Targets()), len(holder.Targets()))
 	}
 }
+
+// A target moves on twice before the process in between has seen that it was its own. It
+// isn't the one to take the target over from: the holder before it is sending there yet.
+func TestClaimPassedOn(t *testing.T) {
+	srv := httptest.NewServer(new(fakestore.Store).Handler())
+	t.Cleanup(srv.Close)
+	s := store.NewHTTP(srv.URL, time.Minute)
+	next, holder := join(t, "e0", s, nil), join(t, "e1", s, nil)
+	join(t, "e2", s, nil)
+	next.meet("e2")
+	follow(holder, "target", shard.Row{By: "e1", Ep: 1})
+	follow(next, "target", shard.Row{By: "e0", Ep: 3, Was: "e2"})
+	if len(next.Targets()) != 1 || len(holder.Targets()) != 0 {
+		t.Errorf("the next holder has %d, the first %d", len(next.Targets()), len(holder.Targets()))
+	}
+}
--- a/internal/route/broker/wire.go
+++ b/internal/route/broker/wire.go
@@ -45,9 +45,11 @@
 	Ep      uint64
 }
 
-// ClaimReply hands over; OK is false when the holder can't yet.
+// ClaimReply hands over; OK is false when the holder can't yet, or with Absent when it
+// never took the target over and another may have it.
 type ClaimReply struct {
 	OK     bool
+	Absent bool
 	Held   []pool.Held
 	Ghosts int
 }
