--- a/internal/route/broker/claim.go
+++ b/internal/route/broker/claim.go
@@ -150,17 +150,20 @@
 
 // Claim answers the process that holds a target by a newer table.
 //
-// A target that is being taken over here is first taken over from the holder before: that
-// one may be using it still, and the claimant doesn't know it. One that passed on before it
-// was taken over here may be in use anywhere.
+// A target that is being taken over here is left to the claimant. If this process took it
+// over first, two that claim the same target from each other, as it moved on and back, would
+// wait for each other.
 func (b *Broker) Claim(in ClaimArgs) ClaimReply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, under := b.claims[in.Target]; under || in.Ep <= b.epochs[in.Target] && b.owns(in.Target) {
+	_, under := b.claims[in.Target]
+	owned := b.owns(in.Target)
+	if in.Ep <= b.epochs[in.Target] && (under || owned) {
 		return ClaimReply{}
 	}
 	b.epochs[in.Target] = max(b.epochs[in.Target], in.Ep)
-	if !b.owns(in.Target) {
+	delete(b.claims, in.Target)
+	if !owned {
 		return ClaimReply{Absent: true}
 	}
 	held, ghosts := b.core.Disown(time.Now(), in.Target, in.By)
--- a/internal/route/broker/claim_test.go
+++ b/internal/route/broker/claim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,3 +141,32 @@
 		t.Errorf("the next holder has %d, the first %d", len(next.Targets()), len(holder.Targets()))
 	}
 }
+
+// A target moves on and back before either process has taken it over, so that each claims
+// it from the other. If both waited for the other's claim to end, nobody would ever own it.
+func TestClaimEachOther(t *testing.T) {
+	srv := httptest.NewServer(new(fakestore.Store).Handler())
+	t.Cleanup(srv.Close)
+	s := store.NewHTTP(srv.URL, time.Minute)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	both := make(chan struct{})
+	var asked atomic.Int64
+	ask := func() {
+		<-both
+		if asked.Add(1) > 20 {
+			cancel()
+		}
+	}
+	former, present := join(t, "e0", s, ask), join(t, "e1", s, ask)
+	former.meet("e1")
+	present.meet("e0")
+	former.Follow(ctx, map[string]shard.Row{"target": {By: "e0", Ep: 2, Was: "e1"}}, 4)
+	present.Follow(ctx, map[string]shard.Row{"target": {By: "e1", Ep: 3, Was: "e0"}}, 4)
+	close(both)
+	former.wg.Wait()
+	present.wg.Wait()
+	if len(former.Targets()) != 0 || len(present.Targets()) != 1 {
+		t.Errorf("the former holder has %d, the present one %d", len(former.Targets()), len(present.Targets()))
+	}
+}
