--- a/internal/ctrl/sheet/record.go
+++ b/internal/ctrl/sheet/record.go
@@ -198,9 +198,11 @@
 	changed func(Config)
 	log     logr.Logger
 
-	mu  sync.Mutex
-	now Config
-	at  time.Time
+	mu   sync.Mutex
+	now  Config
+	at   time.Time
+	told uint64 // the number of the configuration that changed was last called with
+	busy bool   // changed is being called
 }
 
 // NewFeed returns a feed that calls changed on each new configuration, one call at a time.
@@ -279,8 +281,25 @@
 		f.at = began
 	}
 	f.mu.Unlock()
-	if newer {
-		f.log.Info("configuration in force", "num", next.Num, "out", next.outText())
-		f.changed(next)
+	f.tell()
+}
+
+// tell calls changed until it has been called with the latest configuration. A call that
+// comes while another is at it leaves the rest to that one.
+func (f *Feed) tell() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.busy {
+		return
+	}
+	f.busy = true
+	for f.told < f.now.Num {
+		c := f.now
+		f.told = c.Num
+		f.mu.Unlock()
+		f.log.Info("configuration in force", "num", c.Num, "out", c.outText())
+		f.changed(c)
+		f.mu.Lock()
 	}
+	f.busy = false
 }
--- a/internal/ctrl/sheet/sheet_test.go
+++ b/internal/ctrl/sheet/sheet_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	"github.com/sebdah/goldie/v2"
 
@@ -112,3 +114,37 @@
 		}
 	})
 }
+
+// A second configuration is read while the first is still being put in force. Put in force
+// one after the other but in the wrong order, the older one would stay.
+func TestFeedOrder(t *testing.T) {
+	ctx := context.Background()
+	s := newStore(t)
+	read := func() store.Page {
+		p, err := s.List(ctx, key, 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	if _, err := Put(ctx, s, example(t, "association.sheet.toml"), false); err != nil {
+		t.Fatal(err)
+	}
+	first := read()
+	if _, err := Move(ctx, s, "heredia", true); err != nil {
+		t.Fatal(err)
+	}
+	second := read()
+	var f *Feed
+	var inForce []uint64
+	f = NewFeed(s, 0, func(c Config) {
+		if c.Num == 1 {
+			f.take(second, time.Now(), true)
+		}
+		inForce = append(inForce, c.Num)
+	}, logr.Discard())
+	f.take(first, time.Now(), true)
+	if !slices.Equal(inForce, []uint64{1, 2}) {
+		t.Errorf("put in force: %v", inForce)
+	}
+}
