--- a/internal/ctrl/sheet/record.go
+++ b/internal/ctrl/sheet/record.go
@@ -103,7 +103,7 @@
 			sheet.size(), now.sheet.size()))
 	}
 	next := now
-	next.Text = text
+	next.Text, next.sheet = text, sheet
 	return next.write(ctx, s)
 }
 
@@ -272,6 +272,16 @@
 		}
 		next = c
 	}
+	f.adopt(next, began, confirms)
+}
+
+// Adopt takes in a configuration that was written through this process, ahead of the reads.
+// It confirms nothing: the start of the write doesn't tell when it took effect.
+func (f *Feed) Adopt(c Config) {
+	f.adopt(c, time.Time{}, false)
+}
+
+func (f *Feed) adopt(next Config, began time.Time, confirms bool) {
 	f.mu.Lock()
 	newer := next.Num > f.now.Num
 	if newer {
--- a/internal/proc/node/admin.go
+++ b/internal/proc/node/admin.go
@@ -138,6 +138,7 @@
 		problem(w, err)
 		return
 	}
+	n.feed.Adopt(c)
 	answer(w, http.StatusOK, configView{c.Num, c.Out, c.Text})
 }
 
@@ -152,6 +153,7 @@
 		problem(w, err)
 		return
 	}
+	n.feed.Adopt(c)
 	answer(w, http.StatusOK, configView{c.Num, c.Out, c.Text})
 }
 
