--- a/internal/route/broker/claim.go
+++ b/internal/route/broker/claim.go
@@ -26,6 +26,10 @@
 		// A table from before a target was given away would take it back.
 		start := !owned[addr] && row.Ep >= b.epochs[addr] && (!under || ep < row.Ep)
 		if start {
+			if row.Was == "" && row.Ep == b.epochs[addr] {
+				// Taken over by this row before, and given up: there may be requests from then.
+				row.Was = b.core.Self()
+			}
 			b.claims[addr] = row.Ep
 			b.epochs[addr] = row.Ep
 		}
--- a/internal/route/broker/claim_test.go
+++ b/internal/route/broker/claim_test.go
@@ -170,3 +170,18 @@
 		t.Errorf("the former holder has %d, the present one %d", len(former.Targets()), len(present.Targets()))
 	}
 }
+
+// The first owner of a target loses its membership and joins again before anybody has taken
+// the target over. Its requests from before are still there and fill slots.
+func TestOwnAgain(t *testing.T) {
+	srv := httptest.NewServer(new(fakestore.Store).Handler())
+	t.Cleanup(srv.Close)
+	owner := join(t, "e0", store.NewHTTP(srv.URL, time.Minute), nil)
+	row := shard.Row{By: "e0", Ep: 1}
+	follow(owner, "target", row)
+	owner.Rejoined()
+	follow(owner, "target", row)
+	if got := owner.Targets(); len(got) != 1 || got[0].Ghosts != 4 {
+		t.Errorf("owned again: %+v", got)
+	}
+}
