--- a/internal/batch/jobs/core.go
+++ b/internal/batch/jobs/core.go
@@ -42,6 +42,7 @@
 	Ep       uint64 // of the rack's holder
 	Usable   bool   // tasks may start there
 	Offer    Offer
+	Heard    uint64 // the highest number of a placement that it was told of; the offer knows nothing of later ones
 	Finished []Place
 	Released []Place // finished ones whose worker has learned that they count
 	Failed   []Place
--- a/internal/batch/jobs/place.go
+++ b/internal/batch/jobs/place.go
@@ -26,8 +26,12 @@
 
 // place assigns waiting tasks to what the rack offers, in order of rank, then age.
 func (c *Core) place(r Report, allowed func(string) bool) {
-	free := slices.Clone(r.Offer.Free)
-	for _, j := range c.waiting() {
+	waiting := c.waiting()
+	if len(r.Offer.Free) == 0 || len(waiting) == 0 {
+		return
+	}
+	free := c.left(r)
+	for _, j := range waiting {
 		if !allowed(j.Spec.Kind) {
 			continue
 		}
@@ -41,6 +45,35 @@
 	}
 }
 
+// left returns what the rack offers less what it was given and hasn't heard of.
+//
+// It guards against room that is used twice: a rack offers again before the store holds
+// what its last offer was used for, and the tasks above its room would wait there while
+// other racks are free.
+func (c *Core) left(r Report) []wire.Size {
+	free := slices.Clone(r.Offer.Free)
+	type given struct {
+		no   uint64
+		size wire.Size
+	}
+	var list []given
+	for _, j := range c.work.Jobs {
+		if j.State != StateOpen {
+			continue
+		}
+		for _, at := range j.Place {
+			if at.Rack == r.Rack && at.No > r.Heard {
+				list = append(list, given{at.No, j.Spec.Size})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b given) int { return cmp.Compare(a.no, b.no) })
+	for _, g := range list {
+		take(free, g.size)
+	}
+	return free
+}
+
 // waiting returns the jobs with tasks to place, in the order in which they go.
 func (c *Core) waiting() []*Job {
 	var list []*Job
--- a/internal/batch/rack/core.go
+++ b/internal/batch/rack/core.go
@@ -70,6 +70,7 @@
 	now      time.Time
 	workers  map[string]*worker
 	wants    map[string]map[jobs.Place]want // by bucket
+	heard    map[string]uint64              // the highest number of a placement wanted so far, by bucket
 	suspect  map[jobs.Place]bool            // a former holder may have started it
 	runs     map[jobs.Place]*run
 	backs    map[jobs.Place]time.Duration // given back, until recorded
@@ -83,7 +84,7 @@
 
 // New returns the core of a holding that begins now.
 func New(now time.Time, o Options) *Core {
-	return &Core{o: o, began: now, now: now, workers: map[string]*worker{}, wants: map[string]map[jobs.Place]want{},
+	return &Core{o: o, began: now, now: now, workers: map[string]*worker{}, wants: map[string]map[jobs.Place]want{}, heard: map[string]uint64{},
 		suspect: map[jobs.Place]bool{}, runs: map[jobs.Place]*run{}, backs: map[jobs.Place]time.Duration{},
 		released: map[jobs.Place]bool{}}
 }
--- a/internal/batch/rack/event.go
+++ b/internal/batch/rack/event.go
@@ -220,6 +220,7 @@
 	old, spoken := c.wants[bucket]
 	next := make(map[jobs.Place]want, len(a.Run))
 	for _, t := range a.Run {
+		c.heard[bucket] = max(c.heard[bucket], t.Place.No)
 		if _, back := c.backs[t.Place]; back {
 			continue
 		}
@@ -242,7 +243,7 @@
 
 // Report returns what the bucket has to hear; with offer it names what is free.
 func (c *Core) Report(bucket string, offer bool) jobs.Report {
-	rep := jobs.Report{Rack: c.o.Rack, Zone: c.o.Zone, Ep: c.o.Ep, Usable: c.conf.Usable, Back: map[jobs.Place]time.Duration{}}
+	rep := jobs.Report{Rack: c.o.Rack, Zone: c.o.Zone, Ep: c.o.Ep, Usable: c.conf.Usable, Heard: c.heard[bucket], Back: map[jobs.Place]time.Duration{}}
 	for _, r := range c.sorted() {
 		if c.bucket(r.place) != bucket {
 			continue
--- a/internal/batch/rack/guard_test.go
+++ b/internal/batch/rack/guard_test.go
@@ -176,3 +176,46 @@
 		t.Errorf("a start that arrives too late: refused %v", refused)
 	}
 }
+
+// A rack offers its room again before it has heard what the last offer was used for. Used
+// twice, the room would have tasks waiting for it that other racks could start at once.
+func TestRoomGivenOnce(t *testing.T) {
+	b := newBench()
+	c := b.holder(1)
+	bucket := jobs.New(jobs.Bucket{}, 1)
+	write := func() {
+		if _, err := bucket.Begin("id"); err != nil {
+			t.Fatal(err)
+		}
+		bucket.Ended(true)
+	}
+	write()
+	if err := bucket.Submit(b.now, jobs.Spec{ID: "audit", Kind: "audit", N: 3, Size: workerSize, Run: time.Minute}); err != nil {
+		t.Fatal(err)
+	}
+	write()
+	exchange := func(when string, waiting int, rep jobs.Report) {
+		t.Helper()
+		a := bucket.Hear(b.now, rep, func(string) bool { return true })
+		if n, _ := bucket.Waiting(); n != waiting {
+			t.Errorf("%s: %d tasks wait, not %d", when, n, waiting)
+		}
+		c.Take(b.now, "b", a)
+	}
+	exchange("at the first offer", 2, c.Report("b", true))
+	exchange("before the store holds the placement", 2, c.Report("b", true))
+	late := c.Report("b", true)
+	write()
+	exchange("as the store holds it, before the rack has heard", 2, late)
+	exchange("while the task waits for its start", 2, c.Report("b", true))
+	b.deliver(c, b.tick(c))
+	exchange("while the task runs", 2, c.Report("b", true))
+	if len(b.worker.Running()) != 1 {
+		t.Fatalf("running: %v", b.worker.Running())
+	}
+	for end := b.now.Add(time.Minute); !b.now.After(end); b.now = b.now.Add(leaseOf / 4) {
+		b.deliver(c, b.tick(c))
+	}
+	c.Reported("w", b.worker.Report())
+	exchange("after its end", 1, c.Report("b", true))
+}
