--- a/internal/peer/member/group.go
+++ b/internal/peer/member/group.go
@@ -52,7 +52,8 @@
 
 	mu     sync.Mutex
 	view   View
-	lease  string
+	lease  string // open in the store
+	member bool   // the own key is held under the lease
 	joined time.Time
 	self   Member
 	until  time.Time // own authority by the store's lease, on the monotonic clock
@@ -76,6 +77,15 @@
 	return g.view
 }
 
+// Read returns the members as the store has them now, which may be ahead of View.
+func (g *Group) Read(ctx context.Context) (View, error) {
+	p, err := g.o.Store.List(ctx, prefix, 0, 0)
+	if err != nil {
+		return View{}, err
+	}
+	return newView(p), nil
+}
+
 // Self returns this process as a member.
 func (g *Group) Self() Member {
 	g.mu.Lock()
@@ -109,7 +119,7 @@
 	if now.Before(g.until) {
 		return true
 	}
-	if !g.away || g.lease == "" {
+	if !g.away || !g.member {
 		return false
 	}
 	seconds := 1
@@ -186,18 +196,22 @@
 	}
 	if errors.Is(err, store.ErrLapsed) {
 		g.mu.Lock()
-		g.lease, g.until = "", time.Time{}
+		g.lease, g.member, g.until = "", false, time.Time{}
 		g.mu.Unlock()
 		return g.renew(ctx)
 	}
 	if err == nil {
+		g.mu.Lock()
+		// Kept even if the key isn't: a write whose answer is lost may hold the key for it.
+		g.lease = lease
+		g.mu.Unlock()
 		err = g.hold(ctx, lease, self)
 	}
 	g.mu.Lock()
 	g.away = err != nil
-	anew := err == nil && g.lease != lease
+	anew := err == nil && !g.member
 	if err == nil {
-		g.lease = lease
+		g.member = true
 		// Reckoned from before the renewal was sent, less a margin for clocks that
 		// run at different rates.
 		g.until = sent.Add(g.o.Lease - g.o.Lease/10)
@@ -220,9 +234,14 @@
 }
 
 // hold writes this process's key when the view lacks it or shows it otherwise.
+//
+// A key that the view shows under another lease is an old one: it is gone already or lapses
+// with that lease, and others then take over what this process holds.
 func (g *Group) hold(ctx context.Context, lease string, self Member) error {
-	if m, ok := g.View().Get(self.ID); ok && m == self {
-		return nil
+	if v := g.View(); v.leases[self.ID] == lease {
+		if m, ok := v.Get(self.ID); ok && m == self {
+			return nil
+		}
 	}
 	value, err := json.Marshal(self)
 	if err != nil {
@@ -390,7 +409,7 @@
 	if g.abandoned {
 		lease = ""
 	}
-	g.lease, g.until = "", time.Time{}
+	g.lease, g.member, g.until = "", false, time.Time{}
 	g.mu.Unlock()
 	if lease == "" {
 		return
--- a/internal/route/broker/claim.go
+++ b/internal/route/broker/claim.go
@@ -26,6 +26,10 @@
 		// A table from before a target was given away would take it back.
 		start := !owned[addr] && row.Ep >= b.epochs[addr] && (!under || ep < row.Ep)
 		if start {
+			if row.Was == "" && row.Ep == b.epochs[addr] {
+				// Taken over by this row before, and given up: there may be requests from then.
+				row.Was = b.core.Self()
+			}
 			b.claims[addr] = row.Ep
 			b.epochs[addr] = row.Ep
 		}
@@ -81,18 +85,25 @@
 	if row.Was == self {
 		return nil, slots, true
 	}
-	view := b.o.Group.View()
-	if m, ok := view.Get(row.Was); ok {
+	if m, ok := b.o.Group.View().Get(row.Was); ok {
 		cctx, cancel := context.WithTimeout(ctx, b.o.Timeout)
 		defer cancel()
 		rep, err := link.Call[ClaimArgs, ClaimReply](cctx, b.o.Links.To(m.Addr), "Peer.Claim",
 			ClaimArgs{b.o.Service, addr, self, row.Ep})
-		return rep.Held, rep.Ghosts, err == nil && rep.OK
+		if err != nil || !rep.Absent {
+			return rep.Held, rep.Ghosts, err == nil && rep.OK
+		}
+	}
+	// The view may be older than the table, and the previous holder have joined since. One
+	// that joins after this reading gives up what it owned, and finds the new row.
+	view, err := b.o.Group.Read(ctx)
+	if err != nil {
+		return nil, 0, false
 	}
 	return b.collect(ctx, view, HeldArgs{b.o.Service, addr, self, row.Ep}, slots)
 }
 
-// collect asks every process about a target whose holder is gone.
+// collect asks every process about a target whose holder is gone or never had it.
 func (b *Broker) collect(ctx context.Context, view member.View, in HeldArgs, slots int) ([]pool.Held, int, bool) {
 	held := b.Held(in).Held
 	for _, m := range view.Members() {
@@ -143,20 +154,24 @@
 
 // Claim answers the process that holds a target by a newer table.
 //
-// A target that passed on before it was ever taken over here is first taken over from
-// the holder before: that one may be using it still, and the claimant doesn't know it.
+// A target that is being taken over here is left to the claimant. If this process took it
+// over first, two that claim the same target from each other, as it moved on and back, would
+// wait for each other.
 func (b *Broker) Claim(in ClaimArgs) ClaimReply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, under := b.claims[in.Target]; under || in.Ep <= b.epochs[in.Target] && b.owns(in.Target) {
+	_, under := b.claims[in.Target]
+	owned := b.owns(in.Target)
+	if in.Ep <= b.epochs[in.Target] && (under || owned) {
 		return ClaimReply{}
 	}
 	b.epochs[in.Target] = max(b.epochs[in.Target], in.Ep)
-	if !b.owns(in.Target) {
-		return ClaimReply{OK: true, Ghosts: allSlots}
+	delete(b.claims, in.Target)
+	if !owned {
+		return ClaimReply{Absent: true}
 	}
 	held, ghosts := b.core.Disown(time.Now(), in.Target, in.By)
-	return ClaimReply{true, held, ghosts}
+	return ClaimReply{OK: true, Held: held, Ghosts: ghosts}
 }
 
 // owns reports whether the target is owned here; the lock is held.
@@ -169,9 +184,6 @@
 	return false
 }
 
-// allSlots stands for as many untracked requests as the target has slots.
-const allSlots = 1 << 20
-
 // Held names the permits of a target that are in use here, and gives the target up if
 // it was owned here by an older table.
 func (b *Broker) Held(in HeldArgs) HeldReply {
