--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -96,8 +96,9 @@
 	left    int // tasks that aren't done
 	open    bool
 	opened  time.Time
-	placed  bool // all of its tasks have had a place at a time
-	listed  bool // in Core.waiting
+	placed  bool      // all of its tasks have had a place at a time
+	listed  bool      // in Core.waiting
+	since   time.Time // when it was listed
 	rank    precedence
 	misfits *misfits // of its kind; nil: not looked up yet
 	at      time.Time
--- a/internal/batch/sched/waiting.go
+++ b/internal/batch/sched/waiting.go
@@ -63,8 +63,14 @@
 // precedence orders steps by the latest start with which their jobs are on time. Of jobs that haven't begun the
 // newest come first once others of their priority are late: with the oldest first, each would begin
 // when it can hardly be on time any more.
+//
+// Lasting steps come first, those that have waited longest before the others: when their jobs were due says nothing of a
+// task that is to run again.
 func (w *waiting) precedence(now time.Time, s *stage) precedence {
-	p := precedence{batch: !s.spec.Lasting, priority: s.job.Priority, prospect: s.prospect(now), at: s.due.UnixNano()}
+	if s.spec.Lasting {
+		return precedence{priority: s.job.Priority, at: s.since.UnixNano()}
+	}
+	p := precedence{batch: true, priority: s.job.Priority, prospect: s.prospect(now), at: s.due.UnixNano()}
 	if p.prospect == prospectFresh && w.crowded[p.priority] {
 		p.at = -s.at.UnixNano()
 	}
@@ -98,6 +104,7 @@
 	w.steps = slices.DeleteFunc(w.steps, (*stage).unlist)
 	w.fresh = slices.DeleteFunc(w.fresh, (*stage).unlist)
 	for _, s := range w.fresh {
+		s.since = now
 		s.rank = w.precedence(now, s)
 	}
 	if now.Sub(w.sorted) < resortEvery {
