--- a/internal/batch/sched/choice.go
+++ b/internal/batch/sched/choice.go
@@ -173,7 +173,7 @@
 
 // suits returns how well a step's tasks suit a worker, and whether one may be placed there now.
 func (c *Core) suits(now time.Time, w *worker, s *stage) (float64, bool) {
-	if !w.open(now) || !w.labelled(s.spec.Label) || s.spec.Apart > 0 && w.holds(s) >= s.spec.Apart {
+	if !w.allows(now, s) || !w.spares(c.plans, s.spec) {
 		return 0, false
 	}
 	score, ok := c.score(now, w, s)
@@ -183,6 +183,11 @@
 	return score, ok
 }
 
+// allows reports whether a step's tasks may be placed on a worker, if it has room.
+func (w *worker) allows(now time.Time, s *stage) bool {
+	return w.open(now) && w.labelled(s.spec.Label) && (s.spec.Apart == 0 || w.holds(s) < s.spec.Apart)
+}
+
 // score returns how well a step's tasks suit a worker, higher being better, and whether one fits.
 func (c *Core) score(now time.Time, w *worker, s *stage) (float64, bool) {
 	free := w.free()
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -31,6 +31,9 @@
 	rooms        map[string]*rooms // by service
 	stale        []*worker         // whose place in rooms may be out of date
 	choices      choices           // kept for its memory
+	candidates   []candidate       // likewise
+	ends         []expectedEnd     // likewise
+	timed        int               // workers for which this plan has found out when they will have room
 	sampled      int               // how often workers were sampled
 	zones        map[string]bool   // failure domains that are taken out
 	flow         flow
--- a/internal/batch/sched/forecast.go
+++ b/internal/batch/sched/forecast.go
@@ -50,7 +50,7 @@
 			o.exposed = append(o.exposed, exposure{c.interference.factors(r.task.stage.spec.Image), c.expectedPressure(now, w, r) - targetPressure})
 		}
 	}
-	o.left = w.Size.CPU - int(lasting) - (w.used.CPU - w.base) - fill
+	o.left = w.Size.CPU - int(lasting) - (w.used.CPU - w.lasting.CPU) - fill
 	return o
 }
 
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -30,6 +30,7 @@
 	c.waiting.sort(now)
 	c.flow.open(now)
 	c.plans++
+	c.timed = 0
 	for _, s := range c.waiting.steps {
 		if c.flow.limited {
 			break
@@ -110,7 +111,7 @@
 func (c *Core) placeStage(now time.Time, s *stage, doubt bool, orders []Order) []Order {
 	full := c.misfits(s)
 	if full.has(c.plans, s.spec.Size) {
-		c.noteUnplaced(now, s)
+		c.unplaced(now, s, doubt)
 		return orders
 	}
 	if s.spec.Gang {
@@ -132,7 +133,7 @@
 		}
 		i := ch.best(t)
 		if i < 0 {
-			c.noteUnplaced(now, s)
+			c.unplaced(now, s, doubt)
 			if s.spec.Apart == 0 {
 				full.add(c.plans, s.spec.Size)
 			}
@@ -144,6 +145,21 @@
 	return orders
 }
 
+// unplaced takes that a task of a stage has found no place.
+func (c *Core) unplaced(now time.Time, s *stage, doubt bool) {
+	c.noteUnplaced(now, s)
+	if !s.spec.Lasting || s.spec.Gang {
+		return
+	}
+	n := s.waiting
+	if doubt {
+		n -= s.unseen()
+	}
+	if n > 0 {
+		c.reserve(now, s, n)
+	}
+}
+
 // placeGang starts all tasks of a gang or none, on one rack where that is faster.
 func (c *Core) placeGang(now time.Time, s *stage, orders []Order) []Order {
 	for _, t := range s.tasks {
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -29,7 +29,7 @@
 
 // shared reports whether filling tasks run beside serving ones.
 func (w *worker) shared() bool {
-	return w.fill > 0 && w.base > 0
+	return w.fill > 0 && w.lasting.CPU > 0
 }
 
 // serves reports whether a run is one with a tail to keep.
--- a/internal/batch/sched/waits.go
+++ b/internal/batch/sched/waits.go
@@ -46,6 +46,8 @@
 		switch {
 		case !w.open(now) || !w.labelled(s.spec.Label):
 			t.Closed++
+		case !w.spares(c.plans, s.spec):
+			t.Full++
 		case s.spec.Fills && w.share.shut:
 			t.Shut++
 		case fits:
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -95,15 +95,16 @@
 	heard     int64         // ends up to here have been handled
 	pending   []pendingAck  // of these, in their order, whose jobs have to be stored first
 
-	runs  map[runKey]*run
-	list  []*run    // the same, in the order in which they came
-	used  wire.Size // of all runs but those that fill
-	mem   int       // memory of the runs that fill, MiB
-	fill  int       // millicores asked for by the runs that fill
-	base  int       // millicores asked for by lasting runs
-	clock clock
-	bad   health
-	share sharing
+	runs    map[runKey]*run
+	list    []*run    // the same, in the order in which they came
+	used    wire.Size // of all runs but those that fill
+	mem     int       // memory of the runs that fill, MiB
+	fill    int       // millicores asked for by the runs that fill
+	lasting wire.Size // of lasting runs
+	kept    reservation
+	clock   clock
+	bad     health
+	share   sharing
 
 	forecast forecast
 	stale    bool     // in Core.stale
@@ -191,7 +192,9 @@
 	w.used.Mem += sign * s.Size.Mem
 	w.used.Accel += sign * s.Size.Accel
 	if s.Lasting {
-		w.base += sign * s.Size.CPU
+		w.lasting.CPU += sign * s.Size.CPU
+		w.lasting.Mem += sign * s.Size.Mem
+		w.lasting.Accel += sign * s.Size.Accel
 	}
 }
 
