--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -31,6 +31,9 @@
 	rooms        map[string]*rooms // by service
 	stale        []*worker         // whose place in rooms may be out of date
 	choices      choices           // kept for its memory
+	candidates   []candidate       // likewise
+	ends         []expectedEnd     // likewise
+	timed        int               // workers for which this plan has found out when they will have room
 	sampled      int               // how often workers were sampled
 	zones        map[string]bool   // failure domains that are taken out
 	flow         flow
@@ -101,8 +104,9 @@
 	left    int // tasks that aren't done
 	open    bool
 	opened  time.Time
-	placed  bool // all of its tasks have had a place at a time
-	listed  bool // in Core.waiting
+	placed  bool      // all of its tasks have had a place at a time
+	listed  bool      // in Core.waiting
+	since   time.Time // when it was listed
 	rank    precedence
 	misfits *misfits // of its kind; nil: not looked up yet
 	starved bool     // see Core.starve
--- a/internal/batch/sched/waits.go
+++ b/internal/batch/sched/waits.go
@@ -36,7 +36,7 @@
 
 // noteUnplaced notes that a task of a step has found no place.
 func (c *Core) noteUnplaced(now time.Time, s *stage) {
-	if s.spec.Fills && s.rank.prospect <= prospectFresh {
+	if s.spec.Fills && !s.spec.Lasting && s.rank.prospect <= prospectFresh {
 		c.timely[s.job.Service] = c.plans
 	}
 	if s.short.IsZero() {
@@ -58,6 +58,8 @@
 		switch {
 		case !w.open(now) || !w.labelled(s.spec.Label):
 			t.Closed++
+		case !w.spares(c.plans, s.spec):
+			t.Full++
 		case s.spec.Fills && w.share.shut:
 			t.Shut++
 		case fits:
