--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -22,6 +22,9 @@
 var (
 	// ErrNever says that nothing of the request left this process.
 	ErrNever = errors.New("relay: not sent")
+	// ErrUnlawful is the ErrNever of a process that might not use the target any more when
+	// the request was to be written.
+	ErrUnlawful = errors.WithMessage(ErrNever, "relay: not lawful")
 	// ErrRefused says that the target refused the request before running it.
 	ErrRefused = errors.New("relay: refused by the target")
 	// ErrLost says that no whole answer came back; the request may have run or be running.
@@ -29,6 +32,8 @@
 	// ErrAnswer says that the answer can't be used: not this request's, cut short, too
 	// large or without a length. The request may have run.
 	ErrAnswer = errors.New("relay: answer unusable")
+
+	errHeld = errors.New("write held back")
 )
 
 // Headers between this project, its callers and its targets.
@@ -103,14 +108,18 @@
 type guarded struct {
 	net.Conn
 	lawful func() bool
+	user   atomic.Pointer[try] // whose request is written
 }
 
 // Write implements net.Conn.
-func (g guarded) Write(p []byte) (int, error) {
-	if !g.lawful() {
-		return 0, ErrNever
+func (g *guarded) Write(p []byte) (int, error) {
+	t := g.user.Load()
+	if t == nil || !t.begin(g.lawful()) {
+		return 0, errHeld
 	}
-	return g.Conn.Write(p)
+	n, err := g.Conn.Write(p)
+	t.wrote(n)
+	return n, err
 }
 
 func (r *Relay) dial(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -118,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return guarded{conn, r.lawful}, nil
+	return &guarded{Conn: conn, lawful: r.lawful}, nil
 }
 
 const (
@@ -170,18 +179,65 @@
 // try is the connection-level state of one exchange.
 type try struct {
 	conn atomic.Pointer[net.Conn]
-	sent atomic.Bool // a byte may have left
+
+	mu      sync.Mutex
+	writing int  // writes under way
+	sent    bool // a byte has left, over whichever connection
+	refused bool // a write wasn't lawful any more
+	over    bool // nothing more may be written
 }
 
 func (t *try) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			t.conn.Store(&i.Conn)
-			t.sent.Store(true)
+			if g, ok := i.Conn.(*guarded); ok {
+				g.user.Store(t)
+			}
 		},
 	}
 }
 
+// begin precedes each write and reports whether it may happen.
+func (t *try) begin(lawful bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.over:
+		return false
+	case !lawful:
+		t.refused = true
+		return false
+	}
+	t.writing++
+	return true
+}
+
+// wrote follows each write that began.
+func (t *try) wrote(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writing--
+	t.sent = t.sent || n > 0
+}
+
+// verdict ends an exchange that brought no answer and says what it has come to.
+//
+// It stops later writes, as a transport may go on with the body after RoundTrip has
+// returned: what is told as not sent must stay so.
+func (t *try) verdict() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.over = true
+	switch {
+	case t.sent || t.writing > 0:
+		return ErrLost
+	case t.refused:
+		return ErrUnlawful
+	}
+	return ErrNever
+}
+
 // kill closes the connection, so that whatever else comes over it reaches nobody.
 func (t *try) kill() {
 	if c := t.conn.Load(); c != nil {
@@ -200,10 +256,7 @@
 	}
 	resp, err := r.pipe(addr, role, conns).RoundTrip(req)
 	if err != nil {
-		if !t.sent.Load() {
-			return Answer{Load: -1}, errors.Wrap(ErrNever, err.Error())
-		}
-		return Answer{Load: -1}, errors.Wrap(ErrLost, err.Error())
+		return Answer{Load: -1}, errors.Wrap(t.verdict(), err.Error())
 	}
 	a, err := r.read(resp, q.ID)
 	// A refusal is a whole answer, after which the connection may already carry another
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,6 +38,103 @@
 	}
 }
 
+// A process loses its right to a target between a request's slot and its writing, over a
+// new connection or a used one. Nothing has left it: the caller must not be told that the
+// request may have run.
+func TestUnlawfulIsNotSent(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		used bool
+		body []byte
+	}{
+		{"new connection", false, []byte("x")},
+		{"used connection", true, []byte("x")},
+		{"used connection, no body", true, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			target := faketarget.New(4, 0)
+			addr := serve(t, target)
+			lawful := true
+			r := New(1<<20, func() bool { return lawful })
+			defer r.Close()
+			send := func(key string) error {
+				_, err := r.Do(context.Background(), addr, RoleOwner, 1, Request{ID: key, Key: key, Method: http.MethodPost, Path: "/", Body: tc.body})
+				return err
+			}
+			if tc.used {
+				if err := send("before"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			lawful = false
+			if err := send("after"); !errors.Is(err, ErrUnlawful) || !errors.Is(err, ErrNever) || errors.Is(err, ErrLost) {
+				t.Errorf("%v", err)
+			}
+			if n := target.Runs("after"); n != 0 {
+				t.Errorf("it ran %d times", n)
+			}
+		})
+	}
+}
+
+// A process loses its right to a target with half of a request written. The target may
+// have begun with it: it must not be told as not run.
+func TestPartlySentIsLost(t *testing.T) {
+	addr := serve(t, faketarget.New(4, 0))
+	var writes atomic.Int32
+	r := New(1<<20, func() bool { return writes.Add(1) == 1 })
+	defer r.Close()
+	_, err := r.Do(context.Background(), addr, RoleOwner, 1,
+		Request{ID: "1", Key: "1", Method: http.MethodPost, Path: "/", Body: make([]byte, 1<<20)})
+	if writes.Load() < 2 {
+		t.Fatal("the request went out in one write")
+	}
+	if !errors.Is(err, ErrLost) || errors.Is(err, ErrNever) {
+		t.Errorf("%v", err)
+	}
+}
+
+// A target closes a kept connection just before a request is written to it. Nothing has
+// left: the caller must not be told that the request may have run.
+func TestClosedBeforeWriteIsNotSent(t *testing.T) {
+	target := faketarget.New(4, 0)
+	addr := serve(t, target)
+	r := New(1<<20, always)
+	defer r.Close()
+	var closed atomic.Bool
+	r.pipe(addr, RoleOwner, 1).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return &guarded{Conn: closing{c, &closed}, lawful: always}, err
+	}
+	send := func(key string) error {
+		_, err := r.Do(context.Background(), addr, RoleOwner, 1, Request{ID: key, Key: key, Method: http.MethodPost, Path: "/", Body: []byte("x")})
+		return err
+	}
+	if err := send("before"); err != nil {
+		t.Fatal(err)
+	}
+	closed.Store(true)
+	if err := send("after"); !errors.Is(err, ErrNever) || errors.Is(err, ErrUnlawful) || errors.Is(err, ErrLost) {
+		t.Errorf("%v", err)
+	}
+	if n := target.Runs("after"); n != 0 {
+		t.Errorf("it ran %d times", n)
+	}
+}
+
+// closing is a connection whose other side has closed it, once closed is set.
+type closing struct {
+	net.Conn
+	closed *atomic.Bool
+}
+
+func (c closing) Write(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, syscall.ECONNRESET
+	}
+	return c.Conn.Write(p)
+}
+
 func serve(t *testing.T, target *faketarget.Target) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
