--- a/internal/route/broker/broker.go
+++ b/internal/route/broker/broker.go
@@ -77,6 +77,7 @@
 		epochs:  map[string]uint64{},
 		down:    map[string]bool{},
 		queued:  make(chan struct{}, 1),
+		lawful:  true, // as the core is at first
 	}
 }
 
