--- a/internal/route/broker/broker.go
+++ b/internal/route/broker/broker.go
@@ -113,14 +113,10 @@
 
 // tick does what is due and returns when to come again.
 func (b *Broker) tick() time.Duration {
-	sure := b.o.Sure()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	if sure != b.lawful {
-		b.lawful = sure
-		b.do(b.core.SetLawful(now, sure))
-	}
+	b.recheck(now)
 	b.do(b.core.Tick(now))
 	if b.core.Queued() > 0 {
 		return tick
@@ -128,6 +124,22 @@
 	return idleTick
 }
 
+// recheck takes in whether this process may use what it holds; the lock is held.
+func (b *Broker) recheck(now time.Time) {
+	if sure := b.o.Sure(); sure != b.lawful {
+		b.lawful = sure
+		b.do(b.core.SetLawful(now, sure))
+	}
+}
+
+// Recheck takes in at once, and not with the next tick, whether this process may use
+// what it holds.
+func (b *Broker) Recheck() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.recheck(time.Now())
+}
+
 // Acquire waits for a slot for the call and returns its permit, or *Refused, or ctx's error.
 func (b *Broker) Acquire(ctx context.Context, c pool.Call) (pool.Permit, error) {
 	ch := make(chan decision, 1)
--- a/internal/route/entry/entry.go
+++ b/internal/route/entry/entry.go
@@ -210,6 +210,11 @@
 			return relay.Answer{}, refusal(err)
 		}
 		a, err := e.try(ctx, s, p, q)
+		if errors.Is(err, relay.ErrUnlawful) && ctx.Err() == nil {
+			// It waits until this process may send again. No target has seen it, so it is
+			// no retry that the budget is there to bound.
+			continue
+		}
 		if err == nil && !(q.Idempotent && passing(a.Status) && ctx.Err() == nil && s.Budget.retry()) {
 			return a, nil
 		}
@@ -338,6 +343,10 @@
 		return relay.Answer{}, errors.Wrap(relay.ErrNever, err.Error())
 	}
 	a, err := e.o.Relay.Do(ctx, p.Target, role, conns, q.Request)
+	if errors.Is(err, relay.ErrUnlawful) {
+		// Before the release, as the slot would go to the next call.
+		s.Broker.Recheck()
+	}
 	s.Broker.Release(p, result(a, err, time.Since(began)))
 	if err != nil {
 		e.o.Log.V(0).Info("try failed", "service", s.Name, "target", p.Target, "try", q.ID, "err", err.Error())
@@ -348,6 +357,8 @@
 func result(a relay.Answer, err error, took time.Duration) pool.Result {
 	r := pool.Result{Outcome: pool.OutcomeOK, Took: took, Load: a.Load, Leaving: a.Leaving}
 	switch {
+	case errors.Is(err, relay.ErrUnlawful):
+		r.Outcome = pool.OutcomeNever
 	case errors.Is(err, relay.ErrNever):
 		// The target can't be reached: that counts against it like a failure.
 		r.Outcome = pool.OutcomeFailed
