--- a/internal/proc/node/routes.go
+++ b/internal/proc/node/routes.go
@@ -94,6 +94,7 @@
 		Links:   r.n.links,
 		Timeout: r.n.s.Peer.Timeout,
 		Sure:    r.n.keeper.Sure,
+		Lawful:  r.n.group.Lawful,
 		Holder:  func(target string) string { return r.n.keeper.Holder(slotTable+name, target) },
 		Probe:   r.n.probe,
 		Log:     r.n.log,
--- a/internal/route/broker/broker.go
+++ b/internal/route/broker/broker.go
@@ -29,6 +29,7 @@
 	Links   *link.Set
 	Timeout time.Duration              // of one call to a peer
 	Sure    func() bool                // whether this process may use what it holds
+	Lawful  func() bool                // whether it may send at all, also to slots of its peers
 	Holder  func(target string) string // who holds a target by the latest table
 	Probe   func(target string) (bool, int, bool)
 	Log     logr.Logger
@@ -51,6 +52,7 @@
 	down    map[string]bool               // own targets to be probed
 	queued  chan struct{}
 	lawful  bool
+	still   bool
 	wg      sync.WaitGroup
 }
 
@@ -124,16 +126,21 @@
 	return idleTick
 }
 
-// recheck takes in whether this process may use what it holds; the lock is held.
+// recheck takes in whether this process may use what it holds and whether it may send;
+// the lock is held.
 func (b *Broker) recheck(now time.Time) {
 	if sure := b.o.Sure(); sure != b.lawful {
 		b.lawful = sure
 		b.do(b.core.SetLawful(now, sure))
 	}
+	if still := !b.o.Lawful(); still != b.still {
+		b.still = still
+		b.do(b.core.SetStill(now, still))
+	}
 }
 
 // Recheck takes in at once, and not with the next tick, whether this process may use
-// what it holds.
+// what it holds and whether it may send.
 func (b *Broker) Recheck() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/route/broker/broker_test.go
+++ b/internal/route/broker/broker_test.go
@@ -21,6 +21,7 @@
 		Links:   &link.Set{},
 		Timeout: time.Second,
 		Sure:    func() bool { return false },
+		Lawful:  func() bool { return false },
 		Probe:   func(string) (bool, int, bool) { return true, 0, false },
 		Log:     logr.Discard(),
 	})
--- a/internal/route/entry/entry_test.go
+++ b/internal/route/entry/entry_test.go
@@ -50,6 +50,12 @@
 	return !r.lost
 }
 
+func (r *right) has() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.lost
+}
+
 // The right to a target is lost between a check-in's slot and its writing, as when the
 // store comes back, and its broker learns of it with the next tick only. The check-in must
 // wait here and be run once, whatever is left of the budget of retries: it must neither be
@@ -72,6 +78,7 @@
 		Links:   &link.Set{},
 		Timeout: time.Second,
 		Sure:    r.broker,
+		Lawful:  r.has,
 		Probe:   func(string) (bool, int, bool) { return true, 0, false },
 		Log:     logr.Discard(),
 	})
--- a/internal/route/pool/core.go
+++ b/internal/route/pool/core.go
@@ -38,6 +38,7 @@
 	askedAt time.Time
 	next    uint64
 	lawful  bool
+	still   bool
 	slow    time.Duration
 
 	took      time.Duration // moving average over all requests sent from here
@@ -109,6 +110,15 @@
 	return c.take()
 }
 
+// SetStill tells whether this process has to stand still: it sends nothing then, not even
+// to slots of its peers.
+func (c *Core) SetStill(now time.Time, still bool) []Action {
+	c.still = still
+	c.serve(now)
+	c.borrow(now)
+	return c.take()
+}
+
 // Arrive takes in a call: it is sent, queued or refused at once.
 func (c *Core) Arrive(now time.Time, call Call) []Action {
 	if c.queue.size == 0 {
@@ -124,7 +134,7 @@
 }
 
 func (c *Core) own(now time.Time, avoid string) *target {
-	if !c.lawful {
+	if !c.lawful || c.still {
 		return nil
 	}
 	return c.pick(now, avoid, c.o.Self)
@@ -230,7 +240,7 @@
 
 // serve gives free slots to those who have waited longest, here or at peers.
 func (c *Core) serve(now time.Time) {
-	if !c.lawful {
+	if !c.lawful || c.still {
 		return
 	}
 	for {
@@ -305,7 +315,7 @@
 // doesn't.
 func (c *Core) reuse(now time.Time, p Permit) bool {
 	call, ok := c.queue.peek()
-	if !ok || p.Key.Owner == c.o.Self || call.Avoid == p.Target || now.Add(c.o.Life).After(p.Until) {
+	if !ok || c.still || p.Key.Owner == c.o.Self || call.Avoid == p.Target || now.Add(c.o.Life).After(p.Until) {
 		return false
 	}
 	if owner := c.peers[p.Key.Owner]; owner == nil || owner.wait && owner.came.Before(call.Came) {
--- a/internal/route/pool/pool_test.go
+++ b/internal/route/pool/pool_test.go
@@ -17,8 +17,8 @@
 	_ = flag.Set("rapid.checks", "30") // each is a minute of a busy deployment
 }
 
-// Entry processes die, targets change hands under load and some requests hang at their
-// target after their sender has given up. What a user would see of a fault: a target
+// Entry processes die or stand still for a while, targets change hands under load and some
+// requests hang at their target after their sender has given up. What a user would see of a fault: a target
 // that gets more than its slots refuses or slows what it has; a slot that nobody gives
 // back is capacity lost for good; a call that ends twice or never is an answer lost.
 func TestSlots(t *testing.T) {
@@ -39,7 +39,16 @@
 			id := fmt.Sprintf("e%d", rapid.IntRange(1, cores-1).Draw(t, "dead"))
 			w.After(at, func() { w.kill(id) })
 		}
+		for range rapid.IntRange(0, 3).Draw(t, "stills") {
+			at := time.Duration(rapid.IntRange(0, 5000).Draw(t, "still at")) * time.Millisecond
+			span := time.Duration(rapid.IntRange(1, 1000).Draw(t, "still for")) * time.Millisecond
+			id := fmt.Sprintf("e%d", rapid.IntRange(0, cores-1).Draw(t, "still"))
+			w.After(at, func() { w.stand(id, span) })
+		}
 		w.Run(begin.Add(time.Minute))
+		if w.unlawful > 0 {
+			t.Fatalf("%d requests were sent by a process that had to stand still", w.unlawful)
+		}
 		if w.over > 0 {
 			t.Fatalf("%d requests reached a target whose slots were all busy", w.over)
 		}
@@ -187,3 +196,48 @@
 		t.Error("it lends what it owned")
 	}
 }
+
+// A process may send nothing for a moment, as it can't tell whether the store is away or
+// itself cut off, while its peers go on. It must neither spend slots of theirs nor ask for
+// them: each would cost a connection and a slot, and its calls would be sent on and on. They
+// go out when it may send again.
+func TestStill(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(Options{Self: "e0"})
+	c.Meet("e1", true)
+	c.Heard(now, "e1", 4, 0, 0)
+	lent := func(no uint64) Permit { return Permit{Key{"e1", no}, "t01", now.Add(time.Minute)} }
+	call := func(id uint64) []Action {
+		return c.Arrive(now, Call{ID: id, Came: now, Until: now.Add(time.Minute)})
+	}
+	call(1)
+	first := c.Granted(now, "e1", 1, []Permit{lent(1)}, 4)
+	if s, ok := first[0].(Send); !ok || s.Call.ID != 1 {
+		t.Fatalf("before: %+v", first)
+	}
+	c.SetStill(now, true)
+	for what, actions := range map[string][]Action{
+		"a call":               call(2),
+		"a late answer":        c.Granted(now, "e1", 0, []Permit{lent(2)}, 4),
+		"the end of a request": c.Done(now, lent(1), Result{Outcome: OutcomeOK, Load: -1}),
+		"a heartbeat":          c.Heard(now, "e1", 4, 0, 0),
+		"a tick":               c.Tick(now),
+	} {
+		for _, a := range actions {
+			if _, ok := a.(Free); !ok {
+				t.Errorf("%s: %+v", what, a)
+			}
+		}
+	}
+	if c.Queued() != 1 {
+		t.Errorf("%d calls wait", c.Queued())
+	}
+	asked := c.SetStill(now, false)
+	if len(asked) != 1 {
+		t.Fatalf("after: %+v", asked)
+	}
+	got := c.Granted(now, "e1", 1, []Permit{lent(3)}, 4)
+	if s, ok := got[0].(Send); !ok || s.Call.ID != 2 {
+		t.Errorf("after: %+v", got)
+	}
+}
--- a/internal/route/pool/share.go
+++ b/internal/route/pool/share.go
@@ -105,7 +105,7 @@
 
 // use spends a borrowed permit on the first waiting call, or gives it back.
 func (c *Core) use(now time.Time, p Permit) {
-	for now.Before(p.Until) {
+	for !c.still && now.Before(p.Until) {
 		call, ok := c.queue.pop()
 		if !ok {
 			break
@@ -173,7 +173,7 @@
 // first, so that processes which are full at the same time don't all ask the same one. When none is known to have any, one
 // drawn at random is left with the wish.
 func (c *Core) borrow(now time.Time) {
-	for c.queue.size > c.asked {
+	for !c.still && c.queue.size > c.asked {
 		id, p := c.draw()
 		n := min(c.queue.size-c.asked, maxAsk)
 		if p == nil {
--- a/internal/route/pool/virtual_test.go
+++ b/internal/route/pool/virtual_test.go
@@ -35,6 +35,9 @@
 	owner  map[string]string // of each target
 	using  map[Key]use
 	hang   float64 // share of requests that a target never answers
+
+	still    map[string]bool
+	unlawful int // requests sent by a core that had to stand still
 }
 
 // use is a permit that a core uses.
@@ -71,7 +74,7 @@
 	w := &world{
 		Queue: event.New(time.Unix(1000, 0)), rand: rand.New(rand.NewPCG(seed, 2)), hop: hop, mean: mean, slots: slots,
 		cores: map[string]*Core{}, dead: map[string]bool{}, busy: map[string]int{}, slow: map[string]float64{},
-		ended: map[uint64]int{}, sent: map[uint64]int{}, owner: map[string]string{}, using: map[Key]use{},
+		ended: map[uint64]int{}, sent: map[uint64]int{}, owner: map[string]string{}, using: map[Key]use{}, still: map[string]bool{},
 		hist: hdrhistogram.New(1, maxTrack, 3), waits: hdrhistogram.New(1, maxTrack, 3),
 	}
 	w.from = w.Now()
@@ -185,6 +188,9 @@
 
 func (w *world) send(id string, a Send) {
 	w.sent[a.Call.ID]++
+	if w.still[id] {
+		w.unlawful++
+	}
 	if w.Now().After(w.from) {
 		_ = w.waits.RecordValue(max(1, int64(w.Now().Sub(a.Call.Came))))
 	}
@@ -287,6 +293,24 @@
 	})
 }
 
+// stand makes a core stand still for a time.
+func (w *world) stand(id string, span time.Duration) {
+	if w.dead[id] || w.still[id] {
+		return
+	}
+	w.still[id] = true
+	w.do(id, w.cores[id].SetLawful(w.Now(), false))
+	w.do(id, w.cores[id].SetStill(w.Now(), true))
+	w.After(span, func() {
+		if w.dead[id] {
+			return
+		}
+		delete(w.still, id)
+		w.do(id, w.cores[id].SetLawful(w.Now(), true))
+		w.do(id, w.cores[id].SetStill(w.Now(), false))
+	})
+}
+
 const leaseTime = 3 * time.Second
 
 // held names the permits of a target that live cores use.
