--- a/internal/route/broker/broker.go
+++ b/internal/route/broker/broker.go
@@ -29,6 +29,7 @@
 	Links   *link.Set
 	Timeout time.Duration              // of one call to a peer
 	Sure    func() bool                // whether this process may use what it holds
+	Lawful  func() bool                // whether it may send at all, also to slots of its peers
 	Holder  func(target string) string // who holds a target by the latest table
 	Probe   func(target string) (bool, int, bool)
 	Log     logr.Logger
@@ -51,6 +52,7 @@
 	down    map[string]bool               // own targets to be probed
 	queued  chan struct{}
 	lawful  bool
+	still   bool
 	wg      sync.WaitGroup
 }
 
@@ -77,6 +79,7 @@
 		epochs:  map[string]uint64{},
 		down:    map[string]bool{},
 		queued:  make(chan struct{}, 1),
+		lawful:  true, // as the core is at first
 	}
 }
 
@@ -112,14 +115,10 @@
 
 // tick does what is due and returns when to come again.
 func (b *Broker) tick() time.Duration {
-	sure := b.o.Sure()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	if sure != b.lawful {
-		b.lawful = sure
-		b.do(b.core.SetLawful(now, sure))
-	}
+	b.recheck(now)
 	b.do(b.core.Tick(now))
 	if b.core.Queued() > 0 {
 		return tick
@@ -127,6 +126,27 @@
 	return idleTick
 }
 
+// recheck takes in whether this process may use what it holds and whether it may send;
+// the lock is held.
+func (b *Broker) recheck(now time.Time) {
+	if sure := b.o.Sure(); sure != b.lawful {
+		b.lawful = sure
+		b.do(b.core.SetLawful(now, sure))
+	}
+	if still := !b.o.Lawful(); still != b.still {
+		b.still = still
+		b.do(b.core.SetStill(now, still))
+	}
+}
+
+// Recheck takes in at once, and not with the next tick, whether this process may use
+// what it holds and whether it may send.
+func (b *Broker) Recheck() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.recheck(time.Now())
+}
+
 // Acquire waits for a slot for the call and returns its permit, or *Refused, or ctx's error.
 func (b *Broker) Acquire(ctx context.Context, c pool.Call) (pool.Permit, error) {
 	ch := make(chan decision, 1)
