--- a/internal/batch/drive/fleet_test.go
+++ b/internal/batch/drive/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,8 +52,8 @@
 	f       *fleet
 	name    string
 	zone    string
-	turn    time.Duration // see processor
-	carries int           // see lead.Options
+	cpu     *processor
+	carries atomic.Int64 // see lead.Options
 
 	mu     sync.Mutex
 	mode   multi.Mode
@@ -75,12 +76,19 @@
 func (f *fleet) add(n int, turn time.Duration, carries int) {
 	for range n {
 		i := len(f.hosts)
-		h := &host{f: f, name: fmt.Sprintf("host%d", i), zone: fmt.Sprintf("z%d", i%3), turn: turn, carries: carries}
+		h := &host{f: f, name: fmt.Sprintf("host%d", i), zone: fmt.Sprintf("z%d", i%3), cpu: &processor{}}
+		h.pace(turn, carries)
 		f.hosts = append(f.hosts, h)
 		h.start()
 	}
 }
 
+// pace sets how long the host's processor needs for a turn from now on, and how many workers it carries so.
+func (h *host) pace(turn time.Duration, carries int) {
+	h.cpu.setTurn(turn)
+	h.carries.Store(int64(carries))
+}
+
 func (f *fleet) configure(c sched.Config) {
 	if err := plain.Configure(f.store, c); err != nil {
 		f.t.Fatal(err)
@@ -97,8 +105,8 @@
 func (h *host) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	cpu := &processor{turn: h.turn}
-	client := &slowStore{cpu: cpu, Multi: h.f.store.Client(func() multi.Mode {
+	h.cpu = &processor{turn: h.cpu.turn} // nothing of the former life waits
+	client := &slowStore{cpu: h.cpu, Multi: h.f.store.Client(func() multi.Mode {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if h.f.apart(h.zone, "store") {
@@ -106,11 +114,11 @@
 		}
 		return h.mode
 	})}
-	var crew drive.WorkerClient = &slowCrew{cpu: cpu, WorkerClient: h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })}
+	var crew drive.WorkerClient = &slowCrew{cpu: h.cpu, WorkerClient: h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })}
 	if h.f.wrap != nil {
 		crew = h.f.wrap(crew)
 	}
-	l := lead.New(lead.Options{Store: client, Name: h.name, Addr: h.name, Lease: drive.HolderLease, Log: logr.Discard(), Alive: h.f.alive, Carries: h.carries})
+	l := lead.New(lead.Options{Store: client, Name: h.name, Addr: h.name, Lease: drive.HolderLease, Log: logr.Discard(), Alive: h.f.alive, Carries: func() int { return int(h.carries.Load()) }})
 	h.wg.Go(func() {
 		l.Run(ctx, func(t *lead.Tenure) {
 			_ = drive.Run(drive.Options{ // its error tells of the tenure's end
--- a/internal/batch/drive/slow_test.go
+++ b/internal/batch/drive/slow_test.go
@@ -24,18 +24,25 @@
 // processor is that of a host: each call takes a turn there on its way out and one on its
 // way back, first come, first served. A caller that gives up doesn't get its turn's time back.
 type processor struct {
+	mu   sync.Mutex
 	turn time.Duration // 0: takes no time
+	free time.Time     // when all turns so far are over
+}
 
-	mu   sync.Mutex
-	free time.Time // when all turns so far are over
+// setTurn sets how long a turn takes from now on.
+func (p *processor) setTurn(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.turn = d
 }
 
 // take waits for a turn; false says that the caller has given up.
 func (p *processor) take(ctx context.Context) bool {
+	p.mu.Lock()
 	if p.turn == 0 {
+		p.mu.Unlock()
 		return ctx.Err() == nil
 	}
-	p.mu.Lock()
 	now := time.Now()
 	if from := now.Add(-savedMost); p.free.Before(from) {
 		p.free = from
--- a/internal/batch/drive/weak_test.go
+++ b/internal/batch/drive/weak_test.go
@@ -59,6 +59,52 @@
 	})
 }
 
+// Hundreds of runs lapse though all workers are sound. Some machines have turned slow as the holder is lost, and one
+// of them wins the race for its key.
+func TestSlowedHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 0, weakWorkers, source(1), seconds(time.Hour))
+		f.add(8, strongTurn, strongCarries)
+		time.Sleep(3 * time.Second)
+		lasting := sched.Step{Count: weakTasks, Size: step(1).Size, Lasting: true}
+		if r := f.submit("a", lasting); r.Result != drive.ResultDone {
+			t.Fatalf("submit: %+v", r)
+		}
+		time.Sleep(3 * time.Second)
+		for range 4 {
+			old := f.holder()
+			if old == nil {
+				t.Error("nobody holds")
+				break
+			}
+			sound := f.hosts[0]
+			if sound == old {
+				sound = f.hosts[1]
+			}
+			for _, h := range f.hosts {
+				if h != sound {
+					h.pace(weakTurn, weakCarries)
+				}
+			}
+			old.kill()
+			old.start()
+			if d := f.short(12*time.Second, weakTasks); d > calm {
+				t.Errorf("after %s was lost, lasting tasks were without a run for %s", old.name, d)
+			}
+			for _, h := range f.hosts {
+				h.pace(strongTurn, strongCarries)
+			}
+		}
+		if n := f.crew.Lapsed(); n > 0 {
+			t.Errorf("%d runs lapsed", n)
+		}
+		f.stop()
+		for _, fault := range f.crew.Faults() {
+			t.Error(fault)
+		}
+	})
+}
+
 // short watches the workers for a while and returns the longest time for which fewer than n
 // tasks ran there.
 func (f *fleet) short(span time.Duration, n int) time.Duration {
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -64,9 +64,9 @@
 	// Alive asks the holder directly whether it is at work; it is consulted before its key,
 	// which may have vanished with the store's outage, is claimed.
 	Alive func(ctx context.Context, h Holder) bool
-	// Carries is how much load this process can carry as the holder, in the measure of LoadWrite;
-	// 0: not known. One that carries less than there is leaves a vacant key for a while to others.
-	Carries int
+	// Carries tells how much load this process can carry as the holder now, in the measure of LoadWrite;
+	// 0, or nil: not known. One that carries less than there is leaves a vacant key for a while to others.
+	Carries func() int
 }
 
 // Lead follows who the holder is and claims to be it where there is none.
@@ -93,6 +93,9 @@
 
 // New returns a Lead; Run has it work.
 func New(opt Options) *Lead {
+	if opt.Carries == nil {
+		opt.Carries = func() int { return 0 }
+	}
 	return &Lead{opt: opt, changed: make(chan struct{})}
 }
 
@@ -267,18 +270,17 @@
 	}
 }
 
-// patience returns how long a vacant key is left to processes that can carry more.
+// patience returns how long a process that carries so much of a load leaves a vacant key to others that carry more.
 //
 // The failure it guards against: a process that can't do the work of the load wins the race for
 // the key. Starved, it is late with orders and with the leases of workers, whose runs lapse, and
 // loses its own lease; then the next such process wins. With patience, whoever can carry the load
 // has claimed before, and where nobody can, the one that can carry most does.
-func (l *Lead) patience() time.Duration {
-	load := l.load()
-	if l.opt.Carries <= 0 || l.opt.Carries >= load {
+func patience(carries, load int) time.Duration {
+	if carries <= 0 || carries >= load {
 		return 0
 	}
-	short := 1 - float64(l.opt.Carries)/float64(load)
+	short := 1 - float64(carries)/float64(load)
 	return time.Duration(short * float64(patienceMost))
 }
 
@@ -290,37 +292,38 @@
 
 // yield leaves a vacant key to others for this process's rest and patience. It watches meanwhile:
 // callers are refused here for as long as a new holder isn't known. It returns the revision to
-// watch from and whether the key is still vacant by the store's newest word.
-func (l *Lead) yield(ctx context.Context, rev uint64) (uint64, bool) {
+// watch from, how much this process carries and whether the key is still vacant by the store's newest word.
+func (l *Lead) yield(ctx context.Context, rev uint64) (uint64, int, bool) {
 	began := time.Now()
 	told := false
 	for {
-		patience := l.patience()
-		if patience > 0 && !told {
-			l.opt.Log.Info("claim waits", "patience", patience, "carries", l.opt.Carries, "load", l.load())
+		carries := l.opt.Carries()
+		if p := patience(carries, l.load()); p > 0 && !told {
+			l.opt.Log.Info("claim waits", "patience", p, "carries", carries, "load", l.load())
 			told = true
 		}
-		next, err := l.await(ctx, rev, l.left(began))
+		next, err := l.await(ctx, rev, l.left(began, carries))
 		if err != nil {
-			return rev, false
+			return rev, carries, false
 		}
 		rev = next
 		if !l.vacant() {
-			return rev, false
+			return rev, carries, false
 		}
 		// The load may have become known only now.
-		if l.left(began) <= 0 {
-			return rev, true
+		if l.left(began, carries) <= 0 {
+			return rev, carries, true
 		}
 	}
 }
 
-// left returns how long this process goes on leaving a key to others that it has found vacant at began.
-func (l *Lead) left(began time.Time) time.Duration {
+// left returns how long this process, which carries so much, goes on leaving a key to others that it has found
+// vacant at began.
+func (l *Lead) left(began time.Time, carries int) time.Duration {
 	l.mu.Lock()
 	rest := time.Until(l.resting)
 	l.mu.Unlock()
-	return max(rest, l.patience()-time.Since(began))
+	return max(rest, patience(carries, l.load())-time.Since(began))
 }
 
 // await follows the holder's key for a while, or reads it if there is no time to wait.
@@ -336,7 +339,7 @@
 	if !wait.For(ctx, rand.N(claimSpread)) {
 		return rev
 	}
-	rev, vacant := l.yield(ctx, rev)
+	rev, carries, vacant := l.yield(ctx, rev)
 	if !vacant || l.spare(ctx) {
 		return rev
 	}
@@ -355,7 +358,7 @@
 	l.tenure = t
 	l.mu.Unlock()
 	l.set(t.claim, t.rev)
-	l.opt.Log.Info("holder", "term", t.claim.Term, "carries", l.opt.Carries, "load", t.load, "patience", l.patience())
+	l.opt.Log.Info("holder", "term", t.claim.Term, "carries", carries, "load", t.load, "patience", patience(carries, t.load))
 	wg.Go(func() {
 		serve(t)
 		l.mu.Lock()
--- a/internal/ctrl/lead/patience_test.go
+++ b/internal/ctrl/lead/patience_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,7 +27,7 @@
 	began := time.Now()
 	won := make(chan int, len(carries))
 	for i, c := range carries {
-		l := lead.New(lead.Options{Store: s.Client(nil), Name: fmt.Sprint(i), Lease: time.Second, Log: logr.Discard(), Carries: c})
+		l := lead.New(lead.Options{Store: s.Client(nil), Name: fmt.Sprint(i), Lease: time.Second, Log: logr.Discard(), Carries: func() int { return c }})
 		wg.Go(func() {
 			l.Run(ctx, func(t *lead.Tenure) {
 				won <- i
@@ -89,7 +90,7 @@
 		var wg sync.WaitGroup
 		s.Put("lead/holder", []byte(`{"name":"old","term":1}`))
 		s.Put("lead/term", []byte("1"))
-		l := lead.New(lead.Options{Store: s.Client(nil), Name: "weak", Lease: time.Second, Log: logr.Discard(), Carries: 91})
+		l := lead.New(lead.Options{Store: s.Client(nil), Name: "weak", Lease: time.Second, Log: logr.Discard(), Carries: func() int { return 91 }})
 		wg.Go(func() { l.Run(ctx, func(t *lead.Tenure) { <-t.Context().Done() }) })
 		time.Sleep(time.Second)
 		s.Put("lead/load", []byte("350"))
@@ -113,6 +114,42 @@
 	})
 }
 
+// A machine that has turned slow wins the race for the key of a lost holder, as it carries the load by what it
+// was when its process started, and starves under it.
+func TestPatienceSlowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &multi.Service{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		s.Put("lead/holder", []byte(`{"name":"old","term":1}`))
+		s.Put("lead/term", []byte("1"))
+		s.Put("lead/load", []byte("350"))
+		var slowed atomic.Bool
+		var sound *lead.Lead
+		for i := range 8 {
+			l := lead.New(lead.Options{Store: s.Client(nil), Name: fmt.Sprint(i), Lease: time.Second, Log: logr.Discard(), Carries: func() int {
+				if i > 0 && slowed.Load() {
+					return 91
+				}
+				return 666
+			}})
+			if i == 0 {
+				sound = l
+			}
+			wg.Go(func() { l.Run(ctx, func(t *lead.Tenure) { <-t.Context().Done() }) })
+		}
+		time.Sleep(time.Second)
+		slowed.Store(true)
+		s.Revoke("lead/holder")
+		time.Sleep(2 * time.Second)
+		if h, _ := sound.Holder(); h.Name != "0" {
+			t.Errorf("holder %q, want the one that isn't slowed", h.Name)
+		}
+		cancel()
+		wg.Wait()
+	})
+}
+
 // A process that is about to stop, or has handed over, rests from claiming. Its callers are refused until it
 // knows of the next holder: it slept through its rest and polled the store only then.
 func TestRestHears(t *testing.T) {
--- a/internal/proc/front/carry.go
+++ b/internal/proc/front/carry.go
@@ -20,11 +20,12 @@
 	filesBase  = 200 // descriptors
 )
 
-// carries returns how many workers a process can hold within its limits; 0: not known.
-func carries(l conf.HostLimit) int {
+// carries returns how many workers a process can hold within its limits, on a machine that is so many times
+// slower than it can be; 0: not known.
+func carries(l conf.HostLimit, slower float64) int {
 	least := math.Inf(1)
 	for _, need := range []struct{ has, base, each float64 }{
-		{l.Share * l.Cores, 0, coresEach},
+		{l.Share * l.Cores / slower, 0, coresEach},
 		{l.Memory, memoryBase, memoryEach},
 		{l.Files, filesBase, filesEach},
 		{l.Link, 0, linkEach},
--- a/internal/proc/front/carry_test.go
+++ b/internal/proc/front/carry_test.go
@@ -14,21 +14,26 @@
 		return l
 	}
 	for _, tt := range []struct {
-		name string
-		l    conf.HostLimit
-		want int
+		name   string
+		l      conf.HostLimit
+		slower float64
+		want   int
 	}{
-		{"nothing known", conf.HostLimit{}, 0},
-		{"bound by processor", roomy, 666},
-		{"a tenth of a core", with(func(l *conf.HostLimit) { l.Share = 0.11 }), 91},
-		{"two cores", with(func(l *conf.HostLimit) { l.Cores = 2 }), 1333},
-		{"bound by memory", with(func(l *conf.HostLimit) { l.Memory = 70 }), 200},
-		{"bound by descriptors", with(func(l *conf.HostLimit) { l.Files = 700 }), 100},
-		{"bound by link", with(func(l *conf.HostLimit) { l.Link = 1 }), 50},
-		{"less memory than it needs for itself", with(func(l *conf.HostLimit) { l.Memory = 16 }), 1},
-		{"processor not known", with(func(l *conf.HostLimit) { l.Share = 0 }), 1598},
+		{"nothing known", conf.HostLimit{}, 1, 0},
+		{"bound by processor", roomy, 1, 666},
+		{"a tenth of a core", with(func(l *conf.HostLimit) { l.Share = 0.11 }), 1, 91},
+		{"two cores", with(func(l *conf.HostLimit) { l.Cores = 2 }), 1, 1333},
+		{"bound by memory", with(func(l *conf.HostLimit) { l.Memory = 70 }), 1, 200},
+		{"bound by descriptors", with(func(l *conf.HostLimit) { l.Files = 700 }), 1, 100},
+		{"bound by link", with(func(l *conf.HostLimit) { l.Link = 1 }), 1, 50},
+		{"less memory than it needs for itself", with(func(l *conf.HostLimit) { l.Memory = 16 }), 1, 1},
+		{"six times slower", roomy, 6, 111},
+		{"three times slower, bound by memory", with(func(l *conf.HostLimit) { l.Memory = 70 }), 3, 200},
+		{"slow beyond measure", roomy, 1e9, 1},
+		{"processor not known and slower", with(func(l *conf.HostLimit) { l.Share = 0 }), 6, 1598},
+		{"processor not known", with(func(l *conf.HostLimit) { l.Share = 0 }), 1, 1598},
 	} {
-		if got := carries(tt.l); got != tt.want {
+		if got := carries(tt.l, tt.slower); got != tt.want {
 			t.Errorf("%s: %d workers, want %d", tt.name, got, tt.want)
 		}
 	}
--- a/internal/proc/front/hand.go
+++ b/internal/proc/front/hand.go
@@ -55,7 +55,7 @@
 // workers' leases lapse. Given up, the key goes to a host that carries the workers, as the others leave
 // it a vacant one (see lead.Options).
 func (h *Host) hand(t *lead.Tenure) {
-	carries := carries(h.set.Limit)
+	carries := carries(h.set.Limit, 1)
 	first := handAfter
 	if at := h.handed.Load(); at != nil {
 		first = max(first, handAgain-time.Since(*at))
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -39,6 +39,7 @@
 	lead *lead.Lead
 	desk *Desk
 	peer *peers
+	pace pace
 	addr string // of the callers' listener
 
 	metrics  http.Handler
@@ -66,7 +67,7 @@
 
 // Start listens and serves; the error names the listener that could not be had.
 func Start(set conf.Host, out Outside, log logr.Logger) (*Host, error) {
-	h := &Host{set: set, out: out, log: log, lost: make(chan struct{})}
+	h := &Host{set: set, out: out, log: log, pace: pace{measure: compute}, lost: make(chan struct{})}
 	var lis []net.Listener
 	for _, addr := range []string{set.Listen.Peer, set.Listen.Caller, set.Listen.Ready, set.Metrics} {
 		l, err := net.Listen("tcp", addr)
@@ -85,10 +86,10 @@
 	h.lead = lead.New(lead.Options{
 		Store: out.Store, Name: set.Name, Addr: lis[0].Addr().String(),
 		Lease: max(drive.HolderLease, conf.Milliseconds(set.Store.Least)), Log: log, Alive: h.alive,
-		Carries: carries(set.Limit),
+		Carries: h.carries,
 	})
 	h.desk.lead = h.lead
-	h.peer = &peers{lead: h.lead, links: &h.desk.links, carries: h.carries}
+	h.peer = &peers{lead: h.lead, links: &h.desk.links, carries: h.offers}
 	h.desk.peers = h.peer
 	var err error
 	if h.peers, err = link.NewServer("Peer", &Peer{h.desk, h.peer}); err != nil {
@@ -102,7 +103,8 @@
 	h.cancel = cancel
 	h.wg.Go(func() { h.lead.Run(ctx, h.hold) })
 	h.wg.Go(func() { h.peer.follow(ctx, lis[0].Addr().String(), set.Name) })
-	log.Info("start", "zone", set.Zone, "carries", carries(set.Limit), "caller", lis[1].Addr(), "peer", lis[0].Addr())
+	h.wg.Go(func() { h.pace.follow(ctx) })
+	log.Info("start", "zone", set.Zone, "carries", h.carries(), "caller", lis[1].Addr(), "peer", lis[0].Addr())
 	return h, nil
 }
 
@@ -137,12 +139,15 @@
 	return !h.stopping.Load() && (h.desk.own() != nil || h.peer.reaches())
 }
 
-// carries returns how many workers this process would hold: none once it stops.
-func (h *Host) carries() int {
+// carries returns how many workers this process can hold at its machine's present speed; 0: not known.
+func (h *Host) carries() int { return carries(h.set.Limit, h.pace.slower()) }
+
+// offers returns how many workers this process would take over: none once it stops.
+func (h *Host) offers() int {
 	if h.stopping.Load() {
 		return 0
 	}
-	return carries(h.set.Limit)
+	return h.carries()
 }
 
 func (h *Host) alive(ctx context.Context, holder lead.Holder) bool {
--- /dev/null
+++ b/internal/proc/front/pace_test.go
@@ -0,0 +1,44 @@
+package front
+
+import (
+	"testing"
+	"time"
+)
+
+// A machine counts as slowed by what the fixed computation takes of its processor, not by what else the processor
+// does: under load a sound holder would take itself for slowed, and hand over.
+func TestPace(t *testing.T) {
+	const us = time.Microsecond
+	for _, tt := range []struct {
+		name string
+		took [][paceTries]time.Duration // look by look
+		want float64                    // at the last one
+	}{
+		{"first look", [][paceTries]time.Duration{{25 * us, 25 * us, 25 * us, 25 * us, 25 * us}}, 1},
+		{"as fast as ever", [][paceTries]time.Duration{{25 * us, 25 * us, 25 * us, 25 * us, 25 * us}, {25 * us, 26 * us, 25 * us, 25 * us, 27 * us}}, 1},
+		{"at half its clock rate", [][paceTries]time.Duration{{25 * us, 25 * us, 25 * us, 25 * us, 25 * us}, {52 * us, 50 * us, 51 * us, 50 * us, 50 * us}}, 1},
+		{"six times slower", [][paceTries]time.Duration{{25 * us, 25 * us, 25 * us, 25 * us, 25 * us}, {160 * us, 150 * us, 155 * us, 150 * us, 150 * us}}, 6},
+		{"load breaks into all tries but one", [][paceTries]time.Duration{{25 * us, 25 * us, 25 * us, 25 * us, 25 * us}, {9000 * us, 400 * us, 30 * us, 1000 * us, 300 * us}}, 1},
+		{"load at the first look", [][paceTries]time.Duration{{9000 * us, 300 * us, 500 * us, 400 * us, 600 * us}, {25 * us, 25 * us, 25 * us, 25 * us, 25 * us}, {75 * us, 80 * us, 75 * us, 75 * us, 75 * us}}, 3},
+		{"fast again", [][paceTries]time.Duration{{25 * us, 25 * us, 25 * us, 25 * us, 25 * us}, {150 * us, 150 * us, 150 * us, 150 * us, 150 * us}, {30 * us, 30 * us, 30 * us, 30 * us, 30 * us}}, 1},
+		{"a clock without steps as short", [][paceTries]time.Duration{{}, {0, 0, 0, 0, 0}}, 1},
+		{"a step of such a clock", [][paceTries]time.Duration{{}, {25 * us, 0, 0, 0, 0}, {25 * us, 25 * us, 25 * us, 25 * us, 25 * us}}, 1},
+	} {
+		var all []time.Duration
+		for _, look := range tt.took {
+			all = append(all, look[:]...)
+		}
+		p := pace{measure: func() time.Duration {
+			took := all[0]
+			all = all[1:]
+			return took
+		}}
+		got := 0.0
+		for range tt.took {
+			got = p.slower()
+		}
+		if got != tt.want {
+			t.Errorf("%s: %g times slower, want %g", tt.name, got, tt.want)
+		}
+	}
+}
