--- a/internal/proc/front/pace.go
+++ b/internal/proc/front/pace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,8 +13,7 @@
 const (
 	// paceRounds is the length of the computation that is timed: some tens of microseconds.
 	paceRounds = 10_000
-	// paceTries is how often it is timed for one figure. The shortest counts: whatever else runs
-	// on the processor, or a quota that is used up, rarely breaks into all of them.
+	// paceTries is how often it is timed in one look.
 	paceTries = 5
 	// paceEvery is between two looks that nobody has asked for; they find how fast the machine can be.
 	paceEvery = 5 * time.Second
@@ -30,24 +30,29 @@
 	measure func() time.Duration // times the computation once
 
 	mu    sync.Mutex
-	least time.Duration // that it ever took; 0: not known
+	least time.Duration // that it took in a look so far; 0: not known
 }
 
 // slower returns how many times slower this machine is now than it can be; 1 if it isn't clearly slower.
+//
+// The shortest try tells of now: whatever else runs on the processor, or a quota that is used up, rarely breaks
+// into all of them. The fastest so far is one of medians, as a clock that is corrected stands still for a try or two.
 func (p *pace) slower() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	took := p.measure()
-	for range paceTries - 1 {
-		took = min(took, p.measure())
+	var tries [paceTries]time.Duration
+	for i := range tries {
+		tries[i] = p.measure()
 	}
-	if took <= 0 {
+	slices.Sort(tries[:])
+	now, median := tries[0], tries[paceTries/2]
+	if median <= 0 {
 		return 1 // the clock is too coarse
 	}
-	if p.least == 0 || took < p.least {
-		p.least = took
+	if p.least == 0 || median < p.least {
+		p.least = median
 	}
-	if ratio := float64(took) / float64(p.least); ratio >= slowFrom {
+	if ratio := float64(now) / float64(p.least); ratio >= slowFrom {
 		return ratio
 	}
 	return 1
--- a/internal/proc/front/pace_test.go
+++ b/internal/proc/front/pace_test.go
@@ -20,6 +20,8 @@
 		{"six times slower", [][paceTries]time.Duration{{25 * us, 25 * us, 25 * us, 25 * us, 25 * us}, {160 * us, 150 * us, 155 * us, 150 * us, 150 * us}}, 6},
 		{"load breaks into all tries but one", [][paceTries]time.Duration{{25 * us, 25 * us, 25 * us, 25 * us, 25 * us}, {9000 * us, 400 * us, 30 * us, 1000 * us, 300 * us}}, 1},
 		{"load at the first look", [][paceTries]time.Duration{{9000 * us, 300 * us, 500 * us, 400 * us, 600 * us}, {25 * us, 25 * us, 25 * us, 25 * us, 25 * us}, {75 * us, 80 * us, 75 * us, 75 * us, 75 * us}}, 3},
+		{"the clock stood still for two tries", [][paceTries]time.Duration{{25 * us, 900 * us, 1, 3 * us, 25 * us}, {40 * us, 42 * us, 40 * us, 40 * us, 40 * us}}, 1},
+		{"the clock stands still now", [][paceTries]time.Duration{{25 * us, 25 * us, 25 * us, 25 * us, 25 * us}, {150 * us, 1, 150 * us, 150 * us, 150 * us}}, 1},
 		{"fast again", [][paceTries]time.Duration{{25 * us, 25 * us, 25 * us, 25 * us, 25 * us}, {150 * us, 150 * us, 150 * us, 150 * us, 150 * us}, {30 * us, 30 * us, 30 * us, 30 * us, 30 * us}}, 1},
 		{"a clock without steps as short", [][paceTries]time.Duration{{}, {0, 0, 0, 0, 0}}, 1},
 		{"a step of such a clock", [][paceTries]time.Duration{{}, {25 * us, 0, 0, 0, 0}, {25 * us, 25 * us, 25 * us, 25 * us, 25 * us}}, 1},
