--- a/internal/proc/front/hand.go
+++ b/internal/proc/front/hand.go
@@ -12,7 +12,9 @@
 	// handAfter is how long a holder does its work before it may hand over: by then it has heard of
 	// the workers and renewed their leases, which outlast the change.
 	handAfter = 3 * time.Second
-	// handEvery is between two looks for a successor, each a call to every follower.
+	// handLook is between two looks at what this holder carries, and handEvery between two looks for a
+	// successor, each a call to every follower.
+	handLook  = 500 * time.Millisecond
 	handEvery = 2 * time.Second
 	handLimit = time.Second
 	// handRest keeps a holder that has handed over from claiming: its successor claims at once.
@@ -34,7 +36,10 @@
 
 // successor chooses the follower to hand over to: the one that carries most. There is none if the
 // holder of a term carries its workers, or if no follower carries clearly more and reaches the store.
-func successor(carries, workers int, term int64, offers []offer) (offer, bool) {
+//
+// A holder whose limits would do, but whose machine has turned slow, hands over only to a follower that carries
+// all workers: any other would hand over again, and slowness passes.
+func successor(carries, limits, workers int, term int64, offers []offer) (offer, bool) {
 	var best offer
 	if carries <= 0 || workers <= carries {
 		return best, false
@@ -44,6 +49,9 @@
 			best = o
 		}
 	}
+	if limits >= workers && best.Carries < workers {
+		return best, false
+	}
 	return best, float64(best.Carries) >= handGain*float64(carries)
 }
 
@@ -51,29 +59,35 @@
 // carries clearly more. Not while tasks wait for workers out of reach: the successor would wait anew.
 //
 // The failure it guards against: when all hosts start for the first time, or when the strong ones
-// were away, a weak host becomes the holder and stays so for good; under it orders time out and
-// workers' leases lapse. Given up, the key goes to a host that carries the workers, as the others leave
-// it a vacant one (see lead.Options).
+// were away, a weak host becomes the holder and stays so for good, or the holder's machine turns slow; under it
+// orders time out and workers' leases lapse. Given up, the key goes to a host that carries the workers, as the
+// others leave it a vacant one (see lead.Options).
 func (h *Host) hand(t *lead.Tenure) {
-	carries := carries(h.set.Limit, 1)
+	limits := carries(h.set.Limit, 1)
 	first := handAfter
 	if at := h.handed.Load(); at != nil {
 		first = max(first, handAgain-time.Since(*at))
 	}
-	if carries <= 0 || !wait.For(t.Context(), first) {
+	if limits <= 0 || !wait.For(t.Context(), first) {
 		return
 	}
-	for ; t.Context().Err() == nil; wait.For(t.Context(), handEvery) {
+	var asked time.Time
+	for ; t.Context().Err() == nil; wait.For(t.Context(), handLook) {
 		d := h.desk.own()
-		if d == nil || time.Since(t.Sure()) > aidAfter || d.Workers() <= carries || d.Waiting() {
+		carries := h.carries()
+		if d == nil || time.Since(asked) < handEvery || time.Since(t.Sure()) > aidAfter || d.Workers() <= carries || d.Waiting() {
 			continue
 		}
+		asked = time.Now()
 		workers := d.Workers()
-		to, ok := successor(carries, workers, t.Term(), h.peer.ask(t.Context(), h.peer.known(t.Sure()), handLimit))
+		offers := h.peer.ask(t.Context(), h.peer.known(t.Sure()), handLimit)
+		// One look alone may be mistaken, or the machine may be fast again.
+		carries = max(carries, h.carries())
+		to, ok := successor(carries, limits, workers, t.Term(), offers)
 		if !ok {
 			continue
 		}
-		h.log.Info("hands over", "term", t.Term(), "carries", carries, "workers", workers, "to", to.addr, "offers", to.Carries)
+		h.log.Info("hands over", "term", t.Term(), "carries", carries, "limits", limits, "workers", workers, "to", to.addr, "offers", to.Carries)
 		now := time.Now()
 		h.handed.Store(&now)
 		h.lead.Rest(handRest)
--- a/internal/proc/front/hand_test.go
+++ b/internal/proc/front/hand_test.go
@@ -11,24 +11,31 @@
 	failing.Failing = true
 	newer.Term = term + 1
 	for _, tt := range []struct {
-		name             string
-		carries, workers int
-		offers           []offer
-		want             string // "": nobody
+		name            string
+		carries, limits int
+		workers         int
+		offers          []offer
+		want            string // "": nobody
 	}{
-		{"strong one follows", 91, 350, []offer{at("weak", 91), at("strong", 666)}, "strong"},
-		{"the strongest", 91, 350, []offer{at("a", 300), at("b", 666), at("c", 400)}, "b"},
-		{"enough for the workers", 91, 91, []offer{at("strong", 666)}, ""},
-		{"own limits not known", 0, 350, []offer{at("strong", 666)}, ""},
-		{"no followers", 91, 350, nil, ""},
-		{"all alike", 91, 350, []offer{at("a", 91), at("b", 91)}, ""},
-		{"hardly stronger", 91, 350, []offer{at("a", 136)}, ""},
-		{"clearly stronger, too weak as well", 91, 350, []offer{at("a", 137)}, "a"},
-		{"limits there not known, or it stops", 91, 350, []offer{at("a", 0)}, ""},
-		{"the store fails it", 91, 350, []offer{failing, at("b", 200)}, "b"},
-		{"it knows of a newer holder", 91, 350, []offer{newer}, ""},
+		{"strong one follows", 91, 91, 350, []offer{at("weak", 91), at("strong", 666)}, "strong"},
+		{"the strongest", 91, 91, 350, []offer{at("a", 300), at("b", 666), at("c", 400)}, "b"},
+		{"enough for the workers", 91, 91, 91, []offer{at("strong", 666)}, ""},
+		{"own limits not known", 0, 0, 350, []offer{at("strong", 666)}, ""},
+		{"no followers", 91, 91, 350, nil, ""},
+		{"all alike", 91, 91, 350, []offer{at("a", 91), at("b", 91)}, ""},
+		{"hardly stronger", 91, 91, 350, []offer{at("a", 136)}, ""},
+		{"clearly stronger, too weak as well", 91, 91, 350, []offer{at("a", 137)}, "a"},
+		{"limits there not known, or it stops", 91, 91, 350, []offer{at("a", 0)}, ""},
+		{"the store fails it", 91, 91, 350, []offer{failing, at("b", 200)}, "b"},
+		{"it knows of a newer holder", 91, 91, 350, []offer{newer}, ""},
+		{"slowed, a sound one follows", 83, 666, 350, []offer{at("weak", 91), at("sound", 666)}, "sound"},
+		{"slowed, only weak ones follow", 20, 666, 350, []offer{at("a", 91), at("b", 349)}, ""},
+		{"slowed, and so are the others", 83, 666, 350, []offer{at("a", 83), at("b", 110)}, ""},
+		{"slowed, and carries the workers still", 222, 666, 200, []offer{at("sound", 666)}, ""},
+		{"slowed, hardly faster", 300, 666, 350, []offer{at("a", 400)}, ""},
+		{"weak and slowed", 15, 91, 350, []offer{at("a", 91)}, "a"},
 	} {
-		got, ok := successor(tt.carries, tt.workers, term, tt.offers)
+		got, ok := successor(tt.carries, tt.limits, tt.workers, term, tt.offers)
 		if ok != (tt.want != "") || ok && got.addr != tt.want {
 			t.Errorf("%s: %q, %v, want %q", tt.name, got.addr, ok, tt.want)
 		}
--- a/internal/proc/front/host.go
+++ b/internal/proc/front/host.go
@@ -29,6 +29,8 @@
 	Codec     drive.Codec
 	Callers   func(*Desk) http.Handler
 	Readiness func(ready func() bool) http.Handler
+	// Measure times a fixed computation on the machine; nil: one that is built in.
+	Measure func() time.Duration
 }
 
 // Host is one entry process; Start makes one and Stop ends it gracefully.
@@ -67,7 +69,10 @@
 
 // Start listens and serves; the error names the listener that could not be had.
 func Start(set conf.Host, out Outside, log logr.Logger) (*Host, error) {
-	h := &Host{set: set, out: out, log: log, pace: pace{measure: compute}, lost: make(chan struct{})}
+	h := &Host{set: set, out: out, log: log, pace: pace{measure: out.Measure}, lost: make(chan struct{})}
+	if out.Measure == nil {
+		h.pace.measure = compute
+	}
 	var lis []net.Listener
 	for _, addr := range []string{set.Listen.Peer, set.Listen.Caller, set.Listen.Ready, set.Metrics} {
 		l, err := net.Listen("tcp", addr)
