--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -74,8 +74,7 @@
 	changes  int       // how often it has changed
 	taken    int       // of these, known to the newest record that was taken to be stored
 	live     int       // runs on workers
-	starved  int       // of these, placed as a starved job's
-	idle     time.Time // since when it has had no others while a task of it waits; zero: it has, or that wasn't looked at
+	idle     time.Time // since when a task of it waits with none running but as a starved job's; out of date while others run
 	queued   bool      // in Core.changes
 	rushed   bool      // there, with a caller waiting
 }
--- a/internal/batch/sched/starve.go
+++ b/internal/batch/sched/starve.go
@@ -5,11 +5,12 @@
 // starveAfter is how long a job has nothing running before it counts as starved.
 const starveAfter = 2 * time.Second
 
-// count counts a run that has come or gone.
+// count counts a run that has come or gone. The job hasn't been idle up to now if the run was there, unless it was one
+// of a starved job.
 func (j *job) count(r *run, sign int) {
 	j.live += sign
-	if r.starved {
-		j.starved += sign
+	if sign < 0 && !r.starved && !r.sure.IsZero() {
+		j.idle = time.Time{}
 	}
 }
 
@@ -18,10 +19,7 @@
 // never come. Others are placed as if it weren't there, and none is placed while a job that can be on time waits.
 func (c *Core) starve(now time.Time, s *stage) {
 	j := s.job
-	switch {
-	case j.live > j.starved:
-		j.idle = time.Time{}
-	case j.idle.IsZero():
+	if j.idle.IsZero() {
 		j.idle = now
 	}
 	starved := s.spec.Fills && j.live == 0 && now.Sub(j.idle) >= starveAfter && c.timely[j.Service] != c.plans
--- a/internal/batch/sched/starve_test.go
+++ b/internal/batch/sched/starve_test.go
@@ -1,10 +1,12 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/batch/wire"
 )
 
 // A filling task whose image would disturb the serving tasks of every worker stands still for good, with processors idle.
@@ -128,3 +130,49 @@
 		t.Errorf("%d tasks of the next book started, want 5", next)
 	}
 }
+
+// disturbed returns a bench of n workers whose feeds are at three quarters of their target, with their rows by worker.
+func disturbed(t *testing.T, n int) (b *bench, feeds map[string]sched.Running) {
+	t.Helper()
+	b = newBench(t, 1, n).open()
+	for i := range n {
+		feed := serving(fmt.Sprintf("s%d", i), "serve")
+		feed.Steps[0].Count, feed.Steps[0].Label = 1, fmt.Sprintf("w%d", i)
+		b.core.Admit(b.now, feed)
+	}
+	feeds = map[string]sched.Running{}
+	for _, o := range b.plan(sched.VerbStart) {
+		row := running(o)
+		row.Part, row.Tail = 100, 18*time.Millisecond
+		feeds[o.Life.ID] = row
+	}
+	for range 10 {
+		b.after(600 * time.Millisecond)
+		for id, row := range feeds {
+			b.poll(id, sched.Report{Running: []sched.Running{row}})
+		}
+	}
+	return b, feeds
+}
+
+// The next step of a job that was at work until now is taken for starved, as if the job had waited since it was handed in.
+func TestNextStepIsNotStarved(t *testing.T) {
+	b, feeds := disturbed(t, 1)
+	book := filling("f", "fill", 3000)
+	book.Steps = append([]sched.Step{{Count: 1, Size: wire.Size{CPU: 100, Mem: 100}, Estimate: time.Second}}, book.Steps...)
+	book.Steps[1].After = []int{0}
+	b.core.Admit(b.now, book)
+	got := b.plan(sched.VerbStart)
+	if len(got) != 1 {
+		t.Fatalf("started %v, want the first step", got)
+	}
+	for range 5 {
+		b.after(600 * time.Millisecond)
+		b.poll("w0", sched.Report{Running: []sched.Running{feeds["w0"], running(got[0])}})
+		b.plan(sched.VerbStart)
+	}
+	b.poll("w0", sched.Report{Running: []sched.Running{feeds["w0"]}, Finished: []sched.Finished{finished(1, got[0], sched.EndDone)}})
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v where they bring a serving task over its target, of a job that was at work until now", got)
+	}
+}
