--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -142,7 +142,8 @@
 		}
 		orders = append(orders, c.start(now, t, ch.workers[i], t.next(c.opt.Term)))
 		if s.starved {
-			// One task keeps the job going; the others wait for a place where they disturb nobody.
+			// One task keeps the job going; the others wait for a place where they disturb nobody, and it is moved to no other.
+			c.starve(now, s)
 			if s.waiting > 0 {
 				c.noteUnplaced(now, s)
 			}
--- a/internal/batch/sched/starve_test.go
+++ b/internal/batch/sched/starve_test.go
@@ -176,3 +176,37 @@
 		t.Errorf("started %v where they bring a serving task over its target, of a job that was at work until now", got)
 	}
 }
+
+// A starved job's last task is stopped again and again for a worker on which it disturbs as much.
+func TestStarvedTaskIsNotMovedToDisturb(t *testing.T) {
+	b, feeds := disturbed(t, 2)
+	book := filling("f", "fill", 6000)
+	book.Steps[0].Count, book.Steps[0].Saves = 1, true
+	b.core.Admit(b.now, book)
+	b.plan(sched.VerbStart)
+	b.after(2 * time.Second)
+	for id, row := range feeds {
+		b.poll(id, sched.Report{Running: []sched.Running{row}})
+	}
+	got := b.plan(sched.VerbStart)
+	if len(got) != 1 {
+		t.Fatalf("started %v, want one task", got)
+	}
+	at := got[0].Life.ID
+	better := feeds[other(got[0])]
+	better.Tail = 17 * time.Millisecond
+	feeds[other(got[0])] = better
+	for range 20 {
+		b.after(200 * time.Millisecond)
+		for id, row := range feeds {
+			rep := sched.Report{Running: []sched.Running{row}}
+			if id == at {
+				rep.Running = append(rep.Running, running(got[0]))
+			}
+			b.poll(id, rep)
+		}
+		if stops := b.plan(sched.VerbStop); len(stops) != 0 {
+			t.Fatalf("stopped %v", stops)
+		}
+	}
+}
