--- a/internal/batch/sched/bench_test.go
+++ b/internal/batch/sched/bench_test.go
@@ -20,7 +20,9 @@
 	turn    int // of the worker that is heard next
 	jobs    int
 	starts  int
-	ended   int // tasks that ended and were not replaced by a new job yet
+	starved int  // of these, of starved jobs
+	ended   int  // tasks that ended and were not replaced by a new job yet
+	late    bool // filling jobs come too late to be worth anything
 }
 
 // Load of the benchmark, for each worker.
@@ -30,8 +32,15 @@
 	heardEach   = 48  // one worker in so many is heard between two plans
 )
 
-func newPlanner(workers int) *planner {
+// Tails of serving tasks without much load, and with so much that few filling tasks find a place beside them.
+const (
+	calmTail = 12 * time.Millisecond
+	busyTail = 18 * time.Millisecond
+)
+
+func newPlanner(workers int, late bool) *planner {
 	p := &planner{
+		late: late,
 		core: sched.New(sched.Options{Lease: lease, Sure: time.Hour, Term: 1}, start()), now: start(),
 		reports: map[string]*sched.Report{}, seq: map[string]int64{},
 	}
@@ -49,14 +58,18 @@
 	for range min(waitingEach*workers, 2000) {
 		p.submit()
 	}
-	for range 100 {
+	for range 300 {
 		p.step()
 	}
 	return p
 }
 
 func (p *planner) submit() {
-	p.core.Admit(p.now, filling(fmt.Sprintf("f%d", p.jobs), fmt.Sprintf("f%d", p.jobs%9), 1000+50*(p.jobs%30)))
+	j := filling(fmt.Sprintf("f%d", p.jobs), fmt.Sprintf("f%d", p.jobs%9), 1000+50*(p.jobs%30))
+	if p.late {
+		j.At = j.At.Add(-time.Hour)
+	}
+	p.core.Admit(p.now, j)
 	p.jobs++
 }
 
@@ -107,9 +120,15 @@
 			continue
 		}
 		p.starts++
+		if o.Starved {
+			p.starved++
+		}
 		row := sched.Running{Task: o.Task.String(), Run: o.Run, Part: 100, Usage: 1500}
 		if o.Task.Job[0] == 's' {
-			row.Tail = 12 * time.Millisecond
+			row.Tail = calmTail
+			if p.late {
+				row.Tail = busyTail
+			}
 		}
 		p.reports[o.Life.ID].Running = append(p.reports[o.Life.ID].Running, row)
 	}
@@ -124,22 +143,33 @@
 // ends and new jobs between two plans in proportion to the workers.
 func BenchmarkPlan(b *testing.B) {
 	for _, workers := range []int{48, 350, 3000, 28000} {
-		b.Run(fmt.Sprintf("%dworkers", workers), func(b *testing.B) {
-			p := newPlanner(workers)
-			p.starts = 0
-			var planned time.Duration
-			b.ResetTimer()
-			for range b.N {
-				p.events()
-				began := time.Now()
-				p.plan()
-				planned += time.Since(began)
-			}
-			b.ReportMetric(float64(planned.Microseconds())/float64(b.N), "us/plan")
-			b.ReportMetric(float64(planned.Microseconds())/float64(max(p.starts, 1)), "us/start")
-			b.ReportMetric(float64(p.starts)/float64(b.N), "starts/plan")
-		})
+		b.Run(fmt.Sprintf("%dworkers", workers), func(b *testing.B) { benchmarkPlan(b, workers, false) })
+	}
+}
+
+// BenchmarkPlanStarved plans as BenchmarkPlan does with serving tasks near their targets and filling jobs that are all late, of
+// which hundreds are starved.
+func BenchmarkPlanStarved(b *testing.B) {
+	for _, workers := range []int{48, 350} {
+		b.Run(fmt.Sprintf("%dworkers", workers), func(b *testing.B) { benchmarkPlan(b, workers, true) })
+	}
+}
+
+func benchmarkPlan(b *testing.B, workers int, late bool) {
+	p := newPlanner(workers, late)
+	p.starts, p.starved = 0, 0
+	var planned time.Duration
+	b.ResetTimer()
+	for range b.N {
+		p.events()
+		began := time.Now()
+		p.plan()
+		planned += time.Since(began)
 	}
+	b.ReportMetric(float64(planned.Microseconds())/float64(b.N), "us/plan")
+	b.ReportMetric(float64(planned.Microseconds())/float64(max(p.starts, 1)), "us/start")
+	b.ReportMetric(float64(p.starts)/float64(b.N), "starts/plan")
+	b.ReportMetric(float64(p.starved)/float64(b.N), "starved/plan")
 }
 
 func serving(id, image string) *sched.Job {
