--- a/internal/batch/sched/choice.go
+++ b/internal/batch/sched/choice.go
@@ -33,6 +33,9 @@
 // attach enters a run into its worker's ledger.
 func (c *Core) attach(r *run) {
 	r.worker.add(r)
+	if r.starved {
+		c.starved++
+	}
 	if r.task != nil {
 		r.task.stage.job.count(r, 1)
 	}
@@ -42,6 +45,9 @@
 // detach takes a run out of its worker's ledger.
 func (c *Core) detach(r *run) {
 	if r.worker.drop(r) && r.task != nil {
+		if r.starved {
+			c.starved--
+		}
 		r.task.stage.job.count(r, -1)
 	}
 	c.touch(r.worker)
@@ -179,9 +185,14 @@
 	return best
 }
 
+// admits reports whether a task of a step may be placed on a worker that has room for it.
+func (c *Core) admits(now time.Time, w *worker, s *stage) bool {
+	return w.open(now) && w.labelled(s.spec.Label) && (s.spec.Apart == 0 || w.holds(s) < s.spec.Apart)
+}
+
 // suits returns how well a step's tasks suit a worker, and whether one may be placed there now.
 func (c *Core) suits(now time.Time, w *worker, s *stage) (float64, bool) {
-	if !w.open(now) || !w.labelled(s.spec.Label) || s.spec.Apart > 0 && w.holds(s) >= s.spec.Apart {
+	if !c.admits(now, w, s) {
 		return 0, false
 	}
 	score, ok := c.score(now, w, s)
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -36,6 +36,7 @@
 	flow         flow
 	plans        int            // so far
 	timely       map[string]int // the newest of these, by service, in which a filling step that can be on time found no place
+	starved      int            // runs of starved jobs
 	kinds        map[kind]*misfits
 	speeds       learner
 	interference interference
--- a/internal/batch/sched/ledger_test.go
+++ b/internal/batch/sched/ledger_test.go
@@ -154,6 +154,7 @@
 // check compares what is counted with the runs that are there.
 func (l *ledger) check() error {
 	live := map[*job]int{}
+	starved := 0
 	for _, w := range l.core.workers {
 		if len(w.list) != len(w.runs) {
 			return fmt.Errorf("worker %s lists %d runs of %d", w.ID, len(w.list), len(w.runs))
@@ -165,6 +166,9 @@
 				continue
 			}
 			live[r.task.stage.job]++
+			if r.starved {
+				starved++
+			}
 			switch s := r.task.stage.spec; {
 			case s.Fills:
 				mem, fill = mem+s.Size.Mem, fill+s.Size.CPU
@@ -179,6 +183,9 @@
 			return fmt.Errorf("worker %s counts %v %d %d %d, has %v %d %d %d", w.ID, w.used, w.mem, w.fill, w.base, used, mem, fill, base)
 		}
 	}
+	if l.core.starved != starved {
+		return fmt.Errorf("%d runs of starved jobs are counted, %d are there", l.core.starved, starved)
+	}
 	for id, j := range l.core.jobs {
 		if j.live != live[j] {
 			return fmt.Errorf("job %s counts %d runs, has %d", id, j.live, live[j])
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -135,6 +135,9 @@
 		i := ch.best(t)
 		if i < 0 {
 			c.noteUnplaced(now, s)
+			if s.spec.Lasting && !s.spec.Fills {
+				c.makeRoom(now, s)
+			}
 			if s.spec.Apart == 0 {
 				full.add(c.plans, s.spec.Size)
 			}
--- a/internal/batch/sched/starve.go
+++ b/internal/batch/sched/starve.go
@@ -1,6 +1,9 @@
 package sched
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // starveAfter is how long a job has nothing running before it counts as starved.
 const starveAfter = 2 * time.Second
@@ -28,3 +31,50 @@
 		s.misfits = nil // they are of another kind now
 	}
 }
+
+// makeRoom stops starved tasks for a lasting one that lacks only the memory that they hold, on the worker where that takes the
+// fewest. Slowed down to nothing, they would hold it for as long as the serving tasks there are near their targets.
+func (c *Core) makeRoom(now time.Time, s *stage) {
+	if c.starved == 0 {
+		return
+	}
+	var fewest []*run
+	for _, w := range c.ranks {
+		z := s.spec.Size
+		z.Mem = 0
+		if w.Service != s.job.Service || !c.admits(now, w, s) || !w.free().Covers(z) {
+			continue
+		}
+		runs, ok := w.starvedFor(s.spec.Size.Mem - w.free().Mem)
+		switch {
+		case ok && len(runs) == 0:
+			return // it is being made
+		case ok && (fewest == nil || len(runs) < len(fewest)):
+			fewest = runs
+		}
+	}
+	for _, r := range fewest {
+		r.sent = time.Time{} // the stop is sent at once
+		c.stop(r)
+	}
+}
+
+// starvedFor returns the newest starved runs that hold so much memory besides what is being stopped, and whether there are.
+func (w *worker) starvedFor(mem int) ([]*run, bool) {
+	for _, r := range w.list {
+		if r.starved && (r.state == RunStopping || r.state == RunStopped) {
+			mem -= r.task.stage.spec.Size.Mem
+		}
+	}
+	var runs []*run
+	for _, r := range slices.Backward(w.list) {
+		if mem <= 0 {
+			break
+		}
+		if r.starved && r.state == RunLive {
+			runs = append(runs, r)
+			mem -= r.task.stage.spec.Size.Mem
+		}
+	}
+	return runs, mem <= 0
+}
--- a/internal/batch/sched/starve_test.go
+++ b/internal/batch/sched/starve_test.go
@@ -210,3 +210,51 @@
 		}
 	}
 }
+
+// Starved tasks that stand still hold the memory of a worker, and a task that lasts finds none for as long.
+func TestStarvedTasksMakeRoom(t *testing.T) {
+	b, feeds := disturbed(t, 1)
+	rep := sched.Report{Running: []sched.Running{feeds["w0"]}}
+	for i := range 30 {
+		book := filling(fmt.Sprintf("f%d", i), "fill", 6000)
+		book.Steps[0].Count = 1
+		b.core.Admit(b.now, book)
+	}
+	b.plan(sched.VerbStart)
+	b.after(2 * time.Second)
+	b.poll("w0", rep)
+	starved := b.plan(sched.VerbStart)
+	if len(starved) == 0 {
+		t.Fatal("nothing started")
+	}
+	for _, o := range starved {
+		rep.Running = append(rep.Running, running(o))
+	}
+	b.after(400 * time.Millisecond)
+	b.poll("w0", rep)
+	b.core.Admit(b.now, one("lasting", func(j *sched.Job) { j.Steps[0].Lasting, j.Steps[0].Size.Mem = true, 6000 }))
+	b.plan(sched.VerbStart)
+	stops := b.plan(sched.VerbStop)
+	if len(stops) != 2 {
+		t.Fatalf("stopped %v, want the two tasks of 3200 MiB each that make room for one of 6000", stops)
+	}
+	b.after(50 * time.Millisecond)
+	if more := b.plan(sched.VerbStop); len(more) != 0 {
+		t.Errorf("stopped %v besides", more)
+	}
+	for i, o := range stops {
+		rep.Finished = append(rep.Finished, finished(int64(i+1), o, sched.EndStopped))
+	}
+	left := rep.Running[:0:0]
+	for _, r := range rep.Running {
+		if r.Task != stops[0].Task.String() && r.Task != stops[1].Task.String() {
+			left = append(left, r)
+		}
+	}
+	rep.Running = left
+	b.poll("w0", rep)
+	started := b.plan(sched.VerbStart)
+	if len(started) != 1 || started[0].Task.Job != "lasting" {
+		t.Errorf("started %v, want the task that lasts", started)
+	}
+}
