--- a/internal/batch/sched/starve.go
+++ b/internal/batch/sched/starve.go
@@ -8,6 +8,10 @@
 // starveAfter is how long a job has nothing running before it counts as starved.
 const starveAfter = 2 * time.Second
 
+// timelyMost is how long a step that can be on time holds starved ones back. Its own aim bounds nothing for them: it grows with
+// the work of a job.
+const timelyMost = 5 * time.Second
+
 // count counts a run that has come or gone. The job hasn't been idle up to now if the run was there, unless it was one
 // of a starved job.
 func (j *job) count(r *run, sign int) {
@@ -19,7 +23,7 @@
 
 // starve finds out whether the step's job is starved: one of its filling tasks after the other is then placed where it may
 // disturb serving tasks and where only memory is left. Slowed there, it gets further than by waiting for a place that may
-// never come. Others are placed as if it weren't there, and none is placed while a job that can be on time waits.
+// never come. Others are placed as if it weren't there, and none is placed while a job that can be on time has begun to wait.
 func (c *Core) starve(now time.Time, s *stage) {
 	j := s.job
 	if j.idle.IsZero() {
--- a/internal/batch/sched/starve_test.go
+++ b/internal/batch/sched/starve_test.go
@@ -258,3 +258,26 @@
 		t.Errorf("started %v, want the task that lasts", started)
 	}
 }
+
+// A job that can be on time for long and finds no place for all of its tasks keeps all late jobs from having anything running.
+func TestTimelyJobDoesNotStarveOthers(t *testing.T) {
+	b, feeds := disturbed(t, 1)
+	rep := sched.Report{Running: []sched.Running{feeds["w0"]}}
+	late := filling("late", "fill", 3000)
+	late.At = b.now.Add(-time.Hour)
+	b.core.Admit(b.now, late)
+	timely := filling("timely", "fill", 3000)
+	timely.At, timely.Aim = b.now, time.Minute
+	b.core.Admit(b.now, timely)
+	for range 50 {
+		b.after(200 * time.Millisecond)
+		b.poll("w0", rep)
+		for _, o := range b.plan(sched.VerbStart) {
+			if o.Task.Job == "late" {
+				return
+			}
+			rep.Running = append(rep.Running, running(o))
+		}
+	}
+	t.Error("nothing of the late job runs within 10s")
+}
--- a/internal/batch/sched/waits.go
+++ b/internal/batch/sched/waits.go
@@ -36,13 +36,13 @@
 
 // noteUnplaced notes that a task of a step has found no place.
 func (c *Core) noteUnplaced(now time.Time, s *stage) {
-	if s.spec.Fills && s.rank.prospect <= prospectFresh {
-		c.timely[s.job.Service] = c.plans
-	}
 	if s.short.IsZero() {
 		s.short = now
 	}
 	since := now.Sub(s.short)
+	if s.spec.Fills && s.rank.prospect <= prospectFresh && since < timelyMost {
+		c.timely[s.job.Service] = c.plans
+	}
 	if since < max(waitTold, 2*s.told) {
 		return
 	}
