--- a/internal/batch/sched/choice.go
+++ b/internal/batch/sched/choice.go
@@ -33,6 +33,9 @@
 // attach enters a run into its worker's ledger.
 func (c *Core) attach(r *run) {
 	r.worker.add(r)
+	if r.starved {
+		c.starved++
+	}
 	if r.task != nil {
 		r.task.stage.job.count(r, 1)
 	}
@@ -42,6 +45,9 @@
 // detach takes a run out of its worker's ledger.
 func (c *Core) detach(r *run) {
 	if r.worker.drop(r) && r.task != nil {
+		if r.starved {
+			c.starved--
+		}
 		r.task.stage.job.count(r, -1)
 	}
 	c.touch(r.worker)
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -39,6 +39,7 @@
 	flow         flow
 	plans        int            // so far
 	timely       map[string]int // the newest of these, by service, in which a filling step that can be on time found no place
+	starved      int            // runs of starved jobs
 	kinds        map[kind]*misfits
 	speeds       learner
 	interference interference
@@ -77,8 +78,7 @@
 	changes  int       // how often it has changed
 	taken    int       // of these, known to the newest record that was taken to be stored
 	live     int       // runs on workers
-	starved  int       // of these, placed as a starved job's
-	idle     time.Time // since when it has had no others while a task of it waits; zero: it has, or that wasn't looked at
+	idle     time.Time // since when a task of it waits with none running but as a starved job's; out of date while others run
 	queued   bool      // in Core.changes
 	rushed   bool      // there, with a caller waiting
 }
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -136,6 +136,9 @@
 		i := ch.best(t)
 		if i < 0 {
 			c.unplaced(now, s, doubt)
+			if s.spec.Lasting && !s.spec.Fills {
+				c.makeRoom(now, s)
+			}
 			if s.spec.Apart == 0 {
 				full.add(c.plans, s.spec.Size)
 			}
@@ -143,7 +146,8 @@
 		}
 		orders = append(orders, c.start(now, t, ch.workers[i], t.next(c.opt.Term)))
 		if s.starved {
-			// One task keeps the job going; the others wait for a place where they disturb nobody.
+			// One task keeps the job going; the others wait for a place where they disturb nobody, and it is moved to no other.
+			c.starve(now, s)
 			if s.waiting > 0 {
 				c.noteUnplaced(now, s)
 			}
--- a/internal/batch/sched/starve_test.go
+++ b/internal/batch/sched/starve_test.go
@@ -1,10 +1,12 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/batch/wire"
 )
 
 // A filling task whose image would disturb the serving tasks of every worker stands still for good, with processors idle.
@@ -128,3 +130,154 @@
 		t.Errorf("%d tasks of the next book started, want 5", next)
 	}
 }
+
+// disturbed returns a bench of n workers whose feeds are at three quarters of their target, with their rows by worker.
+func disturbed(t *testing.T, n int) (b *bench, feeds map[string]sched.Running) {
+	t.Helper()
+	b = newBench(t, 1, n).open()
+	for i := range n {
+		feed := serving(fmt.Sprintf("s%d", i), "serve")
+		feed.Steps[0].Count, feed.Steps[0].Label = 1, fmt.Sprintf("w%d", i)
+		b.core.Admit(b.now, feed)
+	}
+	feeds = map[string]sched.Running{}
+	for _, o := range b.plan(sched.VerbStart) {
+		row := running(o)
+		row.Part, row.Tail = 100, 18*time.Millisecond
+		feeds[o.Life.ID] = row
+	}
+	for range 10 {
+		b.after(600 * time.Millisecond)
+		for id, row := range feeds {
+			b.poll(id, sched.Report{Running: []sched.Running{row}})
+		}
+	}
+	return b, feeds
+}
+
+// The next step of a job that was at work until now is taken for starved, as if the job had waited since it was handed in.
+func TestNextStepIsNotStarved(t *testing.T) {
+	b, feeds := disturbed(t, 1)
+	book := filling("f", "fill", 3000)
+	book.Steps = append([]sched.Step{{Count: 1, Size: wire.Size{CPU: 100, Mem: 100}, Estimate: time.Second}}, book.Steps...)
+	book.Steps[1].After = []int{0}
+	b.core.Admit(b.now, book)
+	got := b.plan(sched.VerbStart)
+	if len(got) != 1 {
+		t.Fatalf("started %v, want the first step", got)
+	}
+	for range 5 {
+		b.after(600 * time.Millisecond)
+		b.poll("w0", sched.Report{Running: []sched.Running{feeds["w0"], running(got[0])}})
+		b.plan(sched.VerbStart)
+	}
+	b.poll("w0", sched.Report{Running: []sched.Running{feeds["w0"]}, Finished: []sched.Finished{finished(1, got[0], sched.EndDone)}})
+	if got := b.plan(sched.VerbStart); len(got) != 0 {
+		t.Errorf("started %v where they bring a serving task over its target, of a job that was at work until now", got)
+	}
+}
+
+// A starved job's last task is stopped again and again for a worker on which it disturbs as much.
+func TestStarvedTaskIsNotMovedToDisturb(t *testing.T) {
+	b, feeds := disturbed(t, 2)
+	book := filling("f", "fill", 6000)
+	book.Steps[0].Count, book.Steps[0].Saves = 1, true
+	b.core.Admit(b.now, book)
+	b.plan(sched.VerbStart)
+	b.after(2 * time.Second)
+	for id, row := range feeds {
+		b.poll(id, sched.Report{Running: []sched.Running{row}})
+	}
+	got := b.plan(sched.VerbStart)
+	if len(got) != 1 {
+		t.Fatalf("started %v, want one task", got)
+	}
+	at := got[0].Life.ID
+	better := feeds[other(got[0])]
+	better.Tail = 17 * time.Millisecond
+	feeds[other(got[0])] = better
+	for range 20 {
+		b.after(200 * time.Millisecond)
+		for id, row := range feeds {
+			rep := sched.Report{Running: []sched.Running{row}}
+			if id == at {
+				rep.Running = append(rep.Running, running(got[0]))
+			}
+			b.poll(id, rep)
+		}
+		if stops := b.plan(sched.VerbStop); len(stops) != 0 {
+			t.Fatalf("stopped %v", stops)
+		}
+	}
+}
+
+// Starved tasks that stand still hold the memory of a worker, and a task that lasts finds none for as long.
+func TestStarvedTasksMakeRoom(t *testing.T) {
+	b, feeds := disturbed(t, 1)
+	rep := sched.Report{Running: []sched.Running{feeds["w0"]}}
+	for i := range 30 {
+		book := filling(fmt.Sprintf("f%d", i), "fill", 6000)
+		book.Steps[0].Count = 1
+		b.core.Admit(b.now, book)
+	}
+	b.plan(sched.VerbStart)
+	b.after(2 * time.Second)
+	b.poll("w0", rep)
+	starved := b.plan(sched.VerbStart)
+	if len(starved) == 0 {
+		t.Fatal("nothing started")
+	}
+	for _, o := range starved {
+		rep.Running = append(rep.Running, running(o))
+	}
+	b.after(400 * time.Millisecond)
+	b.poll("w0", rep)
+	b.core.Admit(b.now, one("lasting", func(j *sched.Job) { j.Steps[0].Lasting, j.Steps[0].Size.Mem = true, 6000 }))
+	b.plan(sched.VerbStart)
+	stops := b.plan(sched.VerbStop)
+	if len(stops) != 2 {
+		t.Fatalf("stopped %v, want the two tasks of 3200 MiB each that make room for one of 6000", stops)
+	}
+	b.after(50 * time.Millisecond)
+	if more := b.plan(sched.VerbStop); len(more) != 0 {
+		t.Errorf("stopped %v besides", more)
+	}
+	for i, o := range stops {
+		rep.Finished = append(rep.Finished, finished(int64(i+1), o, sched.EndStopped))
+	}
+	left := rep.Running[:0:0]
+	for _, r := range rep.Running {
+		if r.Task != stops[0].Task.String() && r.Task != stops[1].Task.String() {
+			left = append(left, r)
+		}
+	}
+	rep.Running = left
+	b.poll("w0", rep)
+	started := b.plan(sched.VerbStart)
+	if len(started) != 1 || started[0].Task.Job != "lasting" {
+		t.Errorf("started %v, want the task that lasts", started)
+	}
+}
+
+// A job that can be on time for long and finds no place for all of its tasks keeps all late jobs from having anything running.
+func TestTimelyJobDoesNotStarveOthers(t *testing.T) {
+	b, feeds := disturbed(t, 1)
+	rep := sched.Report{Running: []sched.Running{feeds["w0"]}}
+	late := filling("late", "fill", 3000)
+	late.At = b.now.Add(-time.Hour)
+	b.core.Admit(b.now, late)
+	timely := filling("timely", "fill", 3000)
+	timely.At, timely.Aim = b.now, time.Minute
+	b.core.Admit(b.now, timely)
+	for range 50 {
+		b.after(200 * time.Millisecond)
+		b.poll("w0", rep)
+		for _, o := range b.plan(sched.VerbStart) {
+			if o.Task.Job == "late" {
+				return
+			}
+			rep.Running = append(rep.Running, running(o))
+		}
+	}
+	t.Error("nothing of the late job runs within 10s")
+}
