--- a/internal/batch/sched/factor.go
+++ b/internal/batch/sched/factor.go
@@ -13,6 +13,12 @@
 	last  against // the answer of the last call of against
 }
 
+// usage is the share of a worker's processors that a filling image uses there.
+type usage struct {
+	image string
+	share float64
+}
+
 // against is the factor of a filling image beside the mean of all.
 type against struct {
 	known    bool
--- a/internal/batch/sched/forecast.go
+++ b/internal/batch/sched/forecast.go
@@ -5,8 +5,6 @@
 const (
 	// maxHarm bounds the expected number of latency-critical tasks that a placement pushes over target.
 	maxHarm = 0.3
-	// pressureSpread is how far a serving task's pressure may be from what is expected.
-	pressureSpread = 0.1
 	// placeAhead is for how long, in seconds, a place has to suit a filling task, which stays
 	// there for some 2 s.
 	placeAhead = 2.0
@@ -95,8 +93,27 @@
 	return harm, advantage * share
 }
 
-// over returns the chance that a serving run is over its target whose pressure is expected to
-// be x above it. It goes on rising above 1: what is far over takes longer to come back.
-func overTargetProbability(x float64) float64 {
-	return max(0, 0.5+x/(2*pressureSpread))
+// seconds returns a time as courses count it: from the Unix epoch, so that a fit can be handed on
+// to another host, by the clock as it was when the term began. A clock that is set while this
+// process holds would shift every swing against the loads.
+func (c *Core) seconds(at time.Time) float64 {
+	return time.Duration(c.began.UnixNano()).Seconds() + at.Sub(c.began).Seconds()
+}
+
+// loadOf returns the load of a serving step.
+func (c *Core) loadOf(s *stage) *loadForecast {
+	if s.load == nil {
+		s.load = newLoadForecast(c.seconds(s.at))
+	}
+	return s.load
+}
+
+// peak returns the most load expected of a serving step within some seconds.
+func (c *Core) peakLoad(now time.Time, s *stage, ahead float64) float64 {
+	k, at := c.loadOf(s), c.seconds(now)
+	most := 0.0
+	for _, x := range []float64{0, ahead / 2, ahead} {
+		most = max(most, k.load(at+x, c.interference.period))
+	}
+	return most
 }
--- a/internal/batch/sched/interference.go
+++ b/internal/batch/sched/interference.go
@@ -1,13 +1,8 @@
 package sched
 
 import (
-	"encoding/json"
-	"maps"
 	"math"
-	"slices"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // pressure models how tasks that fill disturb tasks that serve. A serving task's tail grows
@@ -30,6 +25,8 @@
 	targetPressure = 1 - restShare
 	// fullPressure is where a reading says no more than "far over".
 	fullPressure = 0.97
+	// pressureSpread is how far a serving task's pressure may be from what is expected.
+	pressureSpread = 0.1
 	// lag is how long ago, in seconds, the middle of what a reading covers is.
 	lag = 0.3
 )
@@ -71,12 +68,12 @@
 
 // learn takes a reading of a serving step's tail beside filling images with the shares of
 // the worker's processors that they use. at is when it was read, in seconds.
-func (p *interference) learn(at float64, k *loadForecast, s *Step, tail time.Duration, use []usage) {
+func (p *interference) learn(at float64, k *loadForecast, serve string, tail, target time.Duration, use []usage) {
 	if tail <= 0 {
 		return
 	}
-	f := p.factors(s.Image)
-	got := pressureOf(tail, s.Target)
+	f := p.factors(serve)
+	got := pressureOf(tail, target)
 	fill, unsure := f.expect(use)
 	load := k.load(at-lag, p.period)
 	if got >= fullPressure && load+fill >= fullPressure {
@@ -107,78 +104,8 @@
 	}
 }
 
-// learned is the model as it is stored.
-type learned struct {
-	Score []float64     `json:"score"`
-	Pairs []learnedPair `json:"pairs"`
-	Loads []learnedLoad `json:"loads,omitempty"`
-}
-
-// learnedLoad is the fit of a step's load for the period that tells best, its times counted
-// from the Unix epoch.
-type learnedLoad struct {
-	Job   string  `json:"job"`
-	Round int     `json:"round,omitempty"`
-	Step  int     `json:"step,omitempty"`
-	Level float64 `json:"level"`
-	Cos   float64 `json:"cos"`
-	Sin   float64 `json:"sin"`
-}
-
-type learnedPair struct {
-	Serve  string  `json:"serve"`
-	Fill   string  `json:"fill"`
-	Factor float64 `json:"factor"`
-	Spread float64 `json:"spread"`
-}
-
-// Learned returns what has been learned of images and loads, for a next holder: learning it anew
-// takes some ten seconds, in which serving tasks are disturbed or filling ones wait.
-func (c *Core) Learned() ([]byte, error) {
-	l := learned{Score: c.interference.score[:]}
-	for serve, f := range c.interference.pairs {
-		for i, fill := range f.fills {
-			l.Pairs = append(l.Pairs, learnedPair{serve, fill, f.value[i], math.Sqrt(max(0, f.cov[i][i]))})
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		if c.jobs[id].state.Final() {
-			continue
-		}
-		for _, r := range c.jobs[id].rounds {
-			for _, s := range r.stages {
-				if k := s.load; k != nil && k.sums[c.interference.period].w > 1 {
-					f := k.fits[c.interference.period]
-					l.Loads = append(l.Loads, learnedLoad{id, s.round, s.idx, f.level, f.cos, f.sin})
-				}
-			}
-		}
-	}
-	data, err := json.Marshal(l)
-	return data, errors.Wrap(err, "sched")
-}
-
-// Relearn takes what a former holder has learned, of the jobs that are known here.
-func (c *Core) Relearn(data []byte) error {
-	var l learned
-	if err := json.Unmarshal(data, &l); err != nil {
-		return errors.Wrap(err, "sched: learned")
-	}
-	now := c.seconds(c.began)
-	c.interference = interference{scored: now}
-	if len(l.Score) == periods {
-		copy(c.interference.score[:], l.Score)
-	}
-	for _, p := range l.Pairs {
-		f := c.interference.factors(p.Serve)
-		f.set(p.Fill, p.Factor, p.Spread)
-		f.at = now
-	}
-	c.interference.choose()
-	for _, f := range l.Loads {
-		if t := c.task(TaskID{Job: f.Job, Round: f.Round, Step: f.Step}); t != nil {
-			c.loadOf(t.stage).seed(now, c.interference.period, harmonic{f.Level, f.Cos, f.Sin})
-		}
-	}
-	return nil
+// over returns the chance that a serving run is over its target whose pressure is expected to
+// be x above it. It goes on rising above 1: what is far over takes longer to come back.
+func overTargetProbability(x float64) float64 {
+	return max(0, 0.5+x/(2*pressureSpread))
 }
--- a/internal/batch/sched/load.go
+++ b/internal/batch/sched/load.go
@@ -1,9 +1,6 @@
 package sched
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 // Users' load on a serving step swings, and all of its tasks show the same load at a time. So the load is kept for
 // the step, from the readings of all its tasks, and is told some seconds ahead: a filling task has to be slowed, or
@@ -159,13 +156,6 @@
 	return f
 }
 
-// seconds returns a time as courses count it: from the Unix epoch, so that a fit can be handed on
-// to another host, by the clock as it was when the term began. A clock that is set while this
-// process holds would shift every swing against the loads.
-func (c *Core) seconds(at time.Time) float64 {
-	return time.Duration(c.began.UnixNano()).Seconds() + at.Sub(c.began).Seconds()
-}
-
 // seed has the forecast of a period begin with a fit that a former holder found, as if it
 // came from some readings spread over a whole swing.
 func (k *loadForecast) seed(at float64, period int, f harmonic) {
@@ -178,21 +168,3 @@
 	}
 	k.fits[period] = s.solve(angularFrequency[period] != 0)
 }
-
-// loadOf returns the load of a serving step.
-func (c *Core) loadOf(s *stage) *loadForecast {
-	if s.load == nil {
-		s.load = newLoadForecast(c.seconds(s.at))
-	}
-	return s.load
-}
-
-// peak returns the most load expected of a serving step within some seconds.
-func (c *Core) peakLoad(now time.Time, s *stage, ahead float64) float64 {
-	k, at := c.loadOf(s), c.seconds(now)
-	most := 0.0
-	for _, x := range []float64{0, ahead / 2, ahead} {
-		most = max(most, k.load(at+x, c.interference.period))
-	}
-	return most
-}
--- a/internal/batch/sched/load_test.go
+++ b/internal/batch/sched/load_test.go
@@ -80,7 +80,7 @@
 	period := next.interference.period
 	stage := next.jobs["feed"].rounds[0].stages[0]
 	at := next.seconds(next.began.Add(200 * time.Millisecond))
-	next.interference.learn(at, next.loadOf(stage), stage.spec, 100*time.Millisecond, []usage{{"book", 0.2}})
+	next.interference.learn(at, next.loadOf(stage), stage.spec.Image, 100*time.Millisecond, stage.spec.Target, []usage{{"book", 0.2}})
 	if next.interference.period != period || angularFrequency[period] == 0 {
 		t.Errorf("period %d after a reading, %d was handed on", next.interference.period, period)
 	}
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		if st := r.task.stage; r.ready {
-			c.interference.learn(c.seconds(now), c.loadOf(st), st.spec, r.tail, use)
+			c.interference.learn(c.seconds(now), c.loadOf(st), st.spec.Image, r.tail, st.spec.Target, use)
 		}
 		r.clock(now, later(before, now.Add(-oldest)), w.share.busy)
 		if !r.over.IsZero() && now.Sub(r.over) >= overSoon {
@@ -117,12 +117,6 @@
 	return false
 }
 
-// usage is the share of a worker's processors that a filling image uses there.
-type usage struct {
-	image string
-	share float64
-}
-
 // fillUse returns what each filling image uses on the worker.
 func (w *worker) fillUse() []usage {
 	var use []usage
