--- a/internal/batch/sched/factor.go
+++ b/internal/batch/sched/factor.go
@@ -13,12 +13,27 @@
 	last  against // the answer of the last call of against
 }
 
-// usage is the share of a worker's processors that a filling image uses there.
+// usage is the share of a worker's processors that each filling image uses there.
 type usage struct {
+	images []imageUsage
+}
+
+type imageUsage struct {
 	image string
 	share float64
 }
 
+// add counts what a task of an image uses.
+func (u *usage) add(image string, share float64) {
+	for i := range u.images {
+		if u.images[i].image == image {
+			u.images[i].share += share
+			return
+		}
+	}
+	u.images = append(u.images, imageUsage{image, share})
+}
+
 // against is the factor of a filling image beside the mean of all.
 type against struct {
 	known    bool
@@ -99,8 +114,8 @@
 
 // expect returns the pressure expected from images with the shares of processors that they
 // use, and its variance.
-func (f *factors) expect(use []usage) (sum, variance float64) {
-	for _, u := range use {
+func (f *factors) expect(use usage) (sum, variance float64) {
+	for _, u := range use.images {
 		i := f.index(u.image)
 		if i < 0 {
 			sum += firstFactor * u.share
@@ -108,7 +123,7 @@
 			continue
 		}
 		sum += f.value[i] * u.share
-		for _, v := range use {
+		for _, v := range use.images {
 			if k := f.index(v.image); k >= 0 {
 				variance += f.cov[i][k] * u.share * v.share
 			}
@@ -119,8 +134,8 @@
 
 // learn takes a reading's error: the pressure it shows less the one expected, whose variance
 // without the factors' own is noise.
-func (f *factors) learn(at float64, use []usage, miss, noise float64) {
-	for _, u := range use {
+func (f *factors) learn(at float64, use usage, miss, noise float64) {
+	for _, u := range use.images {
 		if f.index(u.image) < 0 {
 			f.set(u.image, firstFactor, factorSpread)
 		}
@@ -133,7 +148,7 @@
 	_, variance := f.expect(use)
 	gain := make([]float64, len(f.fills))
 	for i := range gain {
-		for _, u := range use {
+		for _, u := range use.images {
 			gain[i] += f.cov[i][f.index(u.image)] * u.share
 		}
 	}
--- a/internal/batch/sched/forecast.go
+++ b/internal/batch/sched/forecast.go
@@ -71,7 +71,7 @@
 	if !r.serves() {
 		return baseLoad
 	}
-	return min(1, c.loadOf(r.task.stage).load(c.seconds(now)+placeAhead/2, c.interference.period))
+	return min(1, c.interference.expect(c.loadOf(r.task.stage), c.seconds(now)+placeAhead/2))
 }
 
 // share returns the share of a worker's processors that a task of the step asks for.
@@ -110,10 +110,5 @@
 
 // peak returns the most load expected of a serving step within some seconds.
 func (c *Core) peakLoad(now time.Time, s *stage, ahead float64) float64 {
-	k, at := c.loadOf(s), c.seconds(now)
-	most := 0.0
-	for _, x := range []float64{0, ahead / 2, ahead} {
-		most = max(most, k.load(at+x, c.interference.period))
-	}
-	return most
+	return c.interference.peak(c.loadOf(s), c.seconds(now), ahead)
 }
--- a/internal/batch/sched/interference.go
+++ b/internal/batch/sched/interference.go
@@ -68,7 +68,7 @@
 
 // learn takes a reading of a serving step's tail beside filling images with the shares of
 // the worker's processors that they use. at is when it was read, in seconds.
-func (p *interference) learn(at float64, k *loadForecast, serve string, tail, target time.Duration, use []usage) {
+func (p *interference) learn(at float64, k *loadForecast, serve string, tail, target time.Duration, use usage) {
 	if tail <= 0 {
 		return
 	}
@@ -104,6 +104,28 @@
 	}
 }
 
+// expect returns the load expected of a serving step at a time, in seconds.
+func (p *interference) expect(k *loadForecast, at float64) float64 {
+	return k.load(at, p.period)
+}
+
+// peak returns the most load expected of a serving step within some seconds.
+func (p *interference) peak(k *loadForecast, at, ahead float64) float64 {
+	most := 0.0
+	for _, x := range []float64{0, ahead / 2, ahead} {
+		most = max(most, k.load(at+x, p.period))
+	}
+	return most
+}
+
+// swingPeriod returns the period, in seconds, that tells the loads best; 0: they are steady.
+func (p *interference) swingPeriod() float64 {
+	if angularFrequency[p.period] == 0 {
+		return 0
+	}
+	return memory[p.period]
+}
+
 // over returns the chance that a serving run is over its target whose pressure is expected to
 // be x above it. It goes on rising above 1: what is far over takes longer to come back.
 func overTargetProbability(x float64) float64 {
--- a/internal/batch/sched/load.go
+++ b/internal/batch/sched/load.go
@@ -71,17 +71,16 @@
 	return angularFrequency, memory
 }()
 
-// newLoadForecast returns the forecast for a step without a reading.
+// newLoadForecast returns the forecast for a step without a reading; what was read before a time isn't aged.
 func newLoadForecast(at float64) *loadForecast {
-	k := &loadForecast{at: at}
-	for i := range k.fits {
-		k.fits[i].level = firstLoad
-	}
-	return k
+	return &loadForecast{at: at}
 }
 
 // load returns the load expected at a time, for a period.
 func (k *loadForecast) load(at float64, period int) float64 {
+	if k.sums[period].w == 0 {
+		return firstLoad
+	}
 	f := k.fits[period]
 	if angularFrequency[period] == 0 {
 		return f.level
--- a/internal/batch/sched/load_test.go
+++ b/internal/batch/sched/load_test.go
@@ -55,17 +55,24 @@
 // once: learned anew, they are told well only after some seconds, in which audits run beside
 // watches that can't bear them.
 func TestLoadsHandedOn(t *testing.T) {
+	const (
+		target = 24 * time.Millisecond
+		rest   = 4 * time.Millisecond // tail without any load
+		lag    = 0.3                  // seconds from what a reading covers to its arrival
+	)
+	tail := func(load float64) time.Duration { return time.Duration(float64(rest) / (1 - load)) }
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	feed := &Job{ID: "feed", Queue: "q", Service: "s", At: start, Steps: []Step{{Count: 2, Lasting: true, Image: "a", Target: 24 * time.Millisecond}}}
+	feed := &Job{ID: "feed", Queue: "q", Service: "s", At: start, Steps: []Step{{Count: 2, Lasting: true, Image: "a", Target: target}}}
 	former, next := New(Options{Term: 1}, start), New(Options{Term: 2}, start.Add(30*time.Second))
 	former.Admit(start, feed)
 	truth := func(at time.Time) float64 { return 0.5 + 0.24*math.Sin(2*math.Pi*at.Sub(start).Seconds()/20+1) }
 	k := former.loadOf(former.jobs["feed"].rounds[0].stages[0])
 	for at := start; at.Before(start.Add(30 * time.Second)); at = at.Add(200 * time.Millisecond) {
-		k.learn(former.seconds(at), truth(at), 1, &former.interference.score)
-		former.interference.age(former.seconds(at))
+		former.interference.learn(former.seconds(at)+lag, k, "a", tail(truth(at)), target, usage{})
 	}
-	former.interference.factors("a").set("book", 1.2, 0.05)
+	known := former.interference.state()
+	known.Pairs = append(known.Pairs, factorState{"a", "book", 1.2, 0.05})
+	former.interference.restore(former.seconds(start.Add(30*time.Second)), known)
 	data, err := former.Learned()
 	if err != nil {
 		t.Fatal(err)
@@ -77,20 +84,22 @@
 		t.Fatal(err)
 	}
 	// One reading that is far off changes neither the period nor a factor that was sure.
-	period := next.interference.period
+	period := next.interference.swingPeriod()
 	stage := next.jobs["feed"].rounds[0].stages[0]
 	at := next.seconds(next.began.Add(200 * time.Millisecond))
-	next.interference.learn(at, next.loadOf(stage), stage.spec.Image, 100*time.Millisecond, stage.spec.Target, []usage{{"book", 0.2}})
-	if next.interference.period != period || angularFrequency[period] == 0 {
-		t.Errorf("period %d after a reading, %d was handed on", next.interference.period, period)
+	var use usage
+	use.add("book", 0.2)
+	next.interference.learn(at, next.loadOf(stage), "a", 100*time.Millisecond, target, use)
+	if got := next.interference.swingPeriod(); got != period || period == 0 {
+		t.Errorf("period %.1f s after a reading, %.1f s was handed on", got, period)
 	}
 	if f := next.interference.factors("a").of("book"); math.Abs(f-1.2) > 0.1 {
 		t.Errorf("factor %.2f after a reading, 1.20 was handed on", f)
 	}
 	for _, ahead := range []time.Duration{time.Second, 4 * time.Second, 9 * time.Second} {
 		at := next.began.Add(ahead)
-		next.loadOf(next.jobs["feed"].rounds[0].stages[0]).learn(next.seconds(at), truth(at)+0.05, 1, &next.interference.score)
-		got := next.loadOf(next.jobs["feed"].rounds[0].stages[0]).load(next.seconds(at), next.interference.period)
+		next.interference.learn(next.seconds(at)+lag, next.loadOf(stage), "a", tail(truth(at)+0.05), target, usage{})
+		got := next.interference.expect(next.loadOf(stage), next.seconds(at))
 		if math.Abs(got-truth(at)) > 0.06 {
 			t.Errorf("load in %s: %.2f, want %.2f", ahead, got, truth(at))
 		}
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -1,9 +1,6 @@
 package sched
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // sharing is what is known of a worker on which tasks that fill run beside tasks that serve.
 type sharing struct {
@@ -118,17 +115,11 @@
 }
 
 // fillUse returns what each filling image uses on the worker.
-func (w *worker) fillUse() []usage {
-	var use []usage
+func (w *worker) fillUse() usage {
+	var use usage
 	for _, r := range w.list {
-		if !r.fills() || r.state != RunLive || r.usage <= 0 {
-			continue
-		}
-		image, share := r.task.stage.spec.Image, r.usage/float64(max(w.Size.CPU, 1))
-		if i := slices.IndexFunc(use, func(u usage) bool { return u.image == image }); i >= 0 {
-			use[i].share += share
-		} else {
-			use = append(use, usage{image, share})
+		if r.fills() && r.state == RunLive && r.usage > 0 {
+			use.add(r.task.stage.spec.Image, r.usage/float64(max(w.Size.CPU, 1)))
 		}
 	}
 	return use
