--- a/internal/batch/sched/factor.go
+++ b/internal/batch/interf/factor.go
@@ -1,11 +1,11 @@
-package sched
+package interf
 
 import "math"
 
 // factors are what filling images add to the pressure on a serving image, for each worker's
 // worth of processors that they use. They are learned from every reading by a Kalman filter,
 // which also knows how sure each is.
-type factors struct {
+type Factors struct {
 	fills []string // images
 	value []float64
 	cov   [][]float64
@@ -14,7 +14,7 @@
 }
 
 // usage is the share of a worker's processors that each filling image uses there.
-type usage struct {
+type Usage struct {
 	images []imageUsage
 }
 
@@ -24,7 +24,7 @@
 }
 
 // add counts what a task of an image uses.
-func (u *usage) add(image string, share float64) {
+func (u *Usage) Add(image string, share float64) {
 	for i := range u.images {
 		if u.images[i].image == image {
 			u.images[i].share += share
@@ -54,7 +54,7 @@
 	wildest = 0.25
 )
 
-func (f *factors) index(fill string) int {
+func (f *Factors) index(fill string) int {
 	for i, name := range f.fills {
 		if name == fill {
 			return i
@@ -64,7 +64,7 @@
 }
 
 // of returns the factor of a filling image.
-func (f *factors) of(fill string) float64 {
+func (f *Factors) Of(fill string) float64 {
 	if i := f.index(fill); i >= 0 {
 		return f.value[i]
 	}
@@ -72,7 +72,7 @@
 }
 
 // mean returns the average factor of the filling images seen.
-func (f *factors) mean() float64 {
+func (f *Factors) mean() float64 {
 	if len(f.value) == 0 {
 		return firstFactor
 	}
@@ -85,15 +85,15 @@
 
 // against returns the factor of a filling image and the mean of all. Placing asks for the same image many
 // times in a row, so the last answer is kept.
-func (f *factors) against(fill string) (of, mean float64) {
+func (f *Factors) Against(fill string) (of, mean float64) {
 	if a := &f.last; !a.known || a.image != fill {
-		*a = against{true, fill, f.of(fill), f.mean()}
+		*a = against{true, fill, f.Of(fill), f.mean()}
 	}
 	return f.last.of, f.last.mean
 }
 
 // set gives an image a factor with a standard deviation.
-func (f *factors) set(fill string, value, spread float64) {
+func (f *Factors) set(fill string, value, spread float64) {
 	f.last.known = false
 	i := f.index(fill)
 	if i < 0 {
@@ -114,7 +114,7 @@
 
 // expect returns the pressure expected from images with the shares of processors that they
 // use, and its variance.
-func (f *factors) expect(use usage) (sum, variance float64) {
+func (f *Factors) expect(use Usage) (sum, variance float64) {
 	for _, u := range use.images {
 		i := f.index(u.image)
 		if i < 0 {
@@ -134,7 +134,7 @@
 
 // learn takes a reading's error: the pressure it shows less the one expected, whose variance
 // without the factors' own is noise.
-func (f *factors) learn(at float64, use usage, miss, noise float64) {
+func (f *Factors) learn(at float64, use Usage, miss, noise float64) {
 	for _, u := range use.images {
 		if f.index(u.image) < 0 {
 			f.set(u.image, firstFactor, factorSpread)
--- a/internal/batch/sched/load.go
+++ b/internal/batch/interf/load.go
@@ -1,4 +1,4 @@
-package sched
+package interf
 
 import "math"
 
@@ -6,10 +6,10 @@
 // the step, from the readings of all its tasks, and is told some seconds ahead: a filling task has to be slowed, or
 // be placed elsewhere, before the load has risen.
 
-// loadForecast is the load of a serving step: a level and a swing around it, fitted to the readings by
+// Load is the load of a serving step: a level and a swing around it, fitted to the readings by
 // least squares in which older readings count less. It is fitted for each period tried, as the
 // period isn't known at first; pressure.period says which one tells best.
-type loadForecast struct {
+type Load struct {
 	at   float64 // seconds; as of when the sums are
 	sums [periods]moments
 	fits [periods]harmonic
@@ -71,13 +71,13 @@
 	return angularFrequency, memory
 }()
 
-// newLoadForecast returns the forecast for a step without a reading; what was read before a time isn't aged.
-func newLoadForecast(at float64) *loadForecast {
-	return &loadForecast{at: at}
+// NewLoad returns the forecast for a step without a reading; what was read before a time isn't aged.
+func NewLoad(at float64) *Load {
+	return &Load{at: at}
 }
 
 // load returns the load expected at a time, for a period.
-func (k *loadForecast) load(at float64, period int) float64 {
+func (k *Load) load(at float64, period int) float64 {
 	if k.sums[period].w == 0 {
 		return firstLoad
 	}
@@ -90,7 +90,7 @@
 }
 
 // spread returns the standard deviation of the load that is expected.
-func (k *loadForecast) spread(period int) float64 {
+func (k *Load) spread(period int) float64 {
 	most := firstSpread
 	if angularFrequency[period] != 0 {
 		most = swingSpread
@@ -100,7 +100,7 @@
 
 // learn takes a reading of the load, with a weight of sure against a plain one (1), and adds each
 // period's squared error to score.
-func (k *loadForecast) learn(at, load, sure float64, score *[periods]float64) {
+func (k *Load) learn(at, load, sure float64, score *[periods]float64) {
 	aged := max(0, at-k.at)
 	k.at = max(k.at, at)
 	for i := range k.sums {
@@ -157,7 +157,7 @@
 
 // seed has the forecast of a period begin with a fit that a former holder found, as if it
 // came from some readings spread over a whole swing.
-func (k *loadForecast) seed(at float64, period int, f harmonic) {
+func (k *Load) seed(at float64, period int, f harmonic) {
 	k.at = at
 	s := &k.sums[period]
 	*s = moments{w: seedReadings, y: seedReadings * f.level}
--- /dev/null
+++ b/internal/batch/interf/load_test.go
@@ -0,0 +1,51 @@
+package interf
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// The load of a serving step is told a second ahead, whether it swings, with which period, or
+// is steady. The period isn't known at first, one reading in twenty is far off, and three
+// steps with swings of their own share what is learned of it.
+func TestCourse(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		period float64 // seconds
+		swing  float64
+	}{
+		{"feeds, 10 s", 10, 0.24},
+		{"watches, 20 s", 20, 0.24},
+		{"between two of the periods tried", 13.6, 0.24},
+		{"steady", 10, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 2))
+			truth := func(step int, at float64) float64 {
+				return 0.5 + tt.swing*math.Sin(2*math.Pi*at/tt.period+2*float64(step))
+			}
+			var p Model
+			courses := []*Load{NewLoad(0), NewLoad(0), NewLoad(0)}
+			var n, square float64
+			for at := 0.0; at < 40; at += 0.2 {
+				for i, k := range courses {
+					noise := 0.05 * rng.NormFloat64()
+					if rng.IntN(20) == 0 {
+						noise = 0.3
+					}
+					k.learn(at, truth(i, at)+noise, 1, &p.score)
+					p.age(at)
+					if at < 20 {
+						continue
+					}
+					miss := k.load(at+1, p.period) - truth(i, at+1)
+					n, square = n+1, square+miss*miss
+				}
+			}
+			if miss := math.Sqrt(square / n); miss > 0.05 {
+				t.Errorf("the load a second ahead is off by %.3f, of a swing of %.2f", miss, tt.swing)
+			}
+		})
+	}
+}
--- a/internal/batch/sched/interference.go
+++ b/internal/batch/interf/model.go
@@ -1,4 +1,4 @@
-package sched
+package interf
 
 import (
 	"math"
@@ -10,8 +10,8 @@
 // pressure p is the sum of its users' load, which all tasks of its step share, and, for each
 // filling image beside it, a factor of the pair times the share of the worker's processors
 // that the image uses.
-type interference struct {
-	pairs  map[string]*factors // by serving image
+type Model struct {
+	pairs  map[string]*Factors // by serving image
 	score  [periods]float64    // errors of the courses with each period
 	scored float64             // seconds; as of when score is
 	period int                 // that tells the load best
@@ -21,8 +21,8 @@
 	// restShare is the share of its target that a tail without any load takes. Where it's another, load and factors
 	// come out larger or smaller, and the model still holds: its pressure is a straight line of the true one.
 	restShare = 1.0 / 6
-	// targetPressure is the pressure at which a tail is at its target.
-	targetPressure = 1 - restShare
+	// TargetPressure is the pressure at which a tail is at its target.
+	TargetPressure = 1 - restShare
 	// fullPressure is where a reading says no more than "far over".
 	fullPressure = 0.97
 	// pressureSpread is how far a serving task's pressure may be from what is expected.
@@ -40,13 +40,13 @@
 }
 
 // factors returns the factors of the filling images for a serving one.
-func (p *interference) factors(serve string) *factors {
+func (p *Model) Factors(serve string) *Factors {
 	f := p.pairs[serve]
 	if f == nil {
 		if p.pairs == nil {
-			p.pairs = map[string]*factors{}
+			p.pairs = map[string]*Factors{}
 		}
-		f = &factors{}
+		f = &Factors{}
 		p.pairs[serve] = f
 	}
 	return f
@@ -54,25 +54,25 @@
 
 // unlike returns how much the filling images that disturb two serving images differ, from 0 to
 // 1; 1 where that isn't known.
-func (p *interference) dissimilarity(a, b string) float64 {
-	f, g := p.factors(a), p.factors(b)
+func (p *Model) Dissimilarity(a, b string) float64 {
+	f, g := p.Factors(a), p.Factors(b)
 	if len(f.fills) == 0 || len(g.fills) == 0 {
 		return 1
 	}
 	sum := 0.0
 	for i, fill := range f.fills {
-		sum += min(1, math.Abs(f.value[i]-g.of(fill)))
+		sum += min(1, math.Abs(f.value[i]-g.Of(fill)))
 	}
 	return sum / float64(len(f.fills))
 }
 
 // learn takes a reading of a serving step's tail beside filling images with the shares of
 // the worker's processors that they use. at is when it was read, in seconds.
-func (p *interference) learn(at float64, k *loadForecast, serve string, tail, target time.Duration, use usage) {
+func (p *Model) Learn(at float64, k *Load, serve string, tail, target time.Duration, use Usage) {
 	if tail <= 0 {
 		return
 	}
-	f := p.factors(serve)
+	f := p.Factors(serve)
 	got := pressureOf(tail, target)
 	fill, unsure := f.expect(use)
 	load := k.load(at-lag, p.period)
@@ -86,7 +86,7 @@
 }
 
 // age has older errors of the periods count less.
-func (p *interference) age(at float64) {
+func (p *Model) age(at float64) {
 	x := math.Exp(-max(0, at-p.scored) / scoreMemory)
 	p.scored = max(p.scored, at)
 	for i := range p.score {
@@ -96,7 +96,7 @@
 }
 
 // choose makes the period that has told the loads best the one that counts.
-func (p *interference) choose() {
+func (p *Model) choose() {
 	for i, score := range p.score {
 		if score < p.score[p.period] {
 			p.period = i
@@ -105,12 +105,12 @@
 }
 
 // expect returns the load expected of a serving step at a time, in seconds.
-func (p *interference) expect(k *loadForecast, at float64) float64 {
+func (p *Model) Expect(k *Load, at float64) float64 {
 	return k.load(at, p.period)
 }
 
 // peak returns the most load expected of a serving step within some seconds.
-func (p *interference) peak(k *loadForecast, at, ahead float64) float64 {
+func (p *Model) Peak(k *Load, at, ahead float64) float64 {
 	most := 0.0
 	for _, x := range []float64{0, ahead / 2, ahead} {
 		most = max(most, k.load(at+x, p.period))
@@ -119,7 +119,7 @@
 }
 
 // swingPeriod returns the period, in seconds, that tells the loads best; 0: they are steady.
-func (p *interference) swingPeriod() float64 {
+func (p *Model) Period() float64 {
 	if angularFrequency[p.period] == 0 {
 		return 0
 	}
@@ -128,6 +128,6 @@
 
 // over returns the chance that a serving run is over its target whose pressure is expected to
 // be x above it. It goes on rising above 1: what is far over takes longer to come back.
-func overTargetProbability(x float64) float64 {
+func OverTarget(x float64) float64 {
 	return max(0, 0.5+x/(2*pressureSpread))
 }
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/interf"
 )
 
 // Options sets a Core's bounds.
@@ -38,7 +40,7 @@
 	timely       map[string]int // the newest of these, by service, in which a filling step that can be on time found no place
 	kinds        map[kind]*misfits
 	speeds       learner
-	interference interference
+	interference interf.Model
 	moved        time.Time // when slowed tasks were last looked at
 	waits        []Wait    // to be told
 	placed       []Placed  // to be told
@@ -112,7 +114,7 @@
 	due     time.Time       // latest start for the job to be on time
 	worth   time.Time       // latest start for it to be worth something, late
 	took    []time.Duration // that its tasks ran which have ended
-	load    *loadForecast   // of a serving step: its users' load
+	load    *interf.Load    // of a serving step: its users' load
 }
 
 type task struct {
--- a/internal/batch/sched/forecast.go
+++ b/internal/batch/sched/forecast.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/interf"
+)
 
 const (
 	// maxHarm bounds the expected number of latency-critical tasks that a placement pushes over target.
@@ -12,7 +16,7 @@
 
 // exposure is the pressure on a serving run of a worker.
 type exposure struct {
-	factors *factors
+	factors *interf.Factors
 	above   float64 // pressure less the one at its target
 }
 
@@ -45,7 +49,7 @@
 			fill += r.task.stage.spec.Size.CPU * r.want / fullPace
 		}
 		if r.serves() && r.state == RunLive {
-			o.exposed = append(o.exposed, exposure{c.interference.factors(r.task.stage.spec.Image), c.expectedPressure(now, w, r) - targetPressure})
+			o.exposed = append(o.exposed, exposure{c.interference.Factors(r.task.stage.spec.Image), c.expectedPressure(now, w, r) - interf.TargetPressure})
 		}
 	}
 	o.left = w.Size.CPU - int(lasting) - (w.used.CPU - w.base) - fill
@@ -54,12 +58,12 @@
 
 // bears returns the pressure expected on a serving run while a task placed now would run.
 func (c *Core) expectedPressure(now time.Time, w *worker, r *run) float64 {
-	f := c.interference.factors(r.task.stage.spec.Image)
+	f := c.interference.Factors(r.task.stage.spec.Image)
 	sum := c.peakLoad(now, r.task.stage, placeAhead)
 	for _, o := range w.list {
 		if o.fills() {
 			z := o.task.stage.spec
-			sum += f.of(z.Image) * z.share(w) * float64(o.want) / fullPace
+			sum += f.Of(z.Image) * z.share(w) * float64(o.want) / fullPace
 		}
 	}
 	return sum
@@ -71,7 +75,7 @@
 	if !r.serves() {
 		return baseLoad
 	}
-	return min(1, c.interference.expect(c.loadOf(r.task.stage), c.seconds(now)+placeAhead/2))
+	return min(1, c.interference.Expect(c.loadOf(r.task.stage), c.seconds(now)+placeAhead/2))
 }
 
 // share returns the share of a worker's processors that a task of the step asks for.
@@ -86,8 +90,8 @@
 func (c *Core) effect(now time.Time, w *worker, s *Step) (harm, advantage float64) {
 	share := s.share(w)
 	for _, k := range c.forecast(now, w).exposed {
-		of, mean := k.factors.against(s.Image)
-		harm += overTargetProbability(k.above+of*share) - overTargetProbability(k.above)
+		of, mean := k.factors.Against(s.Image)
+		harm += interf.OverTarget(k.above+of*share) - interf.OverTarget(k.above)
 		advantage += mean - of
 	}
 	return harm, advantage * share
@@ -101,14 +105,14 @@
 }
 
 // loadOf returns the load of a serving step.
-func (c *Core) loadOf(s *stage) *loadForecast {
+func (c *Core) loadOf(s *stage) *interf.Load {
 	if s.load == nil {
-		s.load = newLoadForecast(c.seconds(s.at))
+		s.load = interf.NewLoad(c.seconds(s.at))
 	}
 	return s.load
 }
 
 // peak returns the most load expected of a serving step within some seconds.
 func (c *Core) peakLoad(now time.Time, s *stage, ahead float64) float64 {
-	return c.interference.peak(c.loadOf(s), c.seconds(now), ahead)
+	return c.interference.Peak(c.loadOf(s), c.seconds(now), ahead)
 }
--- a/internal/batch/sched/learned.go
+++ b/internal/batch/sched/learned.go
@@ -6,11 +6,13 @@
 	"slices"
 
 	"github.com/pkg/errors"
+
+	"bramleysail.example/bramleysail/internal/batch/interf"
 )
 
 // learned is the model as it is stored.
 type learned struct {
-	interferenceState
+	interf.State
 	Loads []learnedLoad `json:"loads,omitempty"`
 }
 
@@ -19,13 +21,13 @@
 	Job   string `json:"job"`
 	Round int    `json:"round,omitempty"`
 	Step  int    `json:"step,omitempty"`
-	swing
+	interf.Swing
 }
 
 // Learned returns what has been learned of images and loads, for a next holder: learning it anew
 // takes some ten seconds, in which serving tasks are disturbed or filling ones wait.
 func (c *Core) Learned() ([]byte, error) {
-	l := learned{interferenceState: c.interference.state()}
+	l := learned{State: c.interference.State()}
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		if c.jobs[id].state.Final() {
 			continue
@@ -35,7 +37,7 @@
 				if s.load == nil {
 					continue
 				}
-				if f, ok := c.interference.swing(s.load); ok {
+				if f, ok := c.interference.Swing(s.load); ok {
 					l.Loads = append(l.Loads, learnedLoad{id, s.round, s.idx, f})
 				}
 			}
@@ -52,10 +54,10 @@
 		return errors.Wrap(err, "sched: learned")
 	}
 	now := c.seconds(c.began)
-	c.interference.restore(now, l.interferenceState)
+	c.interference.Restore(now, l.State)
 	for _, f := range l.Loads {
 		if t := c.task(TaskID{Job: f.Job, Round: f.Round, Step: f.Step}); t != nil {
-			c.interference.seed(c.loadOf(t.stage), now, f.swing)
+			c.interference.Seed(c.loadOf(t.stage), now, f.Swing)
 		}
 	}
 	return nil
--- a/internal/batch/sched/pace.go
+++ b/internal/batch/sched/pace.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/interf"
 )
 
 const (
@@ -62,10 +64,10 @@
 	case d >= overSoon:
 		most = soonPace
 	}
-	f := c.interference.factors(s.task.stage.spec.Image)
+	f := c.interference.Factors(s.task.stage.spec.Image)
 	for i, r := range fills {
 		z := r.task.stage.spec
-		if most == 0 || f.of(z.Image)*z.share(w) > disturbs {
+		if most == 0 || f.Of(z.Image)*z.share(w) > disturbs {
 			paces[i] = min(paces[i], most)
 		}
 	}
@@ -88,12 +90,12 @@
 		if !s.serves() || s.state != RunLive {
 			continue
 		}
-		f := c.interference.factors(s.task.stage.spec.Image)
-		above := c.peakLoad(now, s.task.stage, paceAhead) - targetPressure
+		f := c.interference.Factors(s.task.stage.spec.Image)
+		above := c.peakLoad(now, s.task.stage, paceAhead) - interf.TargetPressure
 		adds := make([]float64, len(fills))
 		for i, r := range fills {
 			z := r.task.stage.spec
-			adds[i] = f.of(z.Image) * z.share(w)
+			adds[i] = f.Of(z.Image) * z.share(w)
 			above += adds[i]
 		}
 		b.adds = append(b.adds, adds)
@@ -128,7 +130,7 @@
 	part := float64(b.paces[i]-pace) / fullPace
 	sum := -part
 	for k, x := range b.above {
-		sum += serveWorth * (overTargetProbability(x) - overTargetProbability(x-part*b.adds[k][i]))
+		sum += serveWorth * (interf.OverTarget(x) - interf.OverTarget(x-part*b.adds[k][i]))
 	}
 	return sum
 }
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -265,7 +265,7 @@
 		s := r.task.stage.spec
 		like := 1.0
 		if s.Image != image {
-			like = -c.interference.dissimilarity(s.Image, image)
+			like = -c.interference.Dissimilarity(s.Image, image)
 		}
 		sum += like * float64(s.Size.CPU)
 	}
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/interf"
+)
 
 // sharing is what is known of a worker on which tasks that fill run beside tasks that serve.
 type sharing struct {
@@ -56,7 +60,7 @@
 			continue
 		}
 		if st := r.task.stage; r.ready {
-			c.interference.learn(c.seconds(now), c.loadOf(st), st.spec.Image, r.tail, st.spec.Target, use)
+			c.interference.Learn(c.seconds(now), c.loadOf(st), st.spec.Image, r.tail, st.spec.Target, use)
 		}
 		r.clock(now, later(before, now.Add(-oldest)), w.share.busy)
 		if !r.over.IsZero() && now.Sub(r.over) >= overSoon {
@@ -115,11 +119,11 @@
 }
 
 // fillUse returns what each filling image uses on the worker.
-func (w *worker) fillUse() usage {
-	var use usage
+func (w *worker) fillUse() interf.Usage {
+	var use interf.Usage
 	for _, r := range w.list {
 		if r.fills() && r.state == RunLive && r.usage > 0 {
-			use.add(r.task.stage.spec.Image, r.usage/float64(max(w.Size.CPU, 1)))
+			use.Add(r.task.stage.spec.Image, r.usage/float64(max(w.Size.CPU, 1)))
 		}
 	}
 	return use
