--- a/internal/batch/interf/factor.go
+++ b/internal/batch/interf/factor.go
@@ -2,18 +2,18 @@
 
 import "math"
 
-// factors are what filling images add to the pressure on a serving image, for each worker's
+// Factors are what filling images add to the pressure on a serving image, for each worker's
 // worth of processors that they use. They are learned from every reading by a Kalman filter,
 // which also knows how sure each is.
 type Factors struct {
 	fills []string // images
 	value []float64
 	cov   [][]float64
-	at    float64 // seconds
-	last  against // the answer of the last call of against
+	at    float64    // seconds
+	last  comparison // the answer of the last call of Compare
 }
 
-// usage is the share of a worker's processors that each filling image uses there.
+// Usage is the share of a worker's processors that each filling image uses there.
 type Usage struct {
 	images []imageUsage
 }
@@ -23,7 +23,7 @@
 	share float64
 }
 
-// add counts what a task of an image uses.
+// Add counts what a task of an image uses.
 func (u *Usage) Add(image string, share float64) {
 	for i := range u.images {
 		if u.images[i].image == image {
@@ -34,24 +34,24 @@
 	u.images = append(u.images, imageUsage{image, share})
 }
 
-// against is the factor of a filling image beside the mean of all.
-type against struct {
+// comparison is the factor of a filling image beside the mean of all.
+type comparison struct {
 	known    bool
 	image    string
 	of, mean float64
 }
 
 const (
-	// firstFactor and factorSpread are the mean and standard deviation assumed of a pair never seen.
-	firstFactor  = 0.5
+	// priorFactor and factorSpread are the mean and standard deviation assumed of a pair never seen.
+	priorFactor  = 0.5
 	factorSpread = 0.6
 	// factorDrift is how far a factor may move within a second.
 	factorDrift = 0.02
 	// pairNoise is the standard deviation of a reading's pressure as far as the factors can't
 	// explain it: readings of the tasks on a worker share a part of theirs.
 	pairNoise = 0.08
-	// wildest is the largest error that a reading is taken to have: some are far off.
-	wildest = 0.25
+	// maxResidual bounds the error that a reading is taken to have: some are far off.
+	maxResidual = 0.25
 )
 
 func (f *Factors) index(fill string) int {
@@ -63,18 +63,18 @@
 	return -1
 }
 
-// of returns the factor of a filling image.
+// Of returns the factor of a filling image.
 func (f *Factors) Of(fill string) float64 {
 	if i := f.index(fill); i >= 0 {
 		return f.value[i]
 	}
-	return firstFactor
+	return priorFactor
 }
 
 // mean returns the average factor of the filling images seen.
 func (f *Factors) mean() float64 {
 	if len(f.value) == 0 {
-		return firstFactor
+		return priorFactor
 	}
 	sum := 0.0
 	for _, v := range f.value {
@@ -83,11 +83,11 @@
 	return sum / float64(len(f.value))
 }
 
-// against returns the factor of a filling image and the mean of all. Placing asks for the same image many
+// Compare returns the factor of a filling image and the mean of all. Placing asks for the same image many
 // times in a row, so the last answer is kept.
-func (f *Factors) Against(fill string) (of, mean float64) {
+func (f *Factors) Compare(fill string) (of, mean float64) {
 	if a := &f.last; !a.known || a.image != fill {
-		*a = against{true, fill, f.Of(fill), f.mean()}
+		*a = comparison{true, fill, f.Of(fill), f.mean()}
 	}
 	return f.last.of, f.last.mean
 }
@@ -118,7 +118,7 @@
 	for _, u := range use.images {
 		i := f.index(u.image)
 		if i < 0 {
-			sum += firstFactor * u.share
+			sum += priorFactor * u.share
 			variance += factorSpread * factorSpread * u.share * u.share
 			continue
 		}
@@ -134,16 +134,16 @@
 
 // learn takes a reading's error: the pressure it shows less the one expected, whose variance
 // without the factors' own is noise.
-func (f *Factors) learn(at float64, use Usage, miss, noise float64) {
+func (f *Factors) learn(at float64, use Usage, residual, noise float64) {
 	for _, u := range use.images {
 		if f.index(u.image) < 0 {
-			f.set(u.image, firstFactor, factorSpread)
+			f.set(u.image, priorFactor, factorSpread)
 		}
 	}
-	aged := max(0, at-f.at)
+	elapsed := max(0, at-f.at)
 	f.at = max(f.at, at)
 	for i := range f.cov {
-		f.cov[i][i] = min(f.cov[i][i]+factorDrift*factorDrift*aged, factorSpread*factorSpread)
+		f.cov[i][i] = min(f.cov[i][i]+factorDrift*factorDrift*elapsed, factorSpread*factorSpread)
 	}
 	_, variance := f.expect(use)
 	gain := make([]float64, len(f.fills))
@@ -154,9 +154,9 @@
 	}
 	f.last.known = false
 	total := variance + noise
-	miss = math.Copysign(min(math.Abs(miss), wildest), miss)
+	residual = math.Copysign(min(math.Abs(residual), maxResidual), residual)
 	for i := range gain {
-		f.value[i] = max(0, f.value[i]+gain[i]/total*miss)
+		f.value[i] = max(0, f.value[i]+gain[i]/total*residual)
 		for k := range gain {
 			f.cov[i][k] -= gain[i] * gain[k] / total
 		}
--- a/internal/batch/interf/load_test.go
+++ b/internal/batch/interf/load_test.go
@@ -26,10 +26,10 @@
 				return 0.5 + tt.swing*math.Sin(2*math.Pi*at/tt.period+2*float64(step))
 			}
 			var p Model
-			courses := []*Load{NewLoad(0), NewLoad(0), NewLoad(0)}
+			loads := []*Load{NewLoad(0), NewLoad(0), NewLoad(0)}
 			var n, square float64
 			for at := 0.0; at < 40; at += 0.2 {
-				for i, k := range courses {
+				for i, k := range loads {
 					noise := 0.05 * rng.NormFloat64()
 					if rng.IntN(20) == 0 {
 						noise = 0.3
@@ -39,7 +39,7 @@
 					if at < 20 {
 						continue
 					}
-					miss := k.load(at+1, p.period) - truth(i, at+1)
+					miss := k.expect(at+1, p.period) - truth(i, at+1)
 					n, square = n+1, square+miss*miss
 				}
 			}
--- a/internal/batch/interf/model.go
+++ b/internal/batch/interf/model.go
@@ -5,16 +5,12 @@
 	"time"
 )
 
-// pressure models how tasks that fill disturb tasks that serve. A serving task's tail grows
-// as that of a queue: tail = rest / (1 - p), where rest is its tail without any load and the
-// pressure p is the sum of its users' load, which all tasks of its step share, and, for each
-// filling image beside it, a factor of the pair times the share of the worker's processors
-// that the image uses.
+// Model is what has been learned of how filling images disturb serving ones. Its zero value has learned nothing.
 type Model struct {
 	pairs  map[string]*Factors // by serving image
-	score  [periods]float64    // errors of the courses with each period
+	score  [periods]float64    // squared errors of the loads' forecasts with each period
 	scored float64             // seconds; as of when score is
-	period int                 // that tells the load best
+	period int                 // with the least score
 }
 
 const (
@@ -31,7 +27,7 @@
 	lag = 0.3
 )
 
-// pressed returns the pressure that a tail shows.
+// pressureOf returns the pressure that a tail shows.
 func pressureOf(tail, target time.Duration) float64 {
 	if tail <= 0 || target <= 0 {
 		return 0
@@ -39,23 +35,22 @@
 	return max(0, 1-restShare*float64(target)/float64(tail))
 }
 
-// factors returns the factors of the filling images for a serving one.
-func (p *Model) Factors(serve string) *Factors {
-	f := p.pairs[serve]
+// Factors returns the factors of the filling images for a serving one.
+func (m *Model) Factors(serve string) *Factors {
+	f := m.pairs[serve]
 	if f == nil {
-		if p.pairs == nil {
-			p.pairs = map[string]*Factors{}
+		if m.pairs == nil {
+			m.pairs = map[string]*Factors{}
 		}
 		f = &Factors{}
-		p.pairs[serve] = f
+		m.pairs[serve] = f
 	}
 	return f
 }
 
-// unlike returns how much the filling images that disturb two serving images differ, from 0 to
-// 1; 1 where that isn't known.
-func (p *Model) Dissimilarity(a, b string) float64 {
-	f, g := p.Factors(a), p.Factors(b)
+// Dissimilarity returns how much the factors of two serving images differ, from 0 to 1; 1 where they aren't known.
+func (m *Model) Dissimilarity(a, b string) float64 {
+	f, g := m.Factors(a), m.Factors(b)
 	if len(f.fills) == 0 || len(g.fills) == 0 {
 		return 1
 	}
@@ -66,68 +61,68 @@
 	return sum / float64(len(f.fills))
 }
 
-// learn takes a reading of a serving step's tail beside filling images with the shares of
-// the worker's processors that they use. at is when it was read, in seconds.
-func (p *Model) Learn(at float64, k *Load, serve string, tail, target time.Duration, use Usage) {
+// Learn takes a reading, made at a time, of a serving image's tail beside what filling images use. The load is that
+// of the step to which the reading's task belongs.
+func (m *Model) Learn(at float64, l *Load, serve string, tail, target time.Duration, use Usage) {
 	if tail <= 0 {
 		return
 	}
-	f := p.Factors(serve)
+	f := m.Factors(serve)
 	got := pressureOf(tail, target)
 	fill, unsure := f.expect(use)
-	load := k.load(at-lag, p.period)
+	load := l.expect(at-lag, m.period)
 	if got >= fullPressure && load+fill >= fullPressure {
 		return
 	}
-	p.age(at)
-	spread := k.spread(p.period)
-	k.learn(at-lag, got-fill, readingNoise*readingNoise/(readingNoise*readingNoise+unsure), &p.score)
+	m.age(at)
+	spread := l.spread(m.period)
+	l.learn(at-lag, got-fill, readingNoise*readingNoise/(readingNoise*readingNoise+unsure), &m.score)
 	f.learn(at, use, got-load-fill, pairNoise*pairNoise+spread*spread)
 }
 
 // age has older errors of the periods count less.
-func (p *Model) age(at float64) {
-	x := math.Exp(-max(0, at-p.scored) / scoreMemory)
-	p.scored = max(p.scored, at)
-	for i := range p.score {
-		p.score[i] *= x
+func (m *Model) age(at float64) {
+	x := math.Exp(-max(0, at-m.scored) / scoreMemory)
+	m.scored = max(m.scored, at)
+	for i := range m.score {
+		m.score[i] *= x
 	}
-	p.choose()
+	m.choose()
 }
 
-// choose makes the period that has told the loads best the one that counts.
-func (p *Model) choose() {
-	for i, score := range p.score {
-		if score < p.score[p.period] {
-			p.period = i
+// choose takes the period with the least score.
+func (m *Model) choose() {
+	for i, score := range m.score {
+		if score < m.score[m.period] {
+			m.period = i
 		}
 	}
 }
 
-// expect returns the load expected of a serving step at a time, in seconds.
-func (p *Model) Expect(k *Load, at float64) float64 {
-	return k.load(at, p.period)
+// Expect returns the load expected at a time.
+func (m *Model) Expect(l *Load, at float64) float64 {
+	return l.expect(at, m.period)
 }
 
-// peak returns the most load expected of a serving step within some seconds.
-func (p *Model) Peak(k *Load, at, ahead float64) float64 {
+// Peak returns the most load expected from a time on, for some seconds ahead.
+func (m *Model) Peak(l *Load, at, ahead float64) float64 {
 	most := 0.0
 	for _, x := range []float64{0, ahead / 2, ahead} {
-		most = max(most, k.load(at+x, p.period))
+		most = max(most, l.expect(at+x, m.period))
 	}
 	return most
 }
 
-// swingPeriod returns the period, in seconds, that tells the loads best; 0: they are steady.
-func (p *Model) Period() float64 {
-	if angularFrequency[p.period] == 0 {
+// Period returns the period, in seconds, with which the loads are forecast best, or 0 if they are steady.
+func (m *Model) Period() float64 {
+	if angularFrequency[m.period] == 0 {
 		return 0
 	}
-	return memory[p.period]
+	return memory[m.period]
 }
 
-// over returns the chance that a serving run is over its target whose pressure is expected to
-// be x above it. It goes on rising above 1: what is far over takes longer to come back.
-func OverTarget(x float64) float64 {
-	return max(0, 0.5+x/(2*pressureSpread))
+// OverTargetProbability returns the chance that a task is over its target whose pressure is expected to be that much
+// above TargetPressure. It goes on rising above 1: what is far over takes longer to come back.
+func OverTargetProbability(above float64) float64 {
+	return max(0, 0.5+above/(2*pressureSpread))
 }
--- a/internal/batch/interf/state.go
+++ b/internal/batch/interf/state.go
@@ -19,18 +19,17 @@
 	Spread float64 `json:"spread"`
 }
 
-// swing is the fit of a step's load for the period that tells best, its times counted from the
-// Unix epoch.
+// Swing is the fit of a load for the Model's period.
 type Swing struct {
 	Level float64 `json:"level"`
 	Cos   float64 `json:"cos"`
 	Sin   float64 `json:"sin"`
 }
 
-// state returns what the model has learned of images.
-func (p *Model) State() State {
-	st := State{Score: slices.Clone(p.score[:])}
-	for serve, f := range p.pairs {
+// State returns what the model has learned of images.
+func (m *Model) State() State {
+	st := State{Score: slices.Clone(m.score[:])}
+	for serve, f := range m.pairs {
 		for i, fill := range f.fills {
 			st.Pairs = append(st.Pairs, Pair{serve, fill, f.value[i], math.Sqrt(max(0, f.cov[i][i]))})
 		}
@@ -38,30 +37,30 @@
 	return st
 }
 
-// restore makes the model one that has learned a state, as of a time.
-func (p *Model) Restore(at float64, st State) {
-	*p = Model{scored: at}
+// Restore makes the model one that has learned a state, as of a time.
+func (m *Model) Restore(at float64, st State) {
+	*m = Model{scored: at}
 	if len(st.Score) == periods {
-		copy(p.score[:], st.Score)
+		copy(m.score[:], st.Score)
 	}
 	for _, x := range st.Pairs {
-		f := p.Factors(x.Serve)
+		f := m.Factors(x.Serve)
 		f.set(x.Fill, x.Factor, x.Spread)
 		f.at = at
 	}
-	p.choose()
+	m.choose()
 }
 
-// swing returns the fit of a load, if there are readings enough.
-func (p *Model) Swing(k *Load) (Swing, bool) {
-	if k.sums[p.period].w <= 1 {
+// Swing returns the fit of a load, if it has readings enough.
+func (m *Model) Swing(l *Load) (Swing, bool) {
+	if l.sums[m.period].w <= 1 {
 		return Swing{}, false
 	}
-	f := k.fits[p.period]
+	f := l.fits[m.period]
 	return Swing{f.level, f.cos, f.sin}, true
 }
 
-// seed has a load begin with a fit that another model found.
-func (p *Model) Seed(k *Load, at float64, s Swing) {
-	k.seed(at, p.period, harmonic{s.Level, s.Cos, s.Sin})
+// Seed has a load begin with a fit that a model of the same state found.
+func (m *Model) Seed(l *Load, at float64, s Swing) {
+	l.seed(at, m.period, harmonic{s.Level, s.Cos, s.Sin})
 }
--- a/internal/batch/sched/forecast.go
+++ b/internal/batch/sched/forecast.go
@@ -29,7 +29,7 @@
 	exposed []exposure
 }
 
-// forecastAge is how long an forecast is kept. A load that swings within 10 s by half moves by
+// forecastAge is how long a forecast is kept. A load that swings within 10 s by half moves by
 // 0.03 meanwhile, half of a reading's noise.
 const forecastAge = 200 * time.Millisecond
 
@@ -56,7 +56,7 @@
 	return o
 }
 
-// bears returns the pressure expected on a serving run while a task placed now would run.
+// expectedPressure returns the pressure expected on a serving run while a task placed now would run.
 func (c *Core) expectedPressure(now time.Time, w *worker, r *run) float64 {
 	f := c.interference.Factors(r.task.stage.spec.Image)
 	sum := c.peakLoad(now, r.task.stage, placeAhead)
@@ -90,14 +90,14 @@
 func (c *Core) effect(now time.Time, w *worker, s *Step) (harm, advantage float64) {
 	share := s.share(w)
 	for _, k := range c.forecast(now, w).exposed {
-		of, mean := k.factors.Against(s.Image)
-		harm += interf.OverTarget(k.above+of*share) - interf.OverTarget(k.above)
+		of, mean := k.factors.Compare(s.Image)
+		harm += interf.OverTargetProbability(k.above+of*share) - interf.OverTargetProbability(k.above)
 		advantage += mean - of
 	}
 	return harm, advantage * share
 }
 
-// seconds returns a time as courses count it: from the Unix epoch, so that a fit can be handed on
+// seconds returns a time as interf counts it: from the Unix epoch, so that a fit can be handed on
 // to another host, by the clock as it was when the term began. A clock that is set while this
 // process holds would shift every swing against the loads.
 func (c *Core) seconds(at time.Time) float64 {
@@ -112,7 +112,7 @@
 	return s.load
 }
 
-// peak returns the most load expected of a serving step within some seconds.
+// peakLoad returns the most load expected of a serving step within some seconds.
 func (c *Core) peakLoad(now time.Time, s *stage, ahead float64) float64 {
 	return c.interference.Peak(c.loadOf(s), c.seconds(now), ahead)
 }
--- a/internal/batch/sched/pace.go
+++ b/internal/batch/sched/pace.go
@@ -130,7 +130,7 @@
 	part := float64(b.paces[i]-pace) / fullPace
 	sum := -part
 	for k, x := range b.above {
-		sum += serveWorth * (interf.OverTarget(x) - interf.OverTarget(x-part*b.adds[k][i]))
+		sum += serveWorth * (interf.OverTargetProbability(x) - interf.OverTargetProbability(x-part*b.adds[k][i]))
 	}
 	return sum
 }
