--- a/internal/batch/interf/load_test.go
+++ b/internal/batch/interf/load_test.go
@@ -9,7 +9,7 @@
 // The load of a serving step is told a second ahead, whether it swings, with which period, or
 // is steady. The period isn't known at first, one reading in twenty is far off, and three
 // steps with swings of their own share what is learned of it.
-func TestCourse(t *testing.T) {
+func TestLoadForecast(t *testing.T) {
 	for _, tt := range []struct {
 		name   string
 		period float64 // seconds
@@ -25,21 +25,21 @@
 			truth := func(step int, at float64) float64 {
 				return 0.5 + tt.swing*math.Sin(2*math.Pi*at/tt.period+2*float64(step))
 			}
-			var p Model
+			var m Model
 			loads := []*Load{NewLoad(0), NewLoad(0), NewLoad(0)}
 			var n, square float64
 			for at := 0.0; at < 40; at += 0.2 {
-				for i, k := range loads {
+				for i, l := range loads {
 					noise := 0.05 * rng.NormFloat64()
 					if rng.IntN(20) == 0 {
 						noise = 0.3
 					}
-					k.learn(at, truth(i, at)+noise, 1, &p.score)
-					p.age(at)
+					l.learn(at, truth(i, at)+noise, 1, &m.score)
+					m.age(at)
 					if at < 20 {
 						continue
 					}
-					miss := k.expect(at+1, p.period) - truth(i, at+1)
+					miss := l.expect(at+1, m.period) - truth(i, at+1)
 					n, square = n+1, square+miss*miss
 				}
 			}
@@ -49,3 +49,20 @@
 		})
 	}
 }
+
+// A reading far off must not move the load in proportion to its error.
+func TestOutlier(t *testing.T) {
+	shift := func(error float64) float64 {
+		var score [periods]float64
+		var l Load
+		for i := range 20 {
+			l.learn(float64(i)/5, priorLoad, 1, &score)
+		}
+		l.learn(4, priorLoad+error, 1, &score)
+		return l.expect(4, 0) - priorLoad
+	}
+	near, far := shift(outlierBound*readingNoise), shift(4*outlierBound*readingNoise)
+	if near <= 0 || far > 2*near {
+		t.Errorf("the load moves by %.4f, and by %.4f with an error four times as large", near, far)
+	}
+}
