--- a/internal/batch/sched/forecast.go
+++ b/internal/batch/sched/forecast.go
@@ -1,12 +1,14 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/interf"
+)
 
 const (
 	// maxHarm bounds the expected number of latency-critical tasks that a placement pushes over target.
 	maxHarm = 0.3
-	// pressureSpread is how far a serving task's pressure may be from what is expected.
-	pressureSpread = 0.1
 	// placeAhead is for how long, in seconds, a place has to suit a filling task, which stays
 	// there for some 2 s.
 	placeAhead = 2.0
@@ -14,7 +16,7 @@
 
 // exposure is the pressure on a serving run of a worker.
 type exposure struct {
-	factors *factors
+	factors *interf.Factors
 	above   float64 // pressure less the one at its target
 }
 
@@ -27,7 +29,7 @@
 	exposed []exposure
 }
 
-// forecastAge is how long an forecast is kept. A load that swings within 10 s by half moves by
+// forecastAge is how long a forecast is kept. A load that swings within 10 s by half moves by
 // 0.03 meanwhile, half of a reading's noise.
 const forecastAge = 200 * time.Millisecond
 
@@ -47,21 +49,21 @@
 			fill += r.task.stage.spec.Size.CPU * r.want / fullPace
 		}
 		if r.serves() && r.state == RunLive {
-			o.exposed = append(o.exposed, exposure{c.interference.factors(r.task.stage.spec.Image), c.expectedPressure(now, w, r) - targetPressure})
+			o.exposed = append(o.exposed, exposure{c.interference.Factors(r.task.stage.spec.Image), c.expectedPressure(now, w, r) - interf.TargetPressure})
 		}
 	}
 	o.left = w.Size.CPU - int(lasting) - (w.used.CPU - w.lasting.CPU) - fill
 	return o
 }
 
-// bears returns the pressure expected on a serving run while a task placed now would run.
+// expectedPressure returns the pressure expected on a serving run while a task placed now would run.
 func (c *Core) expectedPressure(now time.Time, w *worker, r *run) float64 {
-	f := c.interference.factors(r.task.stage.spec.Image)
+	f := c.interference.Factors(r.task.stage.spec.Image)
 	sum := c.peakLoad(now, r.task.stage, placeAhead)
 	for _, o := range w.list {
 		if o.fills() {
 			z := o.task.stage.spec
-			sum += f.of(z.Image) * z.share(w) * float64(o.want) / fullPace
+			sum += f.Of(z.Image) * z.share(w) * float64(o.want) / fullPace
 		}
 	}
 	return sum
@@ -73,7 +75,7 @@
 	if !r.serves() {
 		return baseLoad
 	}
-	return min(1, c.loadOf(r.task.stage).load(c.seconds(now)+placeAhead/2, c.interference.period))
+	return min(1, c.interference.Expect(c.loadOf(r.task.stage), c.seconds(now)+placeAhead/2))
 }
 
 // share returns the share of a worker's processors that a task of the step asks for.
@@ -88,15 +90,29 @@
 func (c *Core) effect(now time.Time, w *worker, s *Step) (harm, advantage float64) {
 	share := s.share(w)
 	for _, k := range c.forecast(now, w).exposed {
-		of, mean := k.factors.against(s.Image)
-		harm += overTargetProbability(k.above+of*share) - overTargetProbability(k.above)
+		of, mean := k.factors.Compare(s.Image)
+		harm += interf.OverTargetProbability(k.above+of*share) - interf.OverTargetProbability(k.above)
 		advantage += mean - of
 	}
 	return harm, advantage * share
 }
 
-// over returns the chance that a serving run is over its target whose pressure is expected to
-// be x above it. It goes on rising above 1: what is far over takes longer to come back.
-func overTargetProbability(x float64) float64 {
-	return max(0, 0.5+x/(2*pressureSpread))
+// seconds returns a time as interf counts it: from the Unix epoch, so that a fit can be handed on
+// to another host, by the clock as it was when the term began. A clock that is set while this
+// process holds would shift every swing against the loads.
+func (c *Core) seconds(at time.Time) float64 {
+	return time.Duration(c.began.UnixNano()).Seconds() + at.Sub(c.began).Seconds()
+}
+
+// loadOf returns the load of a serving step.
+func (c *Core) loadOf(s *stage) *interf.Load {
+	if s.load == nil {
+		s.load = interf.NewLoad(c.seconds(s.at))
+	}
+	return s.load
+}
+
+// peakLoad returns the most load expected of a serving step within some seconds.
+func (c *Core) peakLoad(now time.Time, s *stage, ahead float64) float64 {
+	return c.interference.Peak(c.loadOf(s), c.seconds(now), ahead)
 }
--- a/internal/batch/sched/share.go
+++ b/internal/batch/sched/share.go
@@ -1,8 +1,9 @@
 package sched
 
 import (
-	"slices"
 	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/interf"
 )
 
 // sharing is what is known of a worker on which tasks that fill run beside tasks that serve.
@@ -59,7 +60,7 @@
 			continue
 		}
 		if st := r.task.stage; r.ready {
-			c.interference.learn(c.seconds(now), c.loadOf(st), st.spec, r.tail, use)
+			c.interference.Learn(c.seconds(now), c.loadOf(st), st.spec.Image, r.tail, st.spec.Target, use)
 		}
 		r.clock(now, later(before, now.Add(-oldest)), w.share.busy)
 		if !r.over.IsZero() && now.Sub(r.over) >= overSoon {
@@ -117,24 +118,12 @@
 	return false
 }
 
-// usage is the share of a worker's processors that a filling image uses there.
-type usage struct {
-	image string
-	share float64
-}
-
 // fillUse returns what each filling image uses on the worker.
-func (w *worker) fillUse() []usage {
-	var use []usage
+func (w *worker) fillUse() interf.Usage {
+	var use interf.Usage
 	for _, r := range w.list {
-		if !r.fills() || r.state != RunLive || r.usage <= 0 {
-			continue
-		}
-		image, share := r.task.stage.spec.Image, r.usage/float64(max(w.Size.CPU, 1))
-		if i := slices.IndexFunc(use, func(u usage) bool { return u.image == image }); i >= 0 {
-			use[i].share += share
-		} else {
-			use = append(use, usage{image, share})
+		if r.fills() && r.state == RunLive && r.usage > 0 {
+			use.Add(r.task.stage.spec.Image, r.usage/float64(max(w.Size.CPU, 1)))
 		}
 	}
 	return use
