--- a/internal/batch/interf/load.go
+++ b/internal/batch/interf/load.go
@@ -8,7 +8,7 @@
 type Load struct {
 	at   float64 // seconds; as of when the sums are
 	sums [periods]moments
-	fits [periods]harmonic // not set where no reading counts
+	fits [periods]harmonic
 }
 
 // moments are the weighted sums of least squares: of the weights, the swing's two parts and the load.
@@ -16,9 +16,10 @@
 	w, c, s, cc, cs, ss, y, cy, sy float64
 }
 
-// harmonic is level + cos x c(t) + sin x s(t).
+// harmonic is level + cos x c(t) + sin x s(t). The zero value stands for a forecast without a reading.
 type harmonic struct {
 	level, cos, sin float64
+	fitted          bool
 }
 
 const (
@@ -73,10 +74,10 @@
 
 // expect returns the load expected at a time, for a period.
 func (l *Load) expect(at float64, period int) float64 {
-	if l.sums[period].w == 0 {
+	f := &l.fits[period]
+	if !f.fitted {
 		return priorLoad
 	}
-	f := l.fits[period]
 	if angularFrequency[period] == 0 {
 		return f.level
 	}
@@ -138,27 +139,27 @@
 func (s *moments) solve(swings bool) harmonic {
 	w, y := s.w+levelWeight, s.y+levelWeight*priorLoad
 	if !swings {
-		return harmonic{level: y / w}
+		return harmonic{level: y / w, fitted: true}
 	}
 	cc, ss := s.cc+swingWeight, s.ss+swingWeight
 	// The level is eliminated first; what is left are two equations for the swing's parts.
 	a, b, d := cc-s.c*s.c/w, s.cs-s.c*s.s/w, ss-s.s*s.s/w
 	p, q := s.cy-s.c*y/w, s.sy-s.s*y/w
 	det := a*d - b*b
-	f := harmonic{cos: (p*d - q*b) / det, sin: (q*a - p*b) / det}
+	f := harmonic{cos: (p*d - q*b) / det, sin: (q*a - p*b) / det, fitted: true}
 	f.level = (y - f.cos*s.c - f.sin*s.s) / w
 	return f
 }
 
 // seed has the forecast of a period begin with a fit found elsewhere, as if it came from some readings spread over a
 // whole swing.
-func (l *Load) seed(at float64, period int, f harmonic) {
+func (l *Load) seed(at float64, period int, f Swing) {
 	l.at = at
 	s := &l.sums[period]
-	*s = moments{w: seedReadings, y: seedReadings * f.level}
+	*s = moments{w: seedReadings, y: seedReadings * f.Level}
 	if angularFrequency[period] != 0 {
 		s.cc, s.ss = seedReadings/2, seedReadings/2
-		s.cy, s.sy = s.cc*f.cos, s.ss*f.sin
+		s.cy, s.sy = s.cc*f.Cos, s.ss*f.Sin
 	}
 	l.fits[period] = s.solve(angularFrequency[period] != 0)
 }
--- a/internal/batch/interf/state.go
+++ b/internal/batch/interf/state.go
@@ -62,5 +62,5 @@
 
 // Seed has a load begin with a fit that a model of the same state found.
 func (m *Model) Seed(l *Load, at float64, s Swing) {
-	l.seed(at, m.period, harmonic{s.Level, s.Cos, s.Sin})
+	l.seed(at, m.period, s)
 }
