--- a/internal/batch/sched/answer.go
+++ b/internal/batch/sched/answer.go
@@ -86,10 +86,10 @@
 		r.state = RunStopped
 		r.sure = now
 	case OutcomeRoom:
-		w.bad.rest = later(w.bad.rest, now.Add(roomRest))
+		w.breaker.Rest(now.Add(roomRest))
 		c.free(r)
 	case OutcomeSick:
-		w.bad.rest = later(w.bad.rest, now.Add(sickRest))
+		w.breaker.Rest(now.Add(sickRest))
 		c.free(r)
 	default:
 		c.free(r)
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -285,7 +285,7 @@
 
 // taskDone notes a task's success, through whichever run.
 func (c *Core) taskDone(now time.Time, w *worker, t *task, r *run) {
-	w.bad.good()
+	w.breaker.Succeeded()
 	if r != nil && t.run == r {
 		t.run = nil
 		took := now.Sub(r.began)
@@ -327,7 +327,7 @@
 }
 
 func (c *Core) taskFailed(now time.Time, w *worker, t *task, run int64) {
-	w.bad.failed(now, t.stage.job.ID)
+	w.breaker.Failed(now, t.stage.job.ID)
 	t.avoid = w.ID
 	j := t.stage.job
 	c.changes.add(j)
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/health"
 )
 
 // Roster takes the directory's list of workers. One that is missing gets nothing more; it
@@ -77,7 +79,7 @@
 	w.contact = ContactNone
 	w.stored = false
 	w.void = false
-	w.bad = health{}
+	w.breaker = health.Breaker{}
 	w.share = sharing{}
 	w.clock = clock{}
 	w.until = 0
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bramleysail.example/bramleysail/internal/batch/health"
 	"bramleysail.example/bramleysail/internal/batch/wire"
 )
 
@@ -95,15 +96,15 @@
 	heard     int64         // ends up to here have been handled
 	pending   []pendingAck  // of these, in their order, whose jobs have to be stored first
 
-	runs  map[runKey]*run
-	list  []*run    // the same, in the order in which they came
-	used  wire.Size // of all runs but those that fill
-	mem   int       // memory of the runs that fill, MiB
-	fill  int       // millicores asked for by the runs that fill
-	base  int       // millicores asked for by lasting runs
-	clock clock
-	bad   health
-	share sharing
+	runs    map[runKey]*run
+	list    []*run    // the same, in the order in which they came
+	used    wire.Size // of all runs but those that fill
+	mem     int       // memory of the runs that fill, MiB
+	fill    int       // millicores asked for by the runs that fill
+	base    int       // millicores asked for by lasting runs
+	clock   clock
+	breaker health.Breaker
+	share   sharing
 
 	forecast forecast
 	stale    bool     // in Core.stale
@@ -211,5 +212,5 @@
 
 // open reports whether new tasks may be placed on the worker.
 func (w *worker) open(now time.Time) bool {
-	return w.listed && w.stored && !w.Draining && !w.out && w.contact == ContactGood && w.lends(now) && !w.bad.resting(now)
+	return w.listed && w.stored && !w.Draining && !w.out && w.contact == ContactGood && w.lends(now) && !w.breaker.Tripped(now)
 }
