--- a/internal/batch/interf/factor.go
+++ b/internal/batch/interf/factor.go
@@ -63,7 +63,7 @@
 	return -1
 }
 
-// Of returns the factor of a filling image.
+// Of returns the factor of a filling image; one never seen has the factor assumed of any pair.
 func (f *Factors) Of(fill string) float64 {
 	if i := f.index(fill); i >= 0 {
 		return f.value[i]
--- a/internal/batch/interf/load.go
+++ b/internal/batch/interf/load.go
@@ -67,7 +67,7 @@
 	return angularFrequency, memory
 }()
 
-// NewLoad returns a load without a reading, as of a time.
+// NewLoad returns a load without a reading, for readings from a time on.
 func NewLoad(at float64) *Load {
 	return &Load{at: at}
 }
--- a/internal/batch/interf/state.go
+++ b/internal/batch/interf/state.go
@@ -7,7 +7,7 @@
 
 // State is what a model has learned of images, as it is stored.
 type State struct {
-	Score []float64 `json:"score"`
+	Score []float64 `json:"score"` // squared forecast errors of each period
 	Pairs []Pair    `json:"pairs"`
 }
 
@@ -60,7 +60,7 @@
 	return Swing{f.level, f.cos, f.sin}, true
 }
 
-// Seed has a load begin with a fit that a model of the same state found.
+// Seed has a load begin with a fit that a model found whose state this one was restored from.
 func (m *Model) Seed(l *Load, at float64, s Swing) {
 	l.seed(at, m.period, s)
 }
