--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bramleysail.example/bramleysail/internal/batch/health"
 	"bramleysail.example/bramleysail/internal/batch/wire"
 )
 
@@ -103,7 +104,7 @@
 	lasting wire.Size // of lasting runs
 	kept    reservation
 	clock   clock
-	bad     health
+	breaker health.Breaker
 	share   sharing
 
 	forecast forecast
@@ -214,5 +215,5 @@
 
 // open reports whether new tasks may be placed on the worker.
 func (w *worker) open(now time.Time) bool {
-	return w.listed && w.stored && !w.Draining && !w.out && w.contact == ContactGood && w.lends(now) && !w.bad.resting(now)
+	return w.listed && w.stored && !w.Draining && !w.out && w.contact == ContactGood && w.lends(now) && !w.breaker.Tripped(now)
 }
