--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -68,12 +68,12 @@
 
 // Times of a Holder's own.
 const (
-	intentEvery = 700 * time.Millisecond  // plain reads of what operators wrote, within a second of a cut watch
-	rosterEvery = 1500 * time.Millisecond // plain reads of the directory
-	rosterPause = 200 * time.Millisecond  // between two watches of the directory, where each worker writes every second or so
-	planEvery   = 100 * time.Millisecond  // plans without an event: lapses, rests and occurrences fall due
-	planPause   = 2 * time.Millisecond    // after a plan, so that events that come together share one
-	planRest    = 9                       // how many times as long as a plan took the pause after it is at least
+	intentEvery = 700 * time.Millisecond // plain reads of what operators wrote, within a second of a cut watch
+	rosterEvery = 900 * time.Millisecond // plain reads of the directory; with a slow read, within the age that sched allows it
+	rosterPause = 200 * time.Millisecond // between two watches of the directory, where each worker writes every second or so
+	planEvery   = 100 * time.Millisecond // plans without an event: lapses, rests and occurrences fall due
+	planPause   = 2 * time.Millisecond   // after a plan, so that events that come together share one
+	planRest    = 9                      // how many times as long as a plan took the pause after it is at least
 	// gatherPause is how long ends wait to be stored with others: some 100 end each second on
 	// a busy day, and a call of the store costs as much as a tenth of a second of a task.
 	gatherPause  = 20 * time.Millisecond
@@ -211,8 +211,8 @@
 	h.crew = crew
 	h.mu.Unlock()
 	watches := []*watch{
-		{store: h.opt.Store, prefix: h.opt.Codec.IntentPrefix, plain: intentEvery, apply: h.applyIntent},
-		{store: h.opt.Store, prefix: h.opt.Codec.RosterPrefix, plain: rosterEvery, pause: rosterPause, apply: h.applyRoster},
+		{store: h.opt.Store, prefix: h.opt.Codec.IntentPrefix, plain: intentEvery, apply: h.applyIntent, read: h.readIntent},
+		{store: h.opt.Store, prefix: h.opt.Codec.RosterPrefix, plain: rosterEvery, pause: rosterPause, apply: h.applyRoster, read: h.readRoster},
 	}
 	for _, f := range watches {
 		if err := f.load(h.ctx); err != nil {
@@ -319,6 +319,18 @@
 	wait.Kick(h.commit)
 }
 
+func (h *Holder) readIntent(began time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.core.ReadIntent(began)
+}
+
+func (h *Holder) readRoster(began time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.core.ReadRoster(began)
+}
+
 // countBy returns a counter by verb and outcome.
 func countBy(scope tally.Scope, name string) func(verb, outcome string) {
 	var counters sync.Map // of [2]string to tally.Counter: a scope takes long to find one by its tags
--- a/internal/batch/drive/fleet_test.go
+++ b/internal/batch/drive/fleet_test.go
@@ -19,6 +19,7 @@
 	fakecrew "bramleysail.example/bramleysail/internal/fake/crew"
 	"bramleysail.example/bramleysail/internal/fake/multi"
 	"bramleysail.example/bramleysail/internal/fake/plain"
+	"bramleysail.example/bramleysail/internal/plat/store"
 )
 
 // fleet is some hosts with a store and workers, for use in a bubble of virtual time.
@@ -30,6 +31,8 @@
 
 	wrap func(drive.WorkerClient) drive.WorkerClient // around the crew as each host reaches it; nil: nothing
 
+	wrapStore func(store.Multi) store.Multi // around the store as each host reaches it; nil: nothing
+
 	mu  sync.Mutex
 	cut string // failure domain that is cut off from everything else
 }
@@ -106,7 +109,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	h.cpu = &processor{turn: h.cpu.turn} // nothing of the former life waits
-	client := &slowStore{cpu: h.cpu, Multi: h.f.store.Client(func() multi.Mode {
+	var client store.Multi = &slowStore{cpu: h.cpu, Multi: h.f.store.Client(func() multi.Mode {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if h.f.apart(h.zone, "store") {
@@ -114,6 +117,9 @@
 		}
 		return h.mode
 	})}
+	if h.f.wrapStore != nil {
+		client = h.f.wrapStore(client)
+	}
 	var crew drive.WorkerClient = &slowCrew{cpu: h.cpu, WorkerClient: h.f.crew.From(func(w sched.Member) bool { return h.f.apart(h.zone, w.Zone) })}
 	if h.f.wrap != nil {
 		crew = h.f.wrap(crew)
--- a/internal/batch/drive/standing.go
+++ b/internal/batch/drive/standing.go
@@ -21,6 +21,7 @@
 	// behind is the most that a plan of late came after its oldest event, and slow whether that was told.
 	behind time.Duration
 	slow   bool
+	barred sched.Cause // why nothing is started
 }
 
 // lateTimes are the bounds of the histogram of a holder's lateness with its own work.
@@ -50,6 +51,8 @@
 	}
 	s.scope.Gauge("tasks_held").Update(float64(st.Held))
 	s.scope.Gauge("confirmed_age").Update(st.Age.Seconds())
+	s.scope.Gauge("roster_age").Update(st.Roster.Seconds())
+	s.scope.Gauge("intent_age").Update(st.Intent.Seconds())
 	s.scope.Gauge("steps_waiting").Update(float64(st.Waiting))
 	s.scope.Gauge("longest_wait").Update(st.Longest.Seconds())
 	switch {
@@ -62,6 +65,15 @@
 	s.showBehind(h, st)
 }
 
+// bar tells when the age of what is held of the store begins and ends to bar starts.
+func (s *standing) bar(h *Holder, cause sched.Cause) {
+	if cause == s.barred {
+		return
+	}
+	s.barred = cause
+	h.log.Info("bars starts", "now", cause != sched.CauseNone, "cause", cause)
+}
+
 // showBehind sets the gauge of how far the holder is behind, and tells when it begins and ends to be.
 func (s *standing) showBehind(h *Holder, st sched.Standing) {
 	s.scope.Gauge("behind").Update(s.behind.Seconds())
@@ -81,6 +93,8 @@
 	}
 	s.scope.Gauge("tasks_held").Update(0)
 	s.scope.Gauge("confirmed_age").Update(0)
+	s.scope.Gauge("roster_age").Update(0)
+	s.scope.Gauge("intent_age").Update(0)
 	s.scope.Gauge("steps_waiting").Update(0)
 	s.scope.Gauge("longest_wait").Update(0)
 	s.scope.Gauge("behind").Update(0)
--- a/internal/batch/drive/watch.go
+++ b/internal/batch/drive/watch.go
@@ -21,6 +21,8 @@
 	// pause is between two watches: changes that come meanwhile are told by one call.
 	pause time.Duration
 	apply func(at time.Time, entries []store.Entry)
+	// read tells when the reading began that the copy is no older than.
+	read func(began time.Time)
 
 	rows map[string]store.Entry
 	rev  uint64
@@ -41,6 +43,7 @@
 		return err
 	}
 	if p.Rev < w.rev {
+		w.read(at) // the copy is of after the answer
 		return nil
 	}
 	w.rev = p.Rev
@@ -49,6 +52,7 @@
 		w.rows[e.Key] = e
 	}
 	w.notify(at)
+	w.read(at)
 	return nil
 }
 
@@ -62,6 +66,7 @@
 }
 
 type events struct {
+	began   time.Time
 	changes []store.Change
 	rev     uint64
 	err     error
@@ -76,11 +81,12 @@
 		rev := w.rev
 		go func() {
 			wait.For(ctx, w.pause)
+			began := time.Now()
 			changes, next, err := w.store.Watch(ctx, w.prefix, rev, watchWait)
 			if err != nil && !errors.Is(err, store.ErrCompacted) {
 				wait.For(ctx, watchPause)
 			}
-			got <- events{changes, next, err}
+			got <- events{began, changes, next, err}
 		}()
 	}
 	watch()
@@ -119,4 +125,5 @@
 		}
 	}
 	w.notify(time.Now())
+	w.read(n.began)
 }
--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -27,6 +27,7 @@
 		behind := h.lag.planned(now)
 		orders := h.core.Plan(now)
 		took := time.Since(now)
+		outdated := h.core.Outdated()
 		waits := h.core.Waits()
 		placed, endings := h.core.Notes()
 		var stand sched.Standing
@@ -35,6 +36,7 @@
 			stand = h.core.Standing(now)
 		}
 		h.mu.Unlock()
+		shown.bar(h, outdated)
 		if show {
 			shown.show(h, now, stand)
 		}
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -23,6 +23,8 @@
 	began     time.Time
 	sure      time.Time // when the store last confirmed this holder
 	peersSure time.Time // when its peers last did
+	// When the readings of the directory and of operators' intent began that are held; zero: not told.
+	rosterRead, intentRead time.Time
 
 	jobs         map[string]*job
 	waiting      waiting // steps with tasks that wait for a worker
--- a/internal/batch/sched/depart.go
+++ b/internal/batch/sched/depart.go
@@ -14,6 +14,8 @@
 	CauseContact Cause = "contact" // the worker isn't reached
 	CauseLease   Cause = "lease"   // what is left of the lease that the start brings is too short
 	CauseClosed  Cause = "closed"  // the worker leaves, or operators have taken its failure domain out
+	CauseRoster  Cause = "roster"  // the directory as held is too old, though the store answers
+	CauseIntent  Cause = "intent"  // likewise what operators have written
 )
 
 // Depart tells that an order is about to leave, and returns why it must not, if so. One that doesn't leave is
@@ -71,5 +73,5 @@
 	case o.Until-w.clock.now(now) < leastLent:
 		return CauseLease
 	}
-	return CauseNone
+	return c.Outdated()
 }
--- a/internal/batch/sched/move.go
+++ b/internal/batch/sched/move.go
@@ -22,7 +22,7 @@
 // move stops tasks that are better off elsewhere; they are placed anew with what they have
 // saved.
 func (c *Core) move(now time.Time) {
-	if now.Sub(c.moved) < moveEvery || !c.acts(now) {
+	if now.Sub(c.moved) < moveEvery || !c.starts(now) {
 		return
 	}
 	c.moved = now
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -23,7 +23,7 @@
 
 // place starts what waits, as far as there is room.
 func (c *Core) place(now time.Time, orders []Order) []Order {
-	if !c.acts(now) {
+	if !c.starts(now) {
 		return orders
 	}
 	doubt := c.inDoubt(now)
--- a/internal/batch/sched/standing.go
+++ b/internal/batch/sched/standing.go
@@ -10,6 +10,8 @@
 	Held    int           // tasks held back because a worker that isn't reached may run them
 	Left    time.Duration // for which they are held back at most
 	Age     time.Duration // since this process was last confirmed as the holder
+	Roster  time.Duration // by which the reading of the directory that is held is older than the store's last word to this holder
+	Intent  time.Duration // likewise of what operators have written
 	Open    int           // starts under way
 	Window  int           // starts that may be
 	Waiting int           // steps with tasks that have found no place
@@ -30,6 +32,7 @@
 // Standing returns the state at a time.
 func (c *Core) Standing(now time.Time) Standing {
 	s := Standing{Age: c.age(now), Open: len(c.flow.under), Window: c.flow.window}
+	s.Roster, s.Intent = c.readAges()
 	for _, w := range c.ranks {
 		switch w.contact {
 		case ContactGood:
