--- a/internal/model/trace/days.go
+++ b/internal/model/trace/days.go
@@ -41,5 +41,15 @@
 	return d
 }
 
+// Backlog is a long day of the wine registry with more audits than there is room for.
+func Backlog() *Day {
+	d := Association()
+	d.Name, d.Length = "backlog", 92*time.Second
+	audit, watch := &d.Kinds[1], &d.Kinds[2]
+	audit.Rate *= 1.4
+	watch.Rate *= Association().Length.Seconds() / d.Length.Seconds() // as many in all: they stay
+	return d
+}
+
 // Days are the days by name.
-var Days = map[string]func() *Day{"association": Association, "wildheart": Wildheart}
+var Days = map[string]func() *Day{"association": Association, "wildheart": Wildheart, "backlog": Backlog}
--- a/internal/model/trace/trace.go
+++ b/internal/model/trace/trace.go
@@ -101,8 +101,8 @@
 	mostWorth = 4
 )
 
-// Jobs returns a day's jobs by the time that they come, the same for the same seed.
-func (d *Day) Jobs(start time.Time, load float64, seed uint64) []*Job {
+// Jobs returns a day's jobs with those of its bursts, the same for the same seed.
+func (d *Day) Jobs(start time.Time, load float64, seed uint64, faults []Fault) []*Job {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	var all []*Job
 	for i := range d.Kinds {
@@ -114,14 +114,15 @@
 		if !k.Lasting {
 			rate *= load
 		}
-		at := 0.0
-		for n := k.First; rate > 0; n++ {
+		at, n := 0.0, k.First
+		for ; rate > 0; n++ {
 			at += rng.ExpFloat64() / rate
 			if at > d.Length.Seconds() {
 				break
 			}
 			all = append(all, k.draw(rng, start, time.Duration(at*float64(time.Second)), n))
 		}
+		all = append(all, d.bursts(i, faults, start, load, seed, n)...)
 	}
 	return all
 }
--- a/internal/model/trial/first.go
+++ b/internal/model/trial/first.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"slices"
 	"time"
 
 	"bramleysail.example/bramleysail/internal/batch/sched"
@@ -36,7 +37,30 @@
 	return &first{used: map[string]wire.Size{}, busy: map[string]int{}, acked: map[string]int64{}, byID: map[string]*firstJob{}}
 }
 
-func (f *first) Join(_ time.Time, members []sched.Member) { f.members = members }
+func (f *first) Join(_ time.Time, members []sched.Member) {
+	for _, m := range f.members {
+		if !slices.ContainsFunc(members, func(n sched.Member) bool { return n.Life == m.Life }) {
+			f.lose(m.ID)
+		}
+	}
+	f.members = members
+}
+
+// lose has the tasks of a worker that has left begun anew.
+func (f *first) lose(id string) {
+	for _, j := range f.jobs {
+		for i := range j.state {
+			for t, at := range j.state[i] {
+				if at == id {
+					delete(j.state[i], t)
+				}
+			}
+		}
+	}
+	f.used[id], f.busy[id], f.acked[id] = wire.Size{}, 0, 0
+}
+
+func (f *first) Missed(time.Time, sched.Life) {}
 
 func (f *first) Admit(_ time.Time, j *sched.Job) {
 	fj := &firstJob{Job: j}
@@ -148,6 +172,9 @@
 func (f *first) Answer(_ time.Time, o sched.Order, out sched.Outcome) {
 	if o.Verb == sched.VerbStart && out != sched.OutcomeDone {
 		j := f.byID[o.Task.Job]
+		if j.state[o.Task.Step][o.Task.Index] != o.Life.ID {
+			return // lost with its worker
+		}
 		f.count(o.Life.ID, &j.Steps[o.Task.Step], -1)
 		delete(j.state[o.Task.Step], o.Task.Index)
 	}
@@ -165,3 +192,5 @@
 	}
 	return true
 }
+
+func (f *first) Failed(string) bool { return false }
--- a/internal/model/trial/ideal.go
+++ b/internal/model/trial/ideal.go
@@ -8,7 +8,7 @@
 	"bramleysail.example/bramleysail/internal/model/world"
 )
 
-// ideal plays a day with all workers as one, which knows what each task takes and where
+// ideal plays a day with all workers as one without faults, which knows what each task takes and where
 // nothing disturbs anything: what no scheduler exceeds by much. Lasting tasks are always at
 // work; the rest is ordered by the latest start with which a job is on time.
 func ideal(d *trace.Day, jobs []*trace.Job, start time.Time) *Result {
@@ -25,9 +25,12 @@
 		}
 		cores -= lastingUse * float64(j.Job.Steps[0].Count*j.Job.Steps[0].Size.CPU)
 		t := res.tally(j.Kind.Name)
-		worth := (d.Length - max(warmup, j.At)).Seconds() / slot.Seconds() * j.Kind.Worth
-		t.Owed += worth
-		t.Earned += worth
+		for at := max(warmup, j.At); at < d.Length; {
+			next := min(at.Truncate(window)+window, d.Length)
+			worth := (next - at).Seconds() / slot.Seconds() * j.Kind.Worth
+			res.count(t, at, worth, worth)
+			at = next
+		}
 	}
 	var open []*idealJob
 	for at := time.Duration(0); at < d.Length+tailing; at += world.Tick {
@@ -49,6 +52,7 @@
 	for _, j := range open {
 		res.missed(j.Job)
 	}
+	res.weak = []float64{res.weakest()}
 	return res
 }
 
--- a/internal/model/trial/play.go
+++ b/internal/model/trial/play.go
@@ -32,6 +32,9 @@
 	Kinds map[string]*Tally
 	Waste float64 // core-seconds worked in vain
 	Moves int     // filling tasks that were stopped and begun anew
+
+	windows []Tally   // of the day, by when jobs were handed in
+	weak    []float64 // what the worst windows of each day earned
 }
 
 // Tally is what the callers of a kind got.
@@ -39,6 +42,8 @@
 	Owed, Earned       float64
 	Jobs, OnTime, Late int
 	Waits              []time.Duration // from handing in to the end, of the jobs that ended
+	Still              time.Duration   // longest that a job with waiting tasks had nothing running
+	StillAtEnd         time.Duration   // the same in the last seconds of the day
 }
 
 // Add adds another day's result.
@@ -50,8 +55,11 @@
 		s.Jobs += t.Jobs
 		s.OnTime += t.OnTime
 		s.Late += t.Late
+		s.Still = max(s.Still, t.Still)
+		s.StillAtEnd = max(s.StillAtEnd, t.StillAtEnd)
 		s.Waits = append(s.Waits, t.Waits...)
 	}
+	r.weak = append(r.weak, o.weak...)
 	r.Waste += o.Waste
 	r.Moves += o.Moves
 }
@@ -73,22 +81,23 @@
 	t := r.tally(j.Kind.Name)
 	t.Jobs++
 	t.Waits = append(t.Waits, took)
-	t.Owed += j.Kind.Worth * j.Worth
+	earned := 0.0
 	switch goal := j.Objective(); {
 	case took <= goal:
 		t.OnTime++
-		t.Earned += j.Kind.Worth * j.Worth
+		earned = j.Kind.Worth * j.Worth
 	case took <= latest*goal:
 		t.Late++
-		t.Earned += j.Kind.Late * j.Worth
+		earned = j.Kind.Late * j.Worth
 	}
+	r.count(t, j.At, j.Kind.Worth*j.Worth, earned)
 }
 
 // missed counts a job that wasn't completed.
 func (r *Result) missed(j *trace.Job) {
 	t := r.tally(j.Kind.Name)
 	t.Jobs++
-	t.Owed += j.Kind.Worth * j.Worth
+	r.count(t, j.At, j.Kind.Worth*j.Worth, 0)
 }
 
 // Worth returns the share of what was owed that was earned.
@@ -111,25 +120,30 @@
 	orders []sched.Order // on their way
 	kick   bool
 	res    *Result
+	ran    map[string]time.Time // when a task of a job last ran, or it was handed in
 }
 
 // poll is a poll under way at a worker, in the workers' order.
 type poll struct {
 	sent, until time.Time
-	acked       int64
+	acked, born int64
 }
 
 // play plays a day's jobs with a policy.
-func play(d *trace.Day, jobs []*trace.Job, start time.Time, seed uint64, policy func(time.Time) Policy) *Result {
-	p := &day{world: world.New(d, start, jobs, seed), policy: policy(start), jobs: jobs, res: &Result{}}
+func play(d *trace.Day, jobs []*trace.Job, faults []trace.Fault, start time.Time, seed uint64, policy func(time.Time) Policy) *Result {
+	p := &day{world: world.New(d, start, jobs, faults, seed), policy: policy(start), jobs: jobs, res: &Result{}, ran: map[string]time.Time{}}
 	p.policy.Join(start, p.world.Members())
 	p.polls = make([]poll, len(p.world.Workers))
 	for i := range p.polls {
-		p.polls[i] = poll{sent: start, until: start}
+		p.polls[i] = poll{sent: start, until: start, born: p.world.Workers[i].Member.Born}
 	}
 	end := start.Add(d.Length + tailing)
 	planned := start
 	for now := start; now.Before(end); now = now.Add(world.Tick) {
+		if p.world.Strike(now) {
+			p.policy.Join(now, p.world.Members())
+			p.kick = true
+		}
 		p.handIn(now, start)
 		p.arrive(now)
 		if p.kick || now.Sub(planned) >= planEvery {
@@ -141,11 +155,15 @@
 		}
 		p.answers(now)
 		p.finish(now, start)
+		if now.Sub(start)%planEvery == 0 {
+			p.stand(now, end)
+		}
 		if now.Sub(start) > warmup && now.Sub(start) < d.Length {
-			p.earn(now)
+			p.earn(now, start)
 		}
 	}
 	p.owe()
+	p.res.weak = []float64{p.res.weakest()}
 	p.res.Waste = p.world.Wasted
 	return p.res
 }
@@ -156,6 +174,7 @@
 		p.jobs = p.jobs[1:]
 		p.policy.Admit(now, j.Job)
 		p.open = append(p.open, j)
+		p.ran[j.Job.ID] = now
 		p.kick = true
 	}
 }
@@ -188,10 +207,18 @@
 		if now.Before(l.until) {
 			continue
 		}
+		if k.Away() {
+			p.policy.Missed(now, k.Member.Life)
+			*l = poll{sent: now, until: now.Add(planEvery)}
+			continue
+		}
+		if k.Member.Born != l.born { // the poll under way was one of the former life
+			*l = poll{sent: now, born: k.Member.Born}
+		}
 		p.policy.Hear(l.sent, now, k.Member.ID, p.world.Report(now, k, l.acked))
 		p.kick = true
 		wait, acked := p.policy.Poll(now, k.Member.ID)
-		*l = poll{sent: now, until: now.Add(max(wait, answerIn)), acked: acked}
+		*l = poll{sent: now, until: now.Add(max(wait, answerIn)), acked: acked, born: l.born}
 	}
 }
 
@@ -219,7 +246,7 @@
 }
 
 // earn counts a Tick of the lasting jobs.
-func (p *day) earn(now time.Time) {
+func (p *day) earn(now, start time.Time) {
 	working, over, blamed := map[string]int{}, map[string]int{}, map[string]int{}
 	for _, k := range p.world.Workers {
 		for _, t := range k.Tasks {
@@ -242,8 +269,7 @@
 		}
 		t := p.res.tally(j.Kind.Name)
 		id, n := j.Job.ID, float64(j.Job.Steps[0].Count)
-		t.Owed += part * j.Kind.Worth
 		got := (float64(working[id]) - float64(over[id]) - blame*float64(blamed[id])) / n
-		t.Earned += part * j.Kind.Worth * max(0, got)
+		p.res.count(t, now.Sub(start), part*j.Kind.Worth, part*j.Kind.Worth*max(0, got))
 	}
 }
--- a/internal/model/trial/policy.go
+++ b/internal/model/trial/policy.go
@@ -14,11 +14,15 @@
 	Admit(now time.Time, j *sched.Job)
 	// Poll returns how long to wait for an end, and up to which end the worker may forget.
 	Poll(now time.Time, id string) (wait time.Duration, acked int64)
+	// Missed tells that a poll of a worker was not answered.
+	Missed(now time.Time, worker sched.Life)
 	Hear(sent, now time.Time, id string, rep sched.Report)
 	Plan(now time.Time) []sched.Order
 	Answer(now time.Time, o sched.Order, out sched.Outcome)
 	// Completed reports whether a job is shown as completed.
 	Completed(id string) bool
+	// Failed reports whether a job has ended without success.
+	Failed(id string) bool
 }
 
 // product is the product's own core; what has changed counts as stored at once.
@@ -50,6 +54,8 @@
 	return l.Wait, l.Acked
 }
 
+func (p *product) Missed(now time.Time, w sched.Life) { p.core.Missed(now, w.ID, w.Born) }
+
 func (p *product) Hear(sent, now time.Time, id string, rep sched.Report) {
 	p.core.Hear(sent, now, id, rep)
 	p.store()
@@ -79,3 +85,8 @@
 	s, _ := p.core.State(id)
 	return s == sched.StateCompleted
 }
+
+func (p *product) Failed(id string) bool {
+	s, _ := p.core.State(id)
+	return s == sched.StateFailed
+}
--- a/internal/model/trial/trial.go
+++ b/internal/model/trial/trial.go
@@ -29,18 +29,19 @@
 	Loads    []float64 // against the day's own; 1: as measured
 	Seeds    int
 	Policies []string
+	Faults   []string // kinds; none: all workers are sound
 }
 
 // Check returns an error that names the first thing wrong with the plan.
 func (p *Plan) Check() error {
 	if trace.Days[p.Day] == nil {
-		return errors.Wrapf(ErrPlan, "no day %q; there are association and wildheart", p.Day)
+		return errors.Wrapf(ErrPlan, "no day %q; there are association, wildheart and backlog", p.Day)
 	}
 	if p.Seeds < 1 || p.Seeds > 1000 {
 		return errors.Wrapf(ErrPlan, "%d seeds, allowed are 1 to 1000", p.Seeds)
 	}
 	for _, l := range p.Loads {
-		if l <= 0 || l > 10 {
+		if !(l > 0 && l <= 10) {
 			return errors.Wrapf(ErrPlan, "load %g, allowed is above 0 and up to 10", l)
 		}
 	}
@@ -49,6 +50,11 @@
 			return errors.Wrapf(ErrPlan, "no policy %q; there are %s, %s and %s", name, Product, First, Ideal)
 		}
 	}
+	for _, name := range p.Faults {
+		if !slices.Contains(trace.FaultKinds(), trace.FaultKind(name)) {
+			return errors.Wrapf(ErrPlan, "no fault %q; there are %v", name, trace.FaultKinds())
+		}
+	}
 	return nil
 }
 
@@ -98,15 +104,20 @@
 func (p *Plan) one(load float64, policy string, seed uint64) *Result {
 	d := trace.Days[p.Day]()
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	jobs := d.Jobs(start, load, seed)
+	var kinds []trace.FaultKind
+	for _, name := range p.Faults {
+		kinds = append(kinds, trace.FaultKind(name))
+	}
+	faults := d.Faults(kinds, seed)
+	jobs := d.Jobs(start, load, seed, faults)
 	slices.SortStableFunc(jobs, func(a, b *trace.Job) int { return int(a.At - b.At) })
 	switch policy {
 	case First:
-		return play(d, jobs, start, seed, newFirst)
+		return play(d, jobs, faults, start, seed, newFirst)
 	case Ideal:
 		return ideal(d, jobs, start)
 	}
-	return play(d, jobs, start, seed, newProduct)
+	return play(d, jobs, faults, start, seed, newProduct)
 }
 
 // Write writes the rows as a table: for each kind of job the share of the worth that was earned,
--- a/internal/model/trial/trial_test.go
+++ b/internal/model/trial/trial_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -19,6 +21,8 @@
 		{"no such day", trial.Plan{Day: "x", Seeds: 1}, `no day "x"`},
 		{"no seeds", trial.Plan{Day: "wildheart"}, "0 seeds"},
 		{"no load", trial.Plan{Day: "wildheart", Seeds: 1, Loads: []float64{0}}, "load 0"},
+		{"a load that is no number", trial.Plan{Day: "wildheart", Seeds: 1, Loads: []float64{math.NaN()}}, "load NaN"},
+		{"no such fault", trial.Plan{Day: "wildheart", Seeds: 1, Faults: []string{"slow", "fire"}}, `no fault "fire"`},
 		{"no such policy", trial.Plan{Day: "wildheart", Seeds: 1, Policies: []string{"best"}}, `no policy "best"`},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -64,18 +68,31 @@
 }
 
 func TestSameAgain(t *testing.T) {
-	var out [2]bytes.Buffer
-	for i := range out {
-		rows, err := trial.Run(trial.Plan{Day: "wildheart", Loads: []float64{0.7}, Seeds: 1, Policies: []string{trial.First, trial.Product}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := trial.Write(&out[i], rows); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if out[0].String() != out[1].String() {
-		t.Errorf("first:\n%sagain:\n%s", &out[0], &out[1])
+	for _, tt := range []struct {
+		name   string
+		faults []string
+	}{
+		{"sound workers", nil},
+		{"all faults", []string{"slow", "hang", "fail", "leave", "burst"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var out [2]bytes.Buffer
+			for i := range out {
+				rows, err := trial.Run(trial.Plan{Day: "wildheart", Loads: []float64{0.7}, Seeds: 1, Policies: []string{trial.First, trial.Product}, Faults: tt.faults})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := trial.Write(&out[i], rows); err != nil {
+					t.Fatal(err)
+				}
+				if err := trial.WriteParts(&out[i], rows); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if out[0].String() != out[1].String() {
+				t.Errorf("first:\n%sagain:\n%s", &out[0], &out[1])
+			}
+		})
 	}
 }
 
@@ -97,3 +114,31 @@
 		t.Errorf("error %v for one load, want ErrPlan", err)
 	}
 }
+
+// Under more filling work than there is room for, late jobs have nothing running until the day ends.
+func TestNoFillingJobStandsStill(t *testing.T) {
+	const most = 3 * time.Second
+	for _, tt := range []struct {
+		name   string
+		load   float64
+		faults []string
+	}{
+		{"sound workers", 1, nil},
+		{"slow and hanging workers", 1, []string{"slow", "hang"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			rows, err := trial.Run(trial.Plan{Day: "backlog", Loads: []float64{tt.load}, Seeds: 2, Policies: []string{trial.Product}, Faults: tt.faults})
+			if err != nil {
+				t.Fatal(err)
+			}
+			audit := rows[0].Result.Kinds["audit"]
+			if audit.Still <= most {
+				t.Errorf("no job stood still for more than %s all day: the load fits", audit.Still)
+			}
+			if audit.StillAtEnd > most {
+				t.Errorf("a filling job stands still for %s at the end of the day, want %s at most", audit.StillAtEnd, most)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/model/world/fault_test.go
@@ -0,0 +1,72 @@
+package world_test
+
+import (
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/batch/wire"
+	"bramleysail.example/bramleysail/internal/model/trace"
+	"bramleysail.example/bramleysail/internal/model/world"
+)
+
+// A task of a second of work, started as a fault begins that stays for three.
+func TestFault(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		kind  trace.FaultKind
+		how   sched.End
+		after time.Duration // 0: it never ends
+	}{
+		{"sound", "", sched.EndDone, time.Second},
+		{"slow", trace.FaultSlow, sched.EndDone, 3*time.Second + 400*time.Millisecond}, // 0.6 s of work by then
+		{"hang", trace.FaultHang, sched.EndDone, 4 * time.Second},
+		{"fail", trace.FaultFail, sched.EndFailed, 200 * time.Millisecond},
+		{"leave", trace.FaultLeave, "", 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+			d := &trace.Day{Workers: 1, Racks: 1, Sizes: []int{4000}, Mem: 4000, Swing: time.Second}
+			job := &trace.Job{
+				Kind: &trace.Kind{}, Work: [][]time.Duration{{time.Second}}, Fails: [][]int{{0}},
+				Job: &sched.Job{ID: "j", Steps: []sched.Step{{Count: 1, Size: wire.Size{CPU: 1000, Mem: 1000}}}},
+			}
+			faults := []trace.Fault{{Kind: tt.kind, At: world.Tick, For: 3 * time.Second, Factor: 5}}
+			w := world.New(d, start, []*trace.Job{job}, faults, 1)
+			k := w.Workers[0]
+			order := sched.Order{Verb: sched.VerbStart, Life: k.Member.Life, Task: sched.TaskID{Job: "j"}, Run: 1}
+			begin := func(now time.Time) {
+				if out := w.Do(now, order); out != sched.OutcomeDone {
+					t.Fatalf("start: %s", out)
+				}
+			}
+			if tt.kind != trace.FaultFail {
+				begin(start) // there as the fault begins
+			}
+			for at := world.Tick; at <= 6*time.Second; at += world.Tick {
+				now := start.Add(at)
+				w.Strike(now)
+				if at == world.Tick && tt.kind == trace.FaultFail {
+					begin(now)
+				}
+				if len(w.Step(now)) == 0 {
+					continue
+				}
+				f := w.Report(now, k, 0).Finished[0]
+				if f.How != tt.how || (at-tt.after).Abs() > 2*world.Tick {
+					t.Errorf("ended as %s after %s, want %s after %s", f.How, at, tt.how, tt.after)
+				}
+				return
+			}
+			if tt.after != 0 {
+				t.Fatal("the task hasn't ended")
+			}
+			if k.Away() || len(k.Tasks) != 0 || k.Member.Born != 2 {
+				t.Errorf("away %v with %d tasks in life %d, want none in life 2", k.Away(), len(k.Tasks), k.Member.Born)
+			}
+			if out := w.Do(start.Add(7*time.Second), order); out != sched.OutcomeGone {
+				t.Errorf("an order to the former life: %s, want %s", out, sched.OutcomeGone)
+			}
+		})
+	}
+}
--- a/internal/model/world/world.go
+++ b/internal/model/world/world.go
@@ -37,6 +37,8 @@
 	saved = time.Second
 	// startup is what a lasting task takes until it is at work.
 	startup = 320 * time.Millisecond
+	// failing is what a task takes until it fails on a worker that fails all.
+	failing = 200 * time.Millisecond
 	// fullTail is the pressure above which the tail grows no more.
 	fullTail = 0.98
 )
@@ -51,6 +53,7 @@
 	pace    int           // percent
 	kept    time.Duration // progress saved by former runs
 	fails   bool
+	sick    bool      // its worker fails it
 	stopAt  time.Time // zero: it isn't being stopped
 	phase   float64
 	use     float64 // millicores, of late
@@ -69,12 +72,20 @@
 	Tasks  []*Task
 	ends   []sched.Finished
 	seq    int64
+	born   time.Time
+	slow   float64 // factor of slowness; infinite: its tasks stand still
+	sick   bool    // fails all that it starts
+	away   bool
 }
 
+// Away reports whether the worker is lost and no other has taken its place yet.
+func (k *Worker) Away() bool { return k.away }
+
 // World is all workers and what is known of the tasks.
 type World struct {
 	Workers []*Worker
 	day     *trace.Day
+	faults  []trace.Fault
 	start   time.Time
 	rng     *rand.Rand
 	jobs    map[string]*trace.Job
@@ -86,9 +97,9 @@
 }
 
 // New returns a world of a day's workers; the same seed gives the same luck.
-func New(d *trace.Day, start time.Time, jobs []*trace.Job, seed uint64) *World {
+func New(d *trace.Day, start time.Time, jobs []*trace.Job, faults []trace.Fault, seed uint64) *World {
 	w := &World{
-		day: d, start: start, rng: rand.New(rand.NewPCG(seed, 11)), jobs: map[string]*trace.Job{},
+		day: d, faults: faults, start: start, rng: rand.New(rand.NewPCG(seed, 11)), jobs: map[string]*trace.Job{},
 		phases: map[string]float64{}, presses: map[[2]string]float64{}, kept: map[sched.TaskID]time.Duration{},
 		failed: map[sched.TaskID]int{},
 	}
@@ -105,7 +116,7 @@
 	}
 	for i := range d.Workers {
 		id := fmt.Sprintf("w%02d", i)
-		w.Workers = append(w.Workers, &Worker{Member: sched.Member{
+		w.Workers = append(w.Workers, &Worker{born: start, slow: 1, Member: sched.Member{
 			Life: sched.Life{ID: id, Born: 1}, Service: trace.Service, Addr: id, Zone: fmt.Sprintf("z%d", i%3),
 			Rack: fmt.Sprintf("r%d", i%d.Racks), Size: wire.Size{CPU: d.Sizes[i%len(d.Sizes)], Mem: d.Mem},
 		}})
@@ -130,7 +141,9 @@
 func (w *World) Members() []sched.Member {
 	var all []sched.Member
 	for _, k := range w.Workers {
-		all = append(all, k.Member)
+		if !k.away {
+			all = append(all, k.Member)
+		}
 	}
 	return all
 }
@@ -144,6 +157,12 @@
 // Do carries an order out.
 func (w *World) Do(now time.Time, o sched.Order) sched.Outcome {
 	k := w.Worker(o.Life.ID)
+	switch {
+	case k.away:
+		return sched.OutcomeUnsent
+	case o.Life.Born != k.Member.Born:
+		return sched.OutcomeGone
+	}
 	if o.Verb == sched.VerbStart {
 		return w.begin(now, k, o)
 	}
@@ -174,6 +193,9 @@
 	if t.kept > 0 {
 		t.need += restore - t.kept
 	}
+	if k.sick {
+		t.sick, t.need = true, failing
+	}
 	k.Tasks = append(k.Tasks, t)
 	return sched.OutcomeDone
 }
@@ -241,6 +263,7 @@
 		if t.Step.Fills {
 			speed = part * float64(t.pace) / 100
 		}
+		speed /= k.slow
 		t.done += time.Duration(speed * float64(Tick))
 		t.use += fresh * (speed*float64(t.Step.Size.CPU) - t.use)
 	}
@@ -253,7 +276,7 @@
 
 // tail sets a serving task's tail.
 func (w *World) tail(now time.Time, k *Worker, t *Task) {
-	own := w.load(now, t)
+	own := w.load(now, t) * k.slow
 	p := own
 	for _, f := range k.Tasks {
 		if f.Step.Fills {
@@ -272,8 +295,10 @@
 	switch {
 	case !t.stopAt.IsZero() && !now.Before(t.stopAt):
 		how = sched.EndStopped
-	case t.Step.Lasting || t.done < t.need:
+	case t.Step.Lasting && !t.sick || t.done < t.need:
 		return false
+	case t.sick:
+		how = sched.EndFailed
 	case t.fails:
 		how = sched.EndFailed
 		w.failed[t.ID]++
@@ -302,7 +327,7 @@
 	for len(k.ends) > 0 && k.ends[0].Seq <= acked {
 		k.ends = k.ends[1:]
 	}
-	rep := sched.Report{Born: 1, Clock: now.Sub(w.start), Finished: append([]sched.Finished(nil), k.ends...)}
+	rep := sched.Report{Born: k.Member.Born, Clock: now.Sub(k.born), Finished: append([]sched.Finished(nil), k.ends...)}
 	for _, t := range k.Tasks {
 		row := sched.Running{Task: t.ID.String(), Run: t.Run, Part: 100}
 		switch {
--- a/internal/proc/tool/model.go
+++ b/internal/proc/tool/model.go
@@ -1,7 +1,9 @@
 package tool
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"os"
 
@@ -17,15 +19,17 @@
 		Usage:       "play days of a model of the workers and their load, in virtual time, with several policies",
 		Description: "Example: bramleysail model --day wildheart --load 0.85 --load 1.2 --seeds 8",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "day", Usage: "association or wildheart", Value: "association"},
+			&cli.StringFlag{Name: "day", Usage: "association, wildheart or backlog, a long one with more work than there is room for", Value: "association"},
 			&cli.FloatSliceFlag{Name: "load", Usage: "arrivals against those measured; may be given several times", Value: []float64{1}},
 			&cli.IntFlag{Name: "seeds", Usage: "days to play for each load and policy", Value: 4},
 			&cli.StringSliceFlag{Name: "policy", Usage: "product, first or ideal; may be given several times", Value: []string{trial.First, trial.Product, trial.Ideal}},
+			&cli.StringSliceFlag{Name: "fault", Usage: "slow, hang, fail or leave, of workers, or burst, of arrivals, drawn from the seed; may be given several times"},
 			&cli.StringFlag{Name: "plot", Usage: "also draw worth against load into `FILE`, as SVG; needs two loads or more"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			rows, err := trial.Run(trial.Plan{
 				Day: c.String("day"), Loads: c.FloatSlice("load"), Seeds: c.Int("seeds"), Policies: c.StringSlice("policy"),
+				Faults: c.StringSlice("fault"),
 			})
 			if err != nil {
 				return invalid(err)
@@ -35,7 +39,11 @@
 					return err
 				}
 			}
-			return trial.Write(out, rows)
+			if err := trial.Write(out, rows); err != nil {
+				return err
+			}
+			fmt.Fprintln(out)
+			return trial.WriteParts(out, rows)
 		},
 	}
 }
@@ -49,13 +57,12 @@
 }
 
 func plot(file string, rows []trial.Row) error {
-	f, err := os.Create(file)
-	if err != nil {
-		return exit{errors.Wrap(err, "bramleysail"), ExitInvalid}
+	var drawn bytes.Buffer // whole before the file is touched
+	if err := trial.Plot(&drawn, rows); err != nil {
+		return invalid(err)
 	}
-	err = trial.Plot(f, rows)
-	if cerr := f.Close(); err == nil {
-		err = errors.Wrap(cerr, "bramleysail")
+	if err := os.WriteFile(file, drawn.Bytes(), 0o644); err != nil {
+		return exit{errors.Wrap(err, "bramleysail"), ExitInvalid}
 	}
-	return invalid(err)
+	return nil
 }
