--- a/internal/batch/sched/starve.go
+++ b/internal/batch/sched/starve.go
@@ -8,9 +8,9 @@
 // starveAfter is how long a job has nothing running before it counts as starved.
 const starveAfter = 2 * time.Second
 
-// timelyMost is how long a step that can be on time holds starved ones back. Its own aim bounds nothing for them: it grows with
-// the work of a job.
-const timelyMost = 5 * time.Second
+// timelyMost is how long after its hand-in a job that can be on time holds starved ones back. Its own aim bounds nothing for
+// them: it grows with the work of a job.
+const timelyMost = 8 * time.Second
 
 // count counts a run that has come or gone. The job hasn't been idle up to now if the run was there, unless it was one
 // of a starved job.
--- a/internal/batch/sched/waits.go
+++ b/internal/batch/sched/waits.go
@@ -40,7 +40,7 @@
 		s.short = now
 	}
 	since := now.Sub(s.short)
-	if s.spec.Fills && !s.spec.Lasting && s.rank.prospect <= prospectFresh && since < timelyMost {
+	if s.spec.Fills && !s.spec.Lasting && s.rank.prospect <= prospectFresh && now.Sub(s.at) < timelyMost {
 		c.timely[s.job.Service] = c.plans
 	}
 	if since < max(waitTold, 2*s.told) {
