--- a/internal/batch/sched/answer.go
+++ b/internal/batch/sched/answer.go
@@ -74,7 +74,7 @@
 			r.sure = now
 		}
 		if r.starved {
-			c.pace(now, w)
+			c.pace(now, w) // until the next reading it would disturb at full speed
 		}
 	case OutcomeUnknown, OutcomeBad:
 		if r.state == RunSent {
