--- a/internal/batch/sched/starve_test.go
+++ b/internal/batch/sched/starve_test.go
@@ -11,16 +11,8 @@
 
 // A filling task whose image would disturb the serving tasks of every worker stands still for good, with processors idle.
 func TestFillingTaskDoesNotStarve(t *testing.T) {
-	b := newBench(t, 1, 1).open()
-	feed := serving("s", "serve")
-	feed.Steps[0].Count = 1
-	b.core.Admit(b.now, feed)
-	row := running(b.plan(sched.VerbStart)[0])
-	row.Part, row.Tail = 100, 18*time.Millisecond // three quarters of its target
-	for range 10 {
-		b.after(600 * time.Millisecond)
-		b.poll("w0", sched.Report{Running: []sched.Running{row}})
-	}
+	b, feeds := disturbed(t, 1)
+	row := feeds["w0"]
 	book := filling("f", "fill", 3000)
 	book.Steps[0].Count = 2
 	b.core.Admit(b.now, book)
@@ -49,16 +41,8 @@
 // A task that was placed where it disturbs a serving one works at full speed until the next reading, and the feed's users
 // wait meanwhile.
 func TestStarvedTaskIsSlowedAtOnce(t *testing.T) {
-	b := newBench(t, 1, 1).open()
-	feed := serving("s", "serve")
-	feed.Steps[0].Count = 1
-	b.core.Admit(b.now, feed)
-	row := running(b.plan(sched.VerbStart)[0])
-	row.Part, row.Tail = 100, 18*time.Millisecond
-	for range 10 {
-		b.after(600 * time.Millisecond)
-		b.poll("w0", sched.Report{Running: []sched.Running{row}})
-	}
+	b, feeds := disturbed(t, 1)
+	row := feeds["w0"]
 	b.core.Admit(b.now, filling("f", "fill", 6000))
 	b.plan(sched.VerbStart)
 	b.after(2 * time.Second)
