--- a/internal/batch/drive/standing.go
+++ b/internal/batch/drive/standing.go
@@ -45,16 +45,7 @@
 // show sets the gauges and tells of a change in what is held back.
 func (s *standing) show(h *Holder, now time.Time, st sched.Standing) {
 	s.shown = now
-	s.scope.Gauge("term").Update(float64(h.opt.Tenure.Term()))
-	for contact, n := range map[string]int{"good": st.Good, "lost": st.Lost, "unheard": st.Unheard} {
-		s.scope.Tagged(map[string]string{"contact": contact}).Gauge("workers").Update(float64(n))
-	}
-	s.scope.Gauge("tasks_held").Update(float64(st.Held))
-	s.scope.Gauge("confirmed_age").Update(st.Age.Seconds())
-	s.scope.Gauge("roster_age").Update(st.Roster.Seconds())
-	s.scope.Gauge("intent_age").Update(st.Intent.Seconds())
-	s.scope.Gauge("steps_waiting").Update(float64(st.Waiting))
-	s.scope.Gauge("longest_wait").Update(st.Longest.Seconds())
+	s.gauges(h.opt.Tenure.Term(), st, s.behind)
 	switch {
 	case s.held == 0 && st.Held > 0:
 		h.log.Info("holds back", "tasks", st.Held, "unheard", st.Unheard, "workers", st.Good+st.Lost+st.Unheard, "left", st.Left)
@@ -62,7 +53,7 @@
 		h.log.Info("holds nothing back", "tasks", s.held, "unheard", st.Unheard)
 	}
 	s.held = st.Held
-	s.showBehind(h, st)
+	s.tellBehind(h, st)
 }
 
 // bar tells when the age of what is held of the store begins and ends to bar starts.
@@ -74,10 +65,8 @@
 	h.log.Info("bars starts", "now", cause != sched.CauseNone, "cause", cause)
 }
 
-// showBehind sets the gauge of how far the holder is behind, and tells when it begins and ends to be.
-func (s *standing) showBehind(h *Holder, st sched.Standing) {
-	s.scope.Gauge("behind").Update(s.behind.Seconds())
-	s.scope.Gauge("starts_open").Update(float64(st.Open))
+// tellBehind tells when the holder begins and ends to be behind its work.
+func (s *standing) tellBehind(h *Holder, st sched.Standing) {
 	if slow := s.behind >= behindAfter; slow != s.slow {
 		s.slow = slow
 		h.log.Info("behind", "now", slow, "by", s.behind, "starts", st.Open, "window", st.Window)
@@ -87,16 +76,20 @@
 
 // clear takes back the gauges of a tenure that is over: they would show its last state for good.
 func (s *standing) clear() {
-	s.scope.Gauge("term").Update(0)
-	for _, contact := range []string{"good", "lost", "unheard"} {
-		s.scope.Tagged(map[string]string{"contact": contact}).Gauge("workers").Update(0)
+	s.gauges(0, sched.Standing{}, 0)
+}
+
+func (s *standing) gauges(term int64, st sched.Standing, behind time.Duration) {
+	s.scope.Gauge("term").Update(float64(term))
+	for contact, n := range map[string]int{"good": st.Good, "lost": st.Lost, "unheard": st.Unheard} {
+		s.scope.Tagged(map[string]string{"contact": contact}).Gauge("workers").Update(float64(n))
 	}
-	s.scope.Gauge("tasks_held").Update(0)
-	s.scope.Gauge("confirmed_age").Update(0)
-	s.scope.Gauge("roster_age").Update(0)
-	s.scope.Gauge("intent_age").Update(0)
-	s.scope.Gauge("steps_waiting").Update(0)
-	s.scope.Gauge("longest_wait").Update(0)
-	s.scope.Gauge("behind").Update(0)
-	s.scope.Gauge("starts_open").Update(0)
+	s.scope.Gauge("tasks_held").Update(float64(st.Held))
+	s.scope.Gauge("confirmed_age").Update(st.Age.Seconds())
+	s.scope.Gauge("roster_age").Update(st.Roster.Seconds())
+	s.scope.Gauge("intent_age").Update(st.Intent.Seconds())
+	s.scope.Gauge("steps_waiting").Update(float64(st.Waiting))
+	s.scope.Gauge("longest_wait").Update(st.Longest.Seconds())
+	s.scope.Gauge("behind").Update(behind.Seconds())
+	s.scope.Gauge("starts_open").Update(float64(st.Open))
 }
