--- a/internal/batch/sched/crowd_test.go
+++ b/internal/batch/sched/crowd_test.go
@@ -9,6 +9,48 @@
 	"bramleysail.example/bramleysail/internal/batch/wire"
 )
 
+// endingRuns are runs that end with success by themselves, as their workers report.
+type endingRuns struct {
+	b    *bench
+	runs map[string][]endingRun // by worker
+	seq  map[string]int64
+}
+
+type endingRun struct {
+	at    time.Time
+	order sched.Order
+}
+
+func newEndingRuns(b *bench) *endingRuns {
+	return &endingRuns{b: b, runs: map[string][]endingRun{}, seq: map[string]int64{}}
+}
+
+// start has the run of a start go on for some time.
+func (r *endingRuns) start(o sched.Order, lasts time.Duration) {
+	r.runs[o.Life.ID] = append(r.runs[o.Life.ID], endingRun{r.b.now.Add(lasts), o})
+}
+
+// poll has each worker report on which runs have ended, and others as well while all says so.
+func (r *endingRuns) poll(all func() bool) {
+	for id, runs := range r.runs {
+		var rep sched.Report
+		var rest []endingRun
+		for _, e := range runs {
+			if e.at.After(r.b.now) {
+				rest = append(rest, e)
+				rep.Running = append(rep.Running, running(e.order))
+				continue
+			}
+			r.seq[id]++
+			rep.Finished = append(rep.Finished, finished(r.seq[id], e.order, sched.EndDone))
+		}
+		r.runs[id] = rest
+		if len(rep.Finished) > 0 || all() {
+			r.b.poll(id, rep)
+		}
+	}
+}
+
 // Under more load than the workers carry, a job takes places that another needs to end in time, and each begins so late
 // that nearly none is on time. What the workers carry has to be served on time, whatever comes beyond it.
 func TestCrowd(t *testing.T) {
@@ -22,12 +64,7 @@
 	for _, load := range []float64{0.8, 1.3, 1.7} {
 		t.Run(fmt.Sprint(load), func(t *testing.T) {
 			b := newBench(t, 1, workers).open()
-			type end struct {
-				at    time.Time
-				order sched.Order
-			}
-			running := map[string][]end{}
-			seq := map[string]int64{}
+			runs := newEndingRuns(b)
 			came := map[string]time.Time{}
 			onTime := 0
 			every := time.Duration(float64(time.Second) / (load * capacity))
@@ -44,25 +81,9 @@
 					n++
 				}
 				for _, o := range b.plan(sched.VerbStart) {
-					running[o.Life.ID] = append(running[o.Life.ID], end{b.now.Add(time.Second), o})
-				}
-				for id, all := range running {
-					var rep sched.Report
-					var rest []end
-					for _, e := range all {
-						if e.at.After(b.now) {
-							rest = append(rest, e)
-							rep.Running = append(rep.Running, sched.Running{Task: e.order.Task.String(), Run: e.order.Run})
-							continue
-						}
-						seq[id]++
-						rep.Finished = append(rep.Finished, finished(seq[id], e.order, sched.EndDone))
-					}
-					running[id] = rest
-					if len(rep.Finished) > 0 || b.now.Sub(start())%time.Second < step {
-						b.poll(id, rep)
-					}
+					runs.start(o, time.Second)
 				}
+				runs.poll(func() bool { return b.now.Sub(start())%time.Second < step })
 				b.store()
 				for id, at := range came {
 					if s, _ := b.core.State(id); s == sched.StateCompleted {
--- a/internal/batch/sched/reserve_test.go
+++ b/internal/batch/sched/reserve_test.go
@@ -33,12 +33,7 @@
 				most    = 3 * time.Second
 			)
 			b := newBench(t, 1, workers).open()
-			type end struct {
-				at    time.Time
-				order sched.Order
-			}
-			running := map[string][]end{}
-			seq := map[string]int64{}
+			runs := newEndingRuns(b)
 			var began time.Time
 			feeds := map[string]string{} // the worker of each
 			starts := map[string]int{}   // of other tasks, while feeds wait
@@ -71,25 +66,9 @@
 					case !began.IsZero():
 						starts[o.Life.ID]++
 					}
-					running[o.Life.ID] = append(running[o.Life.ID], end{b.now.Add(lasts), o})
-				}
-				for id, all := range running {
-					var rep sched.Report
-					var rest []end
-					for _, e := range all {
-						if e.at.After(b.now) {
-							rest = append(rest, e)
-							rep.Running = append(rep.Running, sched.Running{Task: e.order.Task.String(), Run: e.order.Run})
-							continue
-						}
-						seq[id]++
-						rep.Finished = append(rep.Finished, finished(seq[id], e.order, sched.EndDone))
-					}
-					running[id] = rest
-					if len(rep.Finished) > 0 || now%time.Second < step {
-						b.poll(id, rep)
-					}
+					runs.start(o, lasts)
 				}
+				runs.poll(func() bool { return now%time.Second < step })
 				b.store()
 				b.after(step)
 			}
