base/wait: a wait for nothing sets no timer

Cause: in a synctest bubble an expired timer is run by whichever goroutine selects on its channel, all under the bubble's one race context; two at once corrupt it. For was called with spans in the past (the queue of slow_test.go).

Change: For returns at once for d <= 0. Looked for the same elsewhere: contexts with a deadline in the past set no timer, AfterFunc isn't received from, the other timers in bubbles have constant spans or one checked to be in the future in the same moment of the bubble.

TestForPastByMany on the code before: 6 of 6 runs crash (tsan_rtl.cpp:992, :282, :94), now it passes.

--- a/internal/base/wait/wait.go
+++ b/internal/base/wait/wait.go
@@ -5,8 +5,11 @@
 	"time"
 )
 
-// For waits for d and reports whether ctx lasted that long.
+// For waits for d and reports whether ctx lasted that long. A d of zero or less is over at once.
 func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
