peer/link: a server goes on accepting after an accept has failed

Cause: Serve ended at the first error of Accept. The listener stayed open, so connections were made and never read. Any host that is once out of descriptors was deaf to its peers for good.

Change: Serve ends when its listener is closed; any other error is followed by a pause and another try.

TestServeOutOfDescriptors on the code before: no answer within its minute.

--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -17,6 +17,10 @@
 	ErrLost = errors.New("link: answer lost")
 )
 
+// acceptPause is left after a connection that couldn't be accepted, as when the process has as many
+// descriptors open as it may.
+const acceptPause = 50 * time.Millisecond
+
 // redialAfter is how long a link that failed to connect answers ErrDown without another try.
 const redialAfter = 100 * time.Millisecond
 
@@ -187,9 +191,13 @@
 	s.mu.Unlock()
 	for {
 		conn, err := lis.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
 		s.mu.Lock()
 		s.conns[conn] = true
 		s.wg.Add(1)
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -53,3 +54,44 @@
 		t.Errorf("after the reset: %d, %v", got, err)
 	}
 }
+
+// busyListener fails its first accepts as when the process is out of descriptors.
+type busyListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *busyListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServeOutOfDescriptors guards against a server that accepts no connection any more after
+// one accept has failed.
+func TestServeOutOfDescriptors(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := NewServer("Echo", echo{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		s.Serve(&busyListener{lis, 3})
+	}()
+	l := New(lis.Addr().String())
+	defer l.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if got, err := Call[int, int](ctx, l, "Echo.Same", 7); err != nil || got != 7 {
+		t.Errorf("Call = %d, %v, want 7", got, err)
+	}
+	s.Close()
+	<-over
+}
