base/conns: connections to workers leave descriptors to callers and peers

Cause: a connection for the poll of each worker, and up to four idle ones for orders to each, kept for two minutes: up to 15,000 against 4,100 descriptors, of which the platform keeps 200 for files.

Change: the workers' client has a bound, what is left of the process's descriptors less 15 % and those 200.

--- a/internal/proc/front/carry.go
+++ b/internal/proc/front/carry.go
@@ -17,9 +17,20 @@
 // What any process needs besides.
 const (
 	memoryBase = 20  // MiB
-	filesBase  = 200 // descriptors
+	filesBase  = 200 // descriptors, that the platform keeps for files
 )
 
+// filesShare is the share of a process's descriptors that is kept for callers, peers and the store.
+const filesShare = 0.15
+
+// WorkerConns returns how many connections to workers a process may have open; 0: not known.
+func WorkerConns(l conf.HostLimit) int {
+	if l.Files <= 0 {
+		return 0
+	}
+	return max(1, int((1-filesShare)*l.Files-filesBase))
+}
+
 // carries returns how many workers a process can hold within its limits, on a machine that is so many times
 // slower than it can be; 0: not known.
 func carries(l conf.HostLimit, slower float64) int {
--- a/internal/proc/front/carry_test.go
+++ b/internal/proc/front/carry_test.go
@@ -38,3 +38,19 @@
 		}
 	}
 }
+
+func TestWorkerConns(t *testing.T) {
+	for _, tt := range []struct {
+		files float64
+		want  int
+	}{
+		{0, 0},
+		{100, 1},
+		{700, 395},
+		{4100, 3285},
+	} {
+		if got := WorkerConns(conf.HostLimit{Files: tt.files}); got != tt.want {
+			t.Errorf("of %v descriptors %d connections, want %d", tt.files, got, tt.want)
+		}
+	}
+}
--- a/internal/proc/tool/host.go
+++ b/internal/proc/tool/host.go
@@ -50,7 +50,7 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	h, err := front.Start(set, front.Outside{
 		Store:     platform.NewStore(set.Store.Addr, storeLimit),
-		Workers:   platform.NewWorkerClient(),
+		Workers:   platform.NewWorkerClient(front.WorkerConns(set.Limit)),
 		Codec:     platform.Codec(),
 		Callers:   func(d *front.Desk) http.Handler { return platform.Callers(d) },
 		Readiness: platform.Readiness,
