batch/drive: workers that aren't in contact are polled in turn

Cause: a new holder polls all workers at once. Each poll needs a new connection, all together need longer than the 700 ms for which each answer is waited; those given up lose their connection and are polled anew 150 ms later. The load never falls.

--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -99,6 +99,8 @@
 	lag    lag
 	wg     sync.WaitGroup
 
+	contacts contacts
+
 	mu      sync.Mutex
 	core    *sched.Core // nil until loaded
 	intent  bool        // a configuration is there
@@ -137,6 +139,8 @@
 		stored:  make(chan struct{}),
 		upkeep:  map[string]bool{},
 		counted: opt.Tenure.Load(),
+
+		contacts: newContacts(),
 	}
 	if h.opt.Scope == nil {
 		h.opt.Scope = tally.NoopScope
--- a/internal/batch/drive/work.go
+++ b/internal/batch/drive/work.go
@@ -129,8 +129,15 @@
 }
 
 func (h *Holder) pollWorker(id string) {
-	good := true
+	good, heard := true, false
 	for h.ctx.Err() == nil {
+		leave := func() {}
+		if !heard {
+			var err error
+			if leave, err = h.contacts.enter(h.ctx); err != nil {
+				return
+			}
+		}
 		h.mu.Lock()
 		h.confirm()
 		sent := time.Now()
@@ -140,12 +147,15 @@
 		}
 		h.mu.Unlock()
 		if !ok {
+			leave()
 			return
 		}
 		rep, out := h.opt.Workers.Poll(h.ctx, l, h.opt.Tenure.Term())
+		leave()
 		if h.ctx.Err() != nil {
 			return
 		}
+		heard = out == sched.OutcomeDone
 		if good != (out == sched.OutcomeDone) {
 			good = !good
 			h.log.Info("contact", "worker", id, "outcome", out, "took", time.Since(sent))
--- a/internal/batch/sched/hear.go
+++ b/internal/batch/sched/hear.go
@@ -18,6 +18,7 @@
 	Acked int64         // ends up to here may be forgotten
 	Until time.Duration // lease to grant, on the worker's clock; 0: none
 	Wait  time.Duration // for an end
+	Slack time.Duration // what the answer may take beyond Wait
 }
 
 // clock is a reading of a worker's clock.
@@ -45,13 +46,24 @@
 	pollUnsure = 50 * time.Millisecond
 )
 
+const (
+	// pollSlack is well above the time that a worker's answer takes, and pollFirst that of the first one to this holder:
+	// after a takeover all workers answer at once, and given up too early they would all be asked anew.
+	pollSlack = 700 * time.Millisecond
+	pollFirst = 2 * time.Second
+)
+
 // Poll returns what to ask of the worker, and false when it isn't to be polled any more.
 func (c *Core) Poll(now time.Time, id string) (Poll, bool) {
 	w := c.workers[id]
 	if w == nil {
 		return Poll{}, false
 	}
-	l := Poll{Life: w.Life, Addr: w.Addr}
+	l := Poll{Life: w.Life, Addr: w.Addr, Slack: pollSlack}
+	if !w.polled {
+		w.polled = true
+		l.Slack = pollFirst
+	}
 	if w.contact != ContactGood {
 		// It may have started anew meanwhile under its id, with ends that count from 1: by the
 		// numbers of its former life it would forget some that nobody has heard of.
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -82,6 +82,7 @@
 type worker struct {
 	Member
 	listed    bool      // in the directory
+	polled    bool      // asked by this holder before
 	void      bool      // its runs were given up after a lapse and it hasn't been heard since
 	reported  bool      // this life has told this holder all that it runs and all ends
 	fresh     bool      // it has started anew and hasn't been heard since
