batch/drive: the directory is read whole only while its watch brings nothing

Cause: the directory was read whole every 0.9 s beside its watch, and with each change of any worker (each writes every second or so) all entries were decoded again. The holder falls behind with that, and its readings grow old.

Change: a plain read is left out while the watch has brought changes of less than half its period ago (a silent watch still confirms nothing), and an entry is decoded once for each revision. The codec reads one entry at a time for that.

--- a/internal/batch/drive/drive.go
+++ b/internal/batch/drive/drive.go
@@ -37,7 +37,8 @@
 	IntentPrefix string
 	Intent       func([]store.Entry) (Intent, error)
 	RosterPrefix string
-	Roster       func([]store.Entry) []sched.Member
+	// Member reads a worker's entry in the directory; false says that it names none.
+	Member func(store.Entry) (sched.Member, bool)
 }
 
 // Options of a Holder.
@@ -100,6 +101,7 @@
 	wg     sync.WaitGroup
 
 	contacts contacts
+	roster   roster // of the directory's watch
 
 	mu      sync.Mutex
 	core    *sched.Core // nil until loaded
@@ -141,6 +143,7 @@
 		counted: opt.Tenure.Load(),
 
 		contacts: newContacts(),
+		roster:   roster{decode: opt.Codec.Member},
 	}
 	if h.opt.Scope == nil {
 		h.opt.Scope = tally.NoopScope
@@ -314,7 +317,7 @@
 }
 
 func (h *Holder) applyRoster(at time.Time, entries []store.Entry) {
-	members := h.opt.Codec.Roster(entries)
+	members := h.roster.members(entries)
 	h.mu.Lock()
 	h.core.Roster(at, members)
 	h.mu.Unlock()
--- a/internal/batch/drive/fresh_test.go
+++ b/internal/batch/drive/fresh_test.go
@@ -164,3 +164,34 @@
 		f.stop()
 	})
 }
+
+// A holder of thousands of workers spends its processor on reading the whole directory again and again, while the watch
+// brings each change. Without changes the plain reads go on: a watch may be cut off.
+func TestDirectoryIsNotReadTwice(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		changes     bool
+		least, most int
+	}{{"changing", true, 0, 2}, {"still", false, 8, 12}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, s := dimmed(t, 6, func(sched.Order) {})
+				reads := 0
+				s.set(func(context.Context) error {
+					reads++
+					return nil
+				}, nil)
+				for range 100 {
+					if tt.changes {
+						f.list()
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				f.stop()
+				if reads < tt.least || reads > tt.most {
+					t.Errorf("%d readings of the directory in 10s, want %d to %d", reads, tt.least, tt.most)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/batch/drive/roster_test.go
@@ -0,0 +1,47 @@
+package drive
+
+import (
+	"testing"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/plat/store"
+)
+
+func TestRoster(t *testing.T) {
+	decodes := 0
+	r := roster{decode: func(e store.Entry) (sched.Member, bool) {
+		decodes++
+		return sched.Member{Life: sched.Life{ID: e.Key}, Addr: string(e.Value)}, len(e.Value) > 0
+	}}
+	entry := func(key, addr string, rev uint64) store.Entry {
+		return store.Entry{Key: key, Value: []byte(addr), Rev: rev}
+	}
+	for _, tt := range []struct {
+		name    string
+		entries []store.Entry
+		want    []string // addresses
+		decodes int
+	}{
+		{"first", []store.Entry{entry("a", "1", 1), entry("b", "2", 2)}, []string{"1", "2"}, 2},
+		{"nothing changed", []store.Entry{entry("a", "1", 1), entry("b", "2", 2)}, []string{"1", "2"}, 0},
+		{"one changed", []store.Entry{entry("a", "3", 5), entry("b", "2", 2)}, []string{"3", "2"}, 1},
+		{"one gone", []store.Entry{entry("b", "2", 2)}, []string{"2"}, 0},
+		{"back", []store.Entry{entry("a", "4", 7), entry("b", "2", 2)}, []string{"4", "2"}, 1},
+		{"one names no worker", []store.Entry{entry("a", "", 8), entry("b", "2", 2)}, []string{"2"}, 1},
+	} {
+		decodes = 0
+		var got []string
+		for _, m := range r.members(tt.entries) {
+			got = append(got, m.Addr)
+		}
+		if len(got) != len(tt.want) || decodes != tt.decodes {
+			t.Errorf("%s: %v with %d decoded, want %v with %d", tt.name, got, decodes, tt.want, tt.decodes)
+			continue
+		}
+		for i := range got {
+			if got[i] != tt.want[i] {
+				t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+			}
+		}
+	}
+}
--- a/internal/batch/drive/watch.go
+++ b/internal/batch/drive/watch.go
@@ -24,8 +24,9 @@
 	// read tells when the reading began that the copy is no older than.
 	read func(began time.Time)
 
-	rows map[string]store.Entry
-	rev  uint64
+	rows  map[string]store.Entry
+	rev   uint64
+	fresh time.Time // when the reading began that the copy is no older than
 }
 
 const (
@@ -43,7 +44,7 @@
 		return err
 	}
 	if p.Rev < w.rev {
-		w.read(at) // the copy is of after the answer
+		w.confirm(at) // the copy is of after the answer
 		return nil
 	}
 	w.rev = p.Rev
@@ -52,10 +53,18 @@
 		w.rows[e.Key] = e
 	}
 	w.notify(at)
-	w.read(at)
+	w.confirm(at)
 	return nil
 }
 
+// confirm notes that the copy is no older than a reading that began at a time.
+func (w *watch) confirm(began time.Time) {
+	if began.After(w.fresh) {
+		w.fresh = began
+	}
+	w.read(began)
+}
+
 func (w *watch) notify(at time.Time) {
 	entries := make([]store.Entry, 0, len(w.rows))
 	for _, e := range w.rows {
@@ -96,6 +105,9 @@
 			<-got
 			return
 		case <-tick.C:
+			if time.Since(w.fresh) < w.plain/2 {
+				continue // changes come in: the watch isn't cut off from them
+			}
 			// The watch goes on: what it brings is no older than its own start.
 			_ = w.load(ctx) // without an answer the copy stays, and the age of its confirmation tells
 		case n := <-got:
@@ -125,5 +137,5 @@
 		}
 	}
 	w.notify(time.Now())
-	w.read(n.began)
+	w.confirm(n.began)
 }
--- a/internal/fake/plain/plain.go
+++ b/internal/fake/plain/plain.go
@@ -46,7 +46,7 @@
 
 // Codec reads what Configure and List write.
 func Codec() drive.Codec {
-	return drive.Codec{IntentPrefix: intentPrefix, Intent: intent, RosterPrefix: rosterPrefix, Roster: roster}
+	return drive.Codec{IntentPrefix: intentPrefix, Intent: intent, RosterPrefix: rosterPrefix, Member: member}
 }
 
 func intent(entries []store.Entry) (drive.Intent, error) {
@@ -63,13 +63,9 @@
 	return in, nil
 }
 
-func roster(entries []store.Entry) []sched.Member {
-	var all []sched.Member
-	for _, e := range entries {
-		var m sched.Member
-		if json.Unmarshal(e.Value, &m) == nil { // an entry that can't be read names no worker
-			all = append(all, m)
-		}
-	}
-	return all
+// member reads a worker's entry; one that can't be read names no worker.
+func member(e store.Entry) (sched.Member, bool) {
+	var m sched.Member
+	err := json.Unmarshal(e.Value, &m)
+	return m, err == nil
 }
