--- a/internal/model/trial/trial_test.go
+++ b/internal/model/trial/trial_test.go
@@ -125,6 +125,7 @@
 	}{
 		{"sound workers", 1, nil},
 		{"slow and hanging workers", 1, []string{"slow", "hang"}},
+		{"failing workers", 1, []string{"fail"}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
