batch/sched: an order of a worker's former life is waited for as long as its lease may last

With 10 s and a slow clock that is 22.5 s, and the task was started elsewhere after 20 s: it could run twice.

Change: the wait is 12 s and the time in which the longest lease lapses for sure, 20 s at least as before.

TestOrderOfFormerLife with a lease of 10 s: placed again 20.1 s after the order before; passes now.

--- a/internal/batch/sched/life_test.go
+++ b/internal/batch/sched/life_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -185,23 +186,30 @@
 // order's time is of the former life's clock, so the new life carries it out seconds after
 // every lease has lapsed by our count.
 func TestOrderOfFormerLife(t *testing.T) {
-	b := newBench(t, 1, 2).open()
-	b.after(doubt)
-	b.poll("w0", sched.Report{})
-	b.poll("w1", sched.Report{})
-	b.core.Admit(b.now, one("j", nil))
-	o := b.core.Plan(b.now)[0]
-	b.core.Answer(b.now, o, sched.OutcomeUnknown)
-	ordered := b.now
-	other := other(o)
-	b.poll(o.Life.ID, sched.Report{Born: 2})
-	b.core.Missed(b.now, o.Life.ID, 2)
-	for b.now.Sub(ordered) < 12*time.Second+lease {
-		b.poll(other, sched.Report{})
-		if got := b.plan(sched.VerbStart); len(got) != 0 {
-			t.Fatalf("placed again %s after the order", b.now.Sub(ordered))
-		}
-		b.after(100 * time.Millisecond)
+	for _, hold := range []time.Duration{lease, 2 * lease} {
+		t.Run(fmt.Sprint(hold), func(t *testing.T) {
+			b := &bench{t: t, now: start()}
+			b.core = sched.New(sched.Options{Lease: lease, Hold: hold, Sure: unsure, Term: 1}, b.now)
+			b.core.Roster(b.now, members(2))
+			b.open()
+			b.after(doubt)
+			b.poll("w0", sched.Report{})
+			b.poll("w1", sched.Report{})
+			b.core.Admit(b.now, one("j", nil))
+			o := b.core.Plan(b.now)[0]
+			b.core.Answer(b.now, o, sched.OutcomeUnknown)
+			ordered := b.now
+			other := other(o)
+			b.poll(o.Life.ID, sched.Report{Born: 2})
+			b.core.Missed(b.now, o.Life.ID, 2)
+			for b.now.Sub(ordered) < 12*time.Second+hold*100/98 {
+				b.poll(other, sched.Report{})
+				if got := b.plan(sched.VerbStart); len(got) != 0 {
+					t.Fatalf("placed again %s after the order", b.now.Sub(ordered))
+				}
+				b.after(100 * time.Millisecond)
+			}
+		})
 	}
 }
 
--- a/internal/batch/sched/roster.go
+++ b/internal/batch/sched/roster.go
@@ -131,15 +131,15 @@
 		if w.contact == ContactGood || now.Before(w.lapse) || c.sure.Before(w.lapse) {
 			continue
 		}
-		kept, prolonged := false, w.prolonged(now)
+		kept, prolonged := false, c.prolonged(now, w)
 		for _, r := range w.all() {
-			if r.orphaned(now, w) || prolonged && r.born == w.Born {
+			if c.orphaned(now, r) || prolonged && r.born == w.Born {
 				kept = true
 				continue
 			}
 			c.free(r)
 		}
-		w.void = !prolonged && (!w.fresh || now.Sub(w.lapse) >= lateMost)
+		w.void = !prolonged && (!w.fresh || now.Sub(w.lapse) >= c.lateMost())
 		if !w.listed && !kept {
 			c.unindex(w)
 			delete(c.workers, w.ID)
@@ -154,9 +154,9 @@
 // clock, which is ahead by all of that life: everything there runs on, up to the longest lease that
 // workers grant. Taken for lapsed, tasks ran twice, or again after their end was acknowledged uncounted. As
 // soon as no such order can come any more, what was granted holds.
-func (w *worker) prolonged(now time.Time) bool {
+func (c *Core) prolonged(now time.Time, w *worker) bool {
 	for _, r := range w.list {
-		if r.orphaned(now, w) {
+		if c.orphaned(now, r) {
 			return true
 		}
 	}
@@ -178,13 +178,22 @@
 // carried out by the present one. Its time, on the former life's clock, doesn't bound that:
 // the clock has begun anew. Only a stop settles it, or the time after which no order is
 // carried out any more.
-func (r *run) orphaned(now time.Time, w *worker) bool {
-	return !r.shown && r.state != RunStopped && r.born != w.Born && now.Sub(r.began) < lateMost
+func (c *Core) orphaned(now time.Time, r *run) bool {
+	return !r.shown && r.state != RunStopped && r.born != r.worker.Born && now.Sub(r.began) < c.lateMost()
 }
 
-// lateMost is above the time after which workers carry out an order that they left
-// unanswered, 2 to 12 s, with the lease that it brings.
-const lateMost = 20 * time.Second
+const (
+	// carriedMost is the time after which workers no longer carry out an order that they left unanswered.
+	carriedMost = 12 * time.Second
+	// lateLeast is the least time for which such an order is waited for.
+	lateLeast = 20 * time.Second
+)
+
+// lateMost returns how long after its order a run may go on that began late, in a later life of its worker: the lease that
+// the order brings is by the former life's clock, and may be as long as workers grant.
+func (c *Core) lateMost() time.Duration {
+	return max(lateLeast, carriedMost+c.lapses(c.opt.Hold))
+}
 
 // rank enters a worker into the list in the order of ids, by which equals are chosen among the same way every time.
 func (c *Core) rank(w *worker) {
