route/once: request ids are known again once who knew of them is back

TestPausedEntry, "never came about: 100 more answers", provoked on one core beside TestDomainOut, race-built: the first run fails. What callers saw: 502, outcome unknown, for new ids without a time, for as long as ids are kept.

Evidence: the log has "request ids may be forgotten" 15 times in that run, lost=3, by each of the three processes: none of them had ended; they couldn't renew their membership in time for want of processor time, and came back with the memory that they had.

Cause: two members that leave the view at once count as lost with the records that only they knew, also when they lapse and come back under the same id, which is a process's own. From then on an id that isn't known may be that of a forgotten record.

Change: the members that were lost at once are remembered, and passed on with the blank memory. When all but one are back, and what they know has been learned, no record is missing: each was known to two.

--- a/internal/route/once/home.go
+++ b/internal/route/once/home.go
@@ -46,10 +46,11 @@
 }
 
 // PullReply holds them; Ready is false while the giver's view is older. Blank is how
-// long ago the giver's memory became incomplete, 0 when it's whole.
+// long ago the giver's memory became incomplete, 0 when it's whole; Away are the members that know what is missing.
 type PullReply struct {
 	Ready bool
 	Blank time.Duration
+	Away  []string
 	Rows  []Record
 }
 
@@ -66,14 +67,14 @@
 	limit time.Duration // of one call
 
 	mu    sync.Mutex
-	warm  uint64          // epoch for which everything is known
-	from  map[string]bool // members that were in the last view for which it was
+	warm  uint64 // epoch for which everything is known
+	lost  losses
 	ready bool
 }
 
 // NewHomes returns the homes' part of a process.
 func NewHomes(t *Table, g *member.Group, l *link.Set, limit time.Duration, log logr.Logger) *Homes {
-	return &Homes{table: t, group: g, links: l, limit: limit, log: log, from: map[string]bool{}}
+	return &Homes{table: t, group: g, links: l, limit: limit, log: log}
 }
 
 const (
@@ -236,7 +237,10 @@
 	if view.Epoch() < in.Epoch {
 		return PullReply{}
 	}
-	return PullReply{Ready: true, Blank: h.table.Blank(time.Now()), Rows: h.table.Select(func(id string) bool {
+	h.mu.Lock()
+	away := h.lost.names()
+	h.mu.Unlock()
+	return PullReply{Ready: true, Blank: h.table.Blank(time.Now()), Away: away, Rows: h.table.Select(func(id string) bool {
 		home, ok := view.Home(id)
 		if ok && home.ID != in.By {
 			home, ok = view.Home(id, home.ID)
@@ -286,6 +290,10 @@
 	now := time.Now()
 	h.table.Merge(now, rep.Rows)
 	if rep.Blank > 0 {
+		h.mu.Lock()
+		h.lost.add(rep.Away)
+		h.lost.unnamed = h.lost.unnamed || len(rep.Away) == 0
+		h.mu.Unlock()
 		h.table.SetBlank(now.Add(-rep.Blank))
 	}
 	return true
@@ -300,19 +308,20 @@
 	if view.Epoch() < h.warm {
 		return // a newer view has settled meanwhile
 	}
-	lost := 0
-	for id := range h.from {
-		if _, ok := view.Get(id); !ok {
-			lost++
-		}
+	var members []string
+	for _, m := range view.Members() {
+		members = append(members, m.ID)
 	}
+	lost, whole := h.lost.settle(members)
 	if lost > 1 {
 		h.table.SetBlank(time.Now())
 		h.log.Info("request ids may be forgotten", "lost", lost, "epoch", view.Epoch())
 	}
-	h.from = map[string]bool{}
-	for _, m := range view.Members() {
-		h.from[m.ID] = true
+	if whole && h.table.Restore() {
+		h.log.Info("request ids are known again", "epoch", view.Epoch())
+	}
+	if h.table.Blank(time.Now()) == 0 {
+		h.lost.forget()
 	}
 	h.warm, h.ready = view.Epoch(), true
 }
--- a/internal/route/once/table.go
+++ b/internal/route/once/table.go
@@ -182,11 +182,21 @@
 	}
 }
 
-// Blank returns how long ago SetBlank's time was, or 0 when the memory is whole.
+// Restore notes that no record is missing any more, and reports whether one may have been.
+func (t *Table) Restore() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	was := !t.blank.IsZero()
+	t.blank = time.Time{}
+	return was
+}
+
+// Blank returns how long ago SetBlank's time was, or 0 when the memory is whole, as it is once no record of then
+// would be kept any more.
 func (t *Table) Blank(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.blank.IsZero() {
+	if t.blank.IsZero() || now.Sub(t.blank) > t.keep {
 		return 0
 	}
 	return max(now.Sub(t.blank), 1)
