--- a/internal/proc/front/carry.go
+++ b/internal/proc/front/carry.go
@@ -17,7 +17,7 @@
 // What any process needs besides.
 const (
 	memoryBase = 20  // MiB
-	filesBase  = 200 // descriptors, that the platform keeps for files
+	filesBase  = 200 // descriptors that the platform keeps for files
 )
 
 // filesShare is the share of a process's descriptors that is kept for callers, peers and the store.
