route/once: a member that doesn't know all who are away names none

Change: it names none, and who hears none keeps its memory blank for as long as ids are kept, as before the change. What is heard is entered in one place. TestLossesUnnamed fails without it.

--- a/internal/route/once/home.go
+++ b/internal/route/once/home.go
@@ -291,8 +291,7 @@
 	h.table.Merge(now, rep.Rows)
 	if rep.Blank > 0 {
 		h.mu.Lock()
-		h.lost.add(rep.Away)
-		h.lost.unnamed = h.lost.unnamed || len(rep.Away) == 0
+		h.lost.hear(rep.Away)
 		h.mu.Unlock()
 		h.table.SetBlank(now.Add(-rep.Blank))
 	}
--- a/internal/route/once/losses.go
+++ b/internal/route/once/losses.go
@@ -34,7 +34,13 @@
 	return len(gone), !l.unnamed && len(l.away) <= 1
 }
 
-// add takes members that another member knows to be away with records.
+// hear takes what a member says that may be missing records: the names that it gives, or that it gives none.
+func (l *losses) hear(ids []string) {
+	l.unnamed = l.unnamed || len(ids) == 0
+	l.add(ids)
+}
+
+// add takes members that are away with records.
 func (l *losses) add(ids []string) {
 	if l.away == nil {
 		l.away = map[string]bool{}
@@ -50,8 +56,11 @@
 	l.unnamed = false
 }
 
-// names returns the members that are away with records.
+// names returns the members that are away with records; none when others may be, which aren't known.
 func (l *losses) names() []string {
+	if l.unnamed {
+		return nil
+	}
 	var all []string
 	for id := range l.away {
 		all = append(all, id)
--- a/internal/route/once/losses_test.go
+++ b/internal/route/once/losses_test.go
@@ -46,3 +46,17 @@
 		})
 	}
 }
+
+// TestLossesUnnamed guards against a memory that counts as whole by the names of some of the members that know what
+// is missing: where one doesn't know them all it names none, and so does who hears that.
+func TestLossesUnnamed(t *testing.T) {
+	var a, b losses
+	a.hear(nil)
+	a.hear([]string{"x", "y"})
+	b.hear(a.names())
+	for name, l := range map[string]*losses{"told of some": &a, "told by it": &b} {
+		if _, whole := l.settle([]string{"a", "b", "x", "y"}); whole {
+			t.Errorf("%s: whole, though records of unknown members are missing", name)
+		}
+	}
+}
