batch/sched: an end read after a lease expiry counts unless its task was started again

Callers saw tasks done twice (TWICE) and started beyond their attempts (BUDGET) with no fault anywhere, while the holder was short of processor time.

Cause: HandleReport passed over all ends of a worker whose lease it took for expired, whatever had become of their tasks, and counted them as handled, so the next poll acknowledged them. The task then ran again.

The worker had listed the end before, in an answer that the holder read too late, and by the users' rules an end counts as taken note of 100 ms after it was listed.

Such an end now counts unless a start of its task (or gang) was sent since. A start that is planned and not yet sent is withdrawn by CheckSend. A checkpoint in such an end is kept, too.

--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -152,9 +152,9 @@
 			continue
 		}
 		newEnds = append(newEnds, f)
-		// After a lease expiry the tasks were released and placed again. Counting an end from before the expiry
-		// would count two runs of one task.
-		if !w.expired {
+		// After a lease expiry the tasks were released. Counting the end of one that has been started again since would
+		// count two runs of it.
+		if !w.expired || !c.startedAgain(f) {
 			c.handleRunEnd(now, w, f)
 			w.holdAck(f.Seq, c.jobOfTask(f.Task))
 		}
@@ -170,6 +170,26 @@
 	return newEnds
 }
 
+// startedAgain reports whether a start of the task, or of its gang, was sent after the run that ended. A start that is
+// planned but not sent doesn't count: if the task is done, CheckSend rejects it.
+func (c *Core) startedAgain(f FinishedRun) bool {
+	id, err := ParseTaskID(f.Task)
+	if err != nil {
+		return false
+	}
+	t := c.findTask(id)
+	if t == nil {
+		return false
+	}
+	tasks := []*task{t}
+	if t.step.spec.Gang {
+		tasks = t.step.tasks
+	}
+	return slices.ContainsFunc(tasks, func(t *task) bool {
+		return t.run != nil && t.run.run > f.Run && (t.run.sent || t.run.state != RunSent)
+	})
+}
+
 // maxReportedEnds is the maximum number of ends in a report. If a report is full, a run that it does not list may have
 // ended with its end due in a later report. Releasing such a run would run the task twice.
 const maxReportedEnds = 500
--- a/internal/batch/sched/sendcheck.go
+++ b/internal/batch/sched/sendcheck.go
@@ -54,6 +54,7 @@
 	if o.Verb == VerbStart {
 		// The time for which a later incarnation of the worker may carry out the start counts from here; see orphaned.
 		r.startedAt = now
+		r.sent = true
 	}
 	return CauseNone
 }
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -139,6 +139,7 @@
 	worker          *worker       // worker that runs the task
 	state           RunState      // what is known about the run
 	incarnation     int64         // StartedAt of the incarnation that the start was sent to
+	sent            bool          // the start was sent, or is being sent
 	reported        bool          // that incarnation has reported the run
 	orderedAt       time.Time     // time of the newest order about the run
 	absent          bool          // the start got no answer, and a later poll did not list the run
