batch/sched: workers are tracked again after the leases of all have expired

Callers saw tasks with room stand still until the holder changed (LOST).

Cause: once the leases of all workers had expired and no run was left, TrackedWorkers returned nil and marked each worker untracked. The commit stored "null", but finishCommit takes a nil list for "unchanged", so the holder kept comparing with the full list that it had stored before. When the workers were back, both lists were the same, none was stored and none marked tracked, and no task may be placed on an untracked worker ("closed" in the log line "waits").

Found by forcing the order of events in virtual time: all workers out of contact for longer than a lease.

The list is empty instead of nil. TestAllLeasesExpire fails before ("0 of 7 tasks run 14s after the workers are back") and passes now.

--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -196,11 +196,11 @@
 	return all
 }
 
-// TrackedWorkers returns the workers that may hold runs, sorted by id. They are stored for the next
-// holder, which has to reach them. A worker without runs whose lease has expired is left out, as there is nothing to
-// wait for. If it comes back, it gets no task until it is stored again.
+// TrackedWorkers returns the workers that may hold runs, sorted by id. They are stored for the next holder, which has to
+// reach them. A worker without runs whose lease has expired is left out, as there is nothing to wait for. If it comes
+// back, it gets no task until it is stored again. The list is never nil, which callers may take for unchanged.
 func (c *Core) TrackedWorkers() []Member {
-	var all []Member
+	all := []Member{}
 	for _, w := range c.workersByID {
 		if w.expired && len(w.runList) == 0 {
 			w.tracked = false
