batch/drive: stops don't wait for the pause after a slow plan, and starts at most half a second

Callers saw tasks run on up to 4.1 s after the cancellation of their job was acknowledged (UNASKED), and nothing start meanwhile.

Cause: planLoop paused for nine times the time that the last plan took, by the clock on the wall. A plan that waits for the processor for 0.5 s was followed by 4.5 s without a start or stop.

Stops and throttles are now planned by themselves during the pause (Core.PlanStops, every 100 ms at least); the pause before the next start is 500 ms at most. A plan's share of the processor stays bounded, as its own cost is far below the time on the wall.

--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -81,6 +81,10 @@
 	// planPauseFactor is the least pause after a plan, in multiples of the time that the plan took. With 9, planning
 	// takes a tenth of the time at most.
 	planPauseFactor = 9
+	// maxStopDelay is the longest rest of the pause for which stops and throttles wait.
+	maxStopDelay = 20 * time.Millisecond
+	// maxPlanPause bounds the pause, as the time that a plan took includes the time for which it waited for the processor.
+	maxPlanPause = 500 * time.Millisecond
 	// commitDelay is how long ended runs wait to be stored with others. Under high load some 100 runs end
 	// each second, and a call to the store costs as much as a tenth of a second of a task.
 	commitDelay          = 20 * time.Millisecond
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -14,6 +14,7 @@
 	defer tick.Stop()
 	reporter := newStatusReporter(h.opt.Scope)
 	defer reporter.clearGauges()
+	var startsDue time.Time // until then, only stops and throttles are planned
 	for {
 		select {
 		case <-h.ctx.Done():
@@ -22,12 +23,22 @@
 		case tickTime := <-tick.C:
 			reporter.recordTickDelay(time.Since(tickTime))
 		}
+		if remaining := time.Until(startsDue); remaining > 0 {
+			if remaining > maxStopDelay {
+				h.executeOrders(h.planStops())
+			}
+			if !wait.For(h.ctx, min(remaining, planInterval)) {
+				return
+			}
+			continue
+		}
 		h.mu.Lock()
 		now := time.Now()
 		h.updateConfirmation()
 		lag := h.planLag.markPlanned(now)
 		orders := h.core.Plan(now)
-		took := time.Since(now)
+		pause := planPause(time.Since(now))
+		startsDue = time.Now().Add(pause)
 		staleCause := h.core.StaleCause()
 		unplaced := h.core.TakeUnplacedSteps()
 		placed, ended := h.core.TakeEvents()
@@ -46,12 +57,40 @@
 				"closed", u.Unavailable, "shut", u.OverTarget, "full", u.NoResources, "memory", u.NoMemory, "harm", u.Interference, "least", u.LeastViolations)
 		}
 		h.logEvents(placed, ended)
-		for _, o := range orders {
-			h.wg.Go(func() { h.executeOrder(o) })
-		}
-		if !wait.For(h.ctx, max(minPlanPause, planPauseFactor*took)) {
+		h.executeOrders(orders)
+		if !wait.For(h.ctx, minPlanPause) {
 			return
 		}
+		if pause > minPlanPause {
+			time.AfterFunc(pause-minPlanPause, h.wakeIfEventPending)
+		}
+	}
+}
+
+// planStops returns the orders that stop or throttle runs; they don't wait for the pause after a plan.
+func (h *Holder) planStops() []sched.Order {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.updateConfirmation()
+	return h.core.PlanStops(time.Now())
+}
+
+// planPause returns the pause after a plan that took the given time.
+func planPause(took time.Duration) time.Duration {
+	return min(max(minPlanPause, planPauseFactor*took), maxPlanPause)
+}
+
+// wakeIfEventPending wakes planLoop if there are events that no plan covers.
+func (h *Holder) wakeIfEventPending() {
+	if h.planLag.oldestEvent.Load() != 0 {
+		wait.Wake(h.planWake)
+	}
+}
+
+// executeOrders carries out orders, each in a goroutine of its own.
+func (h *Holder) executeOrders(orders []sched.Order) {
+	for _, o := range orders {
+		h.wg.Go(func() { h.executeOrder(o) })
 	}
 }
 
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -56,6 +56,12 @@
 	return c.placeWaiting(now, orders)
 }
 
+// PlanStops returns only the orders that stop or throttle runs. It costs far less than Plan while many tasks wait.
+func (c *Core) PlanStops(now time.Time) []Order {
+	c.expireLeases(now)
+	return c.planStopsAndThrottles(now, nil)
+}
+
 // addDueOccurrences adds the occurrences of recurring jobs that are due.
 func (c *Core) addDueOccurrences(now time.Time) {
 	remaining := c.recurring[:0]
