drive, sched: list tracked workers only after a change

Cause: each commit copied all workers and compared them with the stored list.

Change: the core counts changes of the tracked set, its incarnations and its addresses; a commit asks for the list only if the count has changed since the last time. TrackedWorkers still marks expired workers without runs as not tracked: expiry and the loss of the last run count as changes.

--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -80,8 +80,8 @@
 	defer h.mu.Unlock()
 	c := &pendingCommit{}
 	free := lead.MaxWrites
-	tracked := h.core.TrackedWorkers()
-	if !sameMembers(tracked, h.trackedWorkers) {
+	tracked, changed := h.currentTrackedWorkers()
+	if changed {
 		data, err := json.Marshal(tracked)
 		if err != nil {
 			return nil, errors.Wrap(err, "drive")
@@ -132,6 +132,18 @@
 	return c, nil
 }
 
+// currentTrackedWorkers returns the workers that may hold runs, and whether the list differs from the stored one. The
+// caller holds h.mu.
+func (h *Holder) currentTrackedWorkers() ([]sched.Member, bool) {
+	version := h.core.TrackedVersion()
+	if version == h.trackedVersion {
+		return h.trackedWorkers, false
+	}
+	h.trackedVersion = version
+	tracked := h.core.TrackedWorkers()
+	return tracked, !sameMembers(tracked, h.trackedWorkers)
+}
+
 // sameMembers reports whether two lists name the same incarnations at the same addresses, in the same order.
 func sameMembers(a, b []sched.Member) bool {
 	if len(a) != len(b) {
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -120,6 +120,7 @@
 	writeStarted         time.Time                  // start of the write in flight; zero: none
 	trackedWorkers       []sched.Member             // as last stored
 	trackedCount         int                        // number of tracked workers, as last stored
+	trackedVersion       uint64                     // of the core's list of tracked workers when it was last collected; 0: never
 	loggedMaintenance    map[string]bool            // maintenance requests that were logged as refused
 	learnedModelStoredAt time.Time                  // when the learned model was last collected for a write
 }
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -39,6 +39,7 @@
 	expectedEndBuf     []expectedEnd                       // likewise
 	reserveScans       int                                 // workers for which the current plan has estimated when a task fits
 	sampleCount        int                                 // how often workers were sampled
+	trackedVersion     uint64                              // changes with the list of TrackedWorkers
 	evacuatedZones     map[string]bool                     // failure domains that operators have taken out
 	startLimiter       startLimiter                        // bounds the starts in flight
 	planNumber         int                                 // number of the newest plan
--- a/internal/batch/sched/feasible.go
+++ b/internal/batch/sched/feasible.go
@@ -33,6 +33,7 @@
 // attachRun adds a run to its worker and to the counts of its job.
 func (c *Core) attachRun(r *run) {
 	r.worker.addRun(r)
+	c.noteRunCount(r.worker)
 	if r.starved {
 		c.starvedRuns++
 	}
@@ -50,9 +51,17 @@
 		}
 		r.task.step.job.countRun(r, -1)
 	}
+	c.noteRunCount(r.worker)
 	c.markStale(r.worker)
 }
 
+// noteRunCount notes that a worker's number of runs has changed, by which an expired worker is tracked or not.
+func (c *Core) noteRunCount(w *worker) {
+	if w.expired {
+		c.trackedVersion++
+	}
+}
+
 // markStale invalidates a worker's forecast and its index entry.
 func (c *Core) markStale(w *worker) {
 	w.forecast.valid = false
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -38,6 +38,7 @@
 		c.handleRestart(now, w, m.StartedAt)
 	}
 	if w == nil {
+		c.trackedVersion++
 		w = &worker{runs: map[runKey]*run{}, leaseExpiry: c.formerLeasesEnd()}
 		c.workers[m.ID] = w
 		w.ID = m.ID
@@ -46,6 +47,9 @@
 	if m.StartedAt < w.StartedAt {
 		m.StartedAt = w.StartedAt
 	}
+	if w.Incarnation != m.Incarnation || w.Addr != m.Addr {
+		c.trackedVersion++
+	}
 	w.Member = m
 	c.markStale(w)
 	w.listed = listed
@@ -79,12 +83,13 @@
 		}
 	}
 	w.StartedAt = startedAt
+	c.trackedVersion++
 	w.leaseExpiry = now
 	w.restarted, w.inventoryComplete = true, false
 	w.ackedSeq, w.handledSeq, w.pendingAcks = 0, 0, nil
 	w.contact = ContactNone
 	w.tracked = false
-	w.expired = false
+	c.setExpired(w, false)
 	w.breaker = health.Breaker{}
 	w.colocation = colocation{}
 	w.clock = clockReading{}
@@ -145,15 +150,24 @@
 			}
 			c.releaseRun(r)
 		}
-		w.expired = !mayBeLonger && (!w.restarted || now.Sub(w.leaseExpiry) >= c.lateOrderWait())
+		c.setExpired(w, !mayBeLonger && (!w.restarted || now.Sub(w.leaseExpiry) >= c.lateOrderWait()))
 		if !w.listed && !kept {
 			c.unindexWorker(w)
 			delete(c.workers, w.ID)
 			c.removeByID(w)
+			c.trackedVersion++
 		}
 	}
 }
 
+// setExpired sets whether a worker counts as expired.
+func (c *Core) setExpired(w *worker, expired bool) {
+	if w.expired != expired {
+		w.expired = expired
+		c.trackedVersion++
+	}
+}
+
 // leaseMayBeLonger reports whether the lease of a worker's current incarnation may be longer than the one granted to
 // it.
 //
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -137,8 +137,9 @@
 	if rep.StartedAt > w.StartedAt && w.StartedAt != 0 {
 		c.handleRestart(now, w, rep.StartedAt)
 	}
-	if w.StartedAt == 0 {
+	if w.StartedAt == 0 && rep.StartedAt != 0 {
 		w.StartedAt = rep.StartedAt
+		c.trackedVersion++
 	}
 	if rep.StartedAt != 0 && rep.StartedAt < w.StartedAt {
 		return nil
@@ -160,7 +161,8 @@
 		}
 		w.handledSeq = f.Seq
 	}
-	w.expired, w.restarted = false, false
+	c.setExpired(w, false)
+	w.restarted = false
 	listed := c.recordRunning(sent, now, w, rep)
 	if len(rep.Finished) < maxReportedEnds {
 		w.inventoryComplete = true
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -211,6 +211,12 @@
 	return all
 }
 
+// TrackedVersion returns a number that changes whenever a worker, an incarnation or an address in the list of
+// TrackedWorkers does.
+func (c *Core) TrackedVersion() uint64 {
+	return c.trackedVersion
+}
+
 // MarkTracked records that the members are in the stored record of tracked workers. Tasks may be placed on them from
 // then on.
 func (c *Core) MarkTracked(members []Member) {
--- a/internal/batch/sched/simulation_test.go
+++ b/internal/batch/sched/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +21,9 @@
 	ended         map[string][]FinishedRun // ends since the worker's last restart, by worker
 	jobs          int                      // jobs submitted
 	starvedStarts int                      // starts of starved jobs
+
+	trackedVersion uint64   // of the tracked workers at the last check
+	trackedList    []string // these workers
 }
 
 // newSimulation returns a simulation with four workers.
@@ -157,6 +161,22 @@
 	}
 }
 
+// checkTrackedVersion returns an error if the list of tracked workers has changed and its version hasn't.
+func (l *simulation) checkTrackedVersion() error {
+	var list []string
+	for _, w := range l.core.workersByID {
+		if !w.expired || len(w.runList) > 0 {
+			list = append(list, fmt.Sprint(w.Incarnation, w.Addr))
+		}
+	}
+	version := l.core.TrackedVersion()
+	if version == l.trackedVersion && !slices.Equal(list, l.trackedList) {
+		return fmt.Errorf("version %d of the tracked workers has %v and %v", version, l.trackedList, list)
+	}
+	l.trackedVersion, l.trackedList = version, list
+	return nil
+}
+
 // checkCounts compares all counters of the core with the runs and tasks that exist.
 func (l *simulation) checkCounts() error {
 	active := map[*job]int{}
@@ -234,6 +254,9 @@
 			if err := l.checkCounts(); err != nil {
 				t.Fatalf("seed %d, step %d: %v", seed, n, err)
 			}
+			if err := l.checkTrackedVersion(); err != nil {
+				t.Fatalf("seed %d, step %d: %v", seed, n, err)
+			}
 		}
 		starved += l.starvedStarts
 	}
