drive: full reads run beside the watch

Cause: prefixWatch made its full read in the loop that applies the watch's results and starts the next watch. A slow read held back the changes that the watch had delivered, the copy of the directory became too old, and all starts were barred (bars starts cause=roster).

Change: a full read runs in a goroutine of its own, one at a time; its result replaces the copy only if its revision isn't older. After a failed watch the next one starts at once, except after a compaction, where it needs the revision of a full read.

Result: TestSlowReadDelaysNoChange, in virtual time, with reads of 3 s and a change every 500 ms: each change is in the copy 500 ms later and the copy never goes back.

--- a/internal/batch/drive/watch.go
+++ b/internal/batch/drive/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,25 +39,42 @@
 	watchRetryDelay = 150 * time.Millisecond
 )
 
-// readAll replaces the copy by a full read.
-func (w *prefixWatch) readAll(ctx context.Context) error {
+// readResult is the result of one full read.
+type readResult struct {
+	start   time.Time // when it began
+	listing store.Listing
+	err     error
+}
+
+// read makes a full read.
+func (w *prefixWatch) read(ctx context.Context) readResult {
 	start := time.Now()
 	listing, err := w.store.Range(ctx, w.prefix)
-	if err != nil {
-		return err
-	}
-	if listing.Rev < w.rev {
-		w.confirmFresh(start) // the copy is newer than the answer
-		return nil
+	return readResult{start, listing, err}
+}
+
+// readAll replaces the copy by a full read.
+func (w *prefixWatch) readAll(ctx context.Context) error {
+	res := w.read(ctx)
+	w.applyRead(res)
+	return res.err
+}
+
+// applyRead replaces the copy by the result of a full read unless the copy is newer. If the read failed, the copy stays
+// and the core sees its age.
+func (w *prefixWatch) applyRead(res readResult) {
+	if res.err != nil {
+		return
 	}
-	w.rev = listing.Rev
-	w.entries = make(map[string]store.Entry, len(listing.Entries))
-	for _, e := range listing.Entries {
-		w.entries[e.Key] = e
+	if res.listing.Rev >= w.rev {
+		w.rev = res.listing.Rev
+		w.entries = make(map[string]store.Entry, len(res.listing.Entries))
+		for _, e := range res.listing.Entries {
+			w.entries[e.Key] = e
+		}
+		w.notifyChange(res.start)
 	}
-	w.notifyChange(start)
-	w.confirmFresh(start)
-	return nil
+	w.confirmFresh(res.start)
 }
 
 // confirmFresh records that the copy is no older than a read that began at start.
@@ -85,49 +103,71 @@
 	err     error
 }
 
-// run keeps the copy up to date until ctx ends.
+// watch waits for changes after a revision.
+func (w *prefixWatch) watch(ctx context.Context, rev uint64) watchResult {
+	wait.For(ctx, w.pause)
+	start := time.Now()
+	changes, next, err := w.store.Watch(ctx, w.prefix, rev, watchTimeout)
+	if err != nil && !errors.Is(err, store.ErrCompacted) {
+		wait.For(ctx, watchRetryDelay)
+	}
+	return watchResult{start, changes, next, err}
+}
+
+// run keeps the copy up to date until ctx ends. Full reads run beside the watch, so that a slow one delays no change.
 func (w *prefixWatch) run(ctx context.Context) {
 	tick := time.NewTicker(w.readInterval)
 	defer tick.Stop()
-	results := make(chan watchResult, 1)
-	watch := func() {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	results, reads := make(chan watchResult, 1), make(chan readResult, 1)
+	reading, watching := false, false
+	startWatch := func() {
+		watching = true
 		rev := w.rev
-		go func() {
-			wait.For(ctx, w.pause)
-			start := time.Now()
-			changes, next, err := w.store.Watch(ctx, w.prefix, rev, watchTimeout)
-			if err != nil && !errors.Is(err, store.ErrCompacted) {
-				wait.For(ctx, watchRetryDelay)
-			}
-			results <- watchResult{start, changes, next, err}
-		}()
+		wg.Go(func() { results <- w.watch(ctx, rev) })
+	}
+	startRead := func() {
+		if !reading {
+			reading = true
+			wg.Go(func() { reads <- w.read(ctx) })
+		}
 	}
-	watch()
+	startWatch()
 	for {
+		ticks := tick.C
+		if reading {
+			ticks = nil // the ticker keeps a tick until the read has ended
+		}
 		select {
 		case <-ctx.Done():
-			<-results
 			return
-		case <-tick.C:
-			if time.Since(w.freshAsOf) < w.readInterval/2 {
-				continue // the watch delivers changes, so it isn't cut off
+		case <-ticks:
+			if time.Since(w.freshAsOf) >= w.readInterval/2 { // otherwise the watch delivers changes, so it isn't cut off
+				startRead()
+			}
+		case res := <-reads:
+			reading = false
+			w.applyRead(res)
+			if !watching {
+				startWatch()
 			}
-			// The watch in flight continues: its result is no older than its own start.
-			_ = w.readAll(ctx) // if the read fails, the copy stays and the core sees its age
 		case res := <-results:
-			w.applyResult(ctx, res)
-			watch()
+			watching = false
+			w.applyResult(res)
+			if res.err != nil {
+				startRead()
+			}
+			if !errors.Is(res.err, store.ErrCompacted) {
+				startWatch() // after a compaction, only a full read gives a revision to watch from
+			}
 		}
 	}
 }
 
-// applyResult applies the result of a watch to the copy; after a failed watch it reads all keys.
-func (w *prefixWatch) applyResult(ctx context.Context, res watchResult) {
-	if res.err != nil {
-		_ = w.readAll(ctx) // if the read fails, the copy stays and the core sees its age
-		return
-	}
-	if res.rev < w.rev {
+// applyResult applies the result of a watch to the copy.
+func (w *prefixWatch) applyResult(res watchResult) {
+	if res.err != nil || res.rev < w.rev {
 		return
 	}
 	w.rev = res.rev
--- /dev/null
+++ b/internal/batch/drive/watch_test.go
@@ -0,0 +1,85 @@
+package drive
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/fake/txkv"
+	"bramleysail.example/bramleysail/internal/plat/store"
+)
+
+// slowReadStore is a store whose full reads arrive late, with what was stored when they began.
+type slowReadStore struct {
+	store.TxnStore
+	delay time.Duration
+	reads int // full reads that have begun
+}
+
+// Range implements store.TxnStore.
+func (s *slowReadStore) Range(ctx context.Context, prefix string) (store.Listing, error) {
+	s.reads++
+	listing, err := s.TxnStore.Range(ctx, prefix)
+	wait.For(ctx, s.delay)
+	return listing, err
+}
+
+// Guards against a slow full read that stops the watch: the copy of the directory would become too old and bar all
+// starts, although the store delivers each change.
+func TestSlowReadDelaysNoChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			changeInterval = 500 * time.Millisecond
+			changes        = 20
+		)
+		service := &txkv.Service{}
+		service.Put("d/a", []byte("0"))
+		service.Put("d/gone", nil)
+		s := &slowReadStore{TxnStore: service.Client(nil), delay: 3 * time.Second}
+		newest, hasGone := 0, true
+		w := &prefixWatch{
+			store: s, prefix: "d/", readInterval: directoryReadInterval, pause: directoryWatchPause, onConfirm: func(time.Time) {},
+			onChange: func(_ time.Time, entries []store.Entry) {
+				value, err := strconv.Atoi(string(entries[0].Value))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if value < newest {
+					t.Errorf("the copy went from %d back to %d", newest, value)
+				}
+				if len(entries) == 2 && !hasGone {
+					t.Error("a deleted entry is back")
+				}
+				newest, hasGone = value, len(entries) == 2
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		if err := w.readAll(ctx); err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.run(ctx)
+		}()
+		time.Sleep(directoryReadInterval + 100*time.Millisecond) // without changes, a full read begins
+		synctest.Wait()
+		if s.reads != 2 {
+			t.Fatalf("%d full reads have begun, want 2", s.reads)
+		}
+		service.RemoveKey("d/gone")
+		for i := range changes {
+			service.Put("d/a", []byte(strconv.Itoa(i+1)))
+			time.Sleep(changeInterval)
+			synctest.Wait()
+			if newest != i+1 || hasGone {
+				t.Errorf("%v after change %d the copy has %d, deleted entry: %t", changeInterval, i+1, newest, hasGone)
+			}
+		}
+		cancel()
+		<-done
+	})
+}
