drive, sched: pass on only the changed entries of the directory

Change: the watch hands on the changed entries and deleted keys; Core.UpdateMembers applies them; polling is started for the workers among them only. A full read still passes on all entries, and a worker that is missing there is delisted. A worker is stale only if its Member differs. As a consequence the index of unused CPU follows a changed load at each worker's next measurement or run, no longer at every change in the directory; scores use the forecast, at most 200 ms old, as before.

--- a/internal/batch/drive/directory.go
+++ b/internal/batch/drive/directory.go
@@ -36,3 +36,27 @@
 	d.cache = cache
 	return members
 }
+
+// decodeChanges returns the workers that changed entries name, and the ids of the workers that changed or deleted
+// entries named before and don't name any more.
+func (d *directoryDecoder) decodeChanges(changed []store.Entry, deleted []string) (members []sched.Member, removed []string) {
+	for _, key := range deleted {
+		if old := d.cache[key]; old.valid {
+			removed = append(removed, old.member.ID)
+		}
+		delete(d.cache, key)
+	}
+	for _, e := range changed {
+		old := d.cache[e.Key]
+		m := cachedMember{rev: e.Rev}
+		m.member, m.valid = d.decode(e)
+		d.cache[e.Key] = m
+		if old.valid && (!m.valid || m.member.ID != old.member.ID) {
+			removed = append(removed, old.member.ID)
+		}
+		if m.valid {
+			members = append(members, m.member)
+		}
+	}
+	return members, removed
+}
--- a/internal/batch/drive/directory_test.go
+++ b/internal/batch/drive/directory_test.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"reflect"
 	"testing"
 
 	"bramleysail.example/bramleysail/internal/batch/sched"
@@ -46,3 +47,36 @@
 		}
 	}
 }
+
+// Guards against a worker that stays listed although the changed entries no longer name it.
+func TestDecodeChanges(t *testing.T) {
+	d := directoryDecoder{decode: func(e store.Entry) (sched.Member, bool) {
+		return sched.Member{Incarnation: sched.Incarnation{ID: string(e.Value)}}, len(e.Value) > 0
+	}}
+	entry := func(key, id string, rev uint64) store.Entry {
+		return store.Entry{Key: key, Value: []byte(id), Rev: rev}
+	}
+	d.decodeAll([]store.Entry{entry("a", "w1", 1), entry("b", "w2", 2), entry("c", "", 3)})
+	for _, tt := range []struct {
+		name             string
+		changed          []store.Entry
+		deleted          []string
+		members, removed []string // ids
+	}{
+		{"written again", []store.Entry{entry("a", "w1", 4)}, nil, []string{"w1"}, nil},
+		{"names another worker", []store.Entry{entry("a", "w3", 5)}, nil, []string{"w3"}, []string{"w1"}},
+		{"names no worker", []store.Entry{entry("a", "", 6)}, nil, nil, []string{"w3"}},
+		{"names one again", []store.Entry{entry("a", "w1", 7)}, nil, []string{"w1"}, nil},
+		{"deleted", nil, []string{"a", "c", "unknown"}, nil, []string{"w1"}},
+		{"added again", []store.Entry{entry("a", "w1", 9)}, []string{"b"}, []string{"w1"}, []string{"w2"}},
+	} {
+		members, removed := d.decodeChanges(tt.changed, tt.deleted)
+		var ids []string
+		for _, m := range members {
+			ids = append(ids, m.ID)
+		}
+		if !reflect.DeepEqual(ids, tt.members) || !reflect.DeepEqual(removed, tt.removed) {
+			t.Errorf("%s: workers %v, removed %v; want %v and %v", tt.name, ids, removed, tt.members, tt.removed)
+		}
+	}
+}
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -37,7 +37,8 @@
 	IntentPrefix    string                              // of the operators' keys
 	DecodeIntent    func([]store.Entry) (Intent, error) // decodes all entries below IntentPrefix
 	DirectoryPrefix string                              // of the directory's keys
-	// DecodeMember decodes a worker's entry in the directory. It returns false for an entry that names no worker.
+	// DecodeMember decodes a worker's entry in the directory, of which each worker has one. It returns false for an
+	// entry that names no worker.
 	DecodeMember func(store.Entry) (sched.Member, bool)
 }
 
@@ -169,7 +170,7 @@
 	for _, w := range watches {
 		h.wg.Go(func() { w.run(h.ctx) })
 	}
-	h.startPolling()
+	h.pollWorkers()
 	h.wg.Go(h.commitLoop)
 	h.wg.Go(h.forgetLoop)
 	wait.Wake(h.commitWake)
@@ -229,7 +230,7 @@
 	h.mu.Unlock()
 	watches := []*prefixWatch{
 		{store: h.opt.Store, prefix: h.opt.Codec.IntentPrefix, readInterval: intentReadInterval, onChange: h.applyIntent, onConfirm: h.noteIntentRead},
-		{store: h.opt.Store, prefix: h.opt.Codec.DirectoryPrefix, readInterval: directoryReadInterval, pause: directoryWatchPause, onChange: h.applyDirectory, onConfirm: h.noteDirectoryRead},
+		{store: h.opt.Store, prefix: h.opt.Codec.DirectoryPrefix, readInterval: directoryReadInterval, pause: directoryWatchPause, onChange: h.applyDirectory, onUpdate: h.updateDirectory, onConfirm: h.noteDirectoryRead},
 	}
 	for _, w := range watches {
 		if err := w.readAll(h.ctx); err != nil {
@@ -335,7 +336,18 @@
 	h.mu.Lock()
 	h.core.UpdateDirectory(at, members)
 	h.mu.Unlock()
-	h.startPolling()
+	h.pollWorkers()
+	h.requestPlan()
+	wait.Wake(h.commitWake)
+}
+
+// updateDirectory passes changes of the directory to the core and polls new workers.
+func (h *Holder) updateDirectory(at time.Time, changed []store.Entry, deleted []string) {
+	members, removed := h.directory.decodeChanges(changed, deleted)
+	h.mu.Lock()
+	h.core.UpdateMembers(at, members, removed)
+	h.startPolling(members)
+	h.mu.Unlock()
 	h.requestPlan()
 	wait.Wake(h.commitWake)
 }
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -120,11 +120,16 @@
 	h.opt.Tenure.End()
 }
 
-// startPolling starts a polling goroutine for each worker that has none.
-func (h *Holder) startPolling() {
+// pollWorkers starts a polling goroutine for each worker that has none.
+func (h *Holder) pollWorkers() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, m := range h.core.Workers() {
+	h.startPolling(h.core.Workers())
+}
+
+// startPolling starts a polling goroutine for each of the workers that has none. The caller holds h.mu.
+func (h *Holder) startPolling(workers []sched.Member) {
+	for _, m := range workers {
 		if !h.polling[m.ID] {
 			h.polling[m.ID] = true
 			h.wg.Go(func() { h.pollWorker(m.ID) })
--- a/internal/batch/drive/watch.go
+++ b/internal/batch/drive/watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -24,6 +26,9 @@
 	// onChange is called with all entries, sorted by key, when they may have changed; at is the time of the read
 	// or change.
 	onChange func(at time.Time, entries []store.Entry)
+	// onUpdate is called instead of onChange with the entries that a watch has changed and the keys that it has
+	// deleted, both sorted by key. nil: onChange is called.
+	onUpdate func(at time.Time, changed []store.Entry, deleted []string)
 	// onConfirm is called when the copy is known to be no older than a read that began at start.
 	onConfirm func(start time.Time)
 
@@ -174,13 +179,33 @@
 	if len(res.changes) == 0 {
 		return
 	}
+	touched := make(map[string]bool, len(res.changes)) // keys
 	for _, c := range res.changes {
+		touched[c.Key] = true
 		if c.Deleted {
 			delete(w.entries, c.Key)
 		} else if c.Rev >= w.entries[c.Key].Rev {
 			w.entries[c.Key] = c.Entry
 		}
 	}
-	w.notifyChange(time.Now())
+	if w.onUpdate == nil {
+		w.notifyChange(time.Now())
+	} else {
+		w.notifyUpdate(time.Now(), touched)
+	}
 	w.confirmFresh(res.start)
 }
+
+// notifyUpdate calls onUpdate with the touched keys.
+func (w *prefixWatch) notifyUpdate(at time.Time, touched map[string]bool) {
+	var changed []store.Entry
+	var deleted []string
+	for _, key := range slices.Sorted(maps.Keys(touched)) {
+		if e, ok := w.entries[key]; ok {
+			changed = append(changed, e)
+		} else {
+			deleted = append(deleted, key)
+		}
+	}
+	w.onUpdate(at, changed, deleted)
+}
--- a/internal/batch/drive/watch_test.go
+++ b/internal/batch/drive/watch_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/batch/sched"
 	"bramleysail.example/bramleysail/internal/fake/txkv"
 	"bramleysail.example/bramleysail/internal/plat/store"
 )
@@ -83,3 +86,45 @@
 		<-done
 	})
 }
+
+// BenchmarkDirectoryChange measures passing on a watch's result in which a fifth of all workers have written their
+// entries without a change of what they say, as all workers (full) and as changes.
+func BenchmarkDirectoryChange(b *testing.B) {
+	for _, n := range []int{1000, 3000} {
+		h := newBenchHolder(n)
+		h.directory = directoryDecoder{decode: func(e store.Entry) (sched.Member, bool) {
+			var m sched.Member
+			err := json.Unmarshal(e.Value, &m)
+			return m, err == nil
+		}}
+		w := &prefixWatch{entries: map[string]store.Entry{}, onChange: h.applyDirectory, onConfirm: func(time.Time) {}}
+		var changes []store.Change
+		for i, m := range benchMembers(n) {
+			value, err := json.Marshal(m)
+			if err != nil {
+				b.Fatal(err)
+			}
+			w.entries[m.ID] = store.Entry{Key: m.ID, Value: value}
+			h.polling[m.ID] = true // starts no goroutines
+			if i%5 == 0 {
+				changes = append(changes, store.Change{Entry: w.entries[m.ID]})
+			}
+		}
+		w.notifyChange(time.Now())
+		for _, full := range []bool{true, false} {
+			if w.onUpdate = h.updateDirectory; full {
+				w.onUpdate = nil
+			}
+			b.Run(fmt.Sprintf("%dworkers/full=%t", n, full), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					w.rev++
+					for i := range changes {
+						changes[i].Rev = w.rev
+					}
+					w.applyResult(watchResult{changes: changes, rev: w.rev})
+				}
+			})
+		}
+	}
+}
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -20,6 +20,20 @@
 	c.expireLeases(now)
 }
 
+// UpdateMembers applies changes of the directory: the workers of changed entries, and the ids of workers that are no
+// longer listed. A worker named by both is listed.
+func (c *Core) UpdateMembers(now time.Time, changed []Member, removed []string) {
+	for _, id := range removed {
+		if w := c.workers[id]; w != nil {
+			w.listed = false
+		}
+	}
+	for _, m := range changed {
+		c.updateMember(now, m, true)
+	}
+	c.expireLeases(now)
+}
+
 // InheritWorkers takes over the tracked workers of the former holder, which may have started runs on them.
 func (c *Core) InheritWorkers(now time.Time, members []Member) {
 	for _, m := range members {
@@ -50,10 +64,12 @@
 	if w.Incarnation != m.Incarnation || w.Addr != m.Addr {
 		c.trackedVersion++
 	}
-	w.Member = m
-	c.markStale(w)
+	if w.indexKey == nil || !w.Member.equal(m) {
+		w.Member = m
+		c.markStale(w)
+	}
 	w.listed = listed
-	// An entry is read again whenever any other entry changes, so the drain time counts from the first read that shows
+	// An entry may be read many times while its worker drains, so the drain time counts from the first read that shows
 	// it.
 	switch {
 	case !m.Draining:
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -28,6 +28,12 @@
 	DrainRemaining time.Duration `json:"-"`
 }
 
+// equal reports whether two entries of the directory say the same of a worker.
+func (m Member) equal(o Member) bool {
+	return m.Incarnation == o.Incarnation && m.Service == o.Service && m.Addr == o.Addr && m.Zone == o.Zone && slices.Equal(m.Labels, o.Labels) &&
+		m.Rack == o.Rack && m.Size == o.Size && m.Draining == o.Draining && m.DrainRemaining == o.DrainRemaining
+}
+
 // End is the way in which a run ended.
 type End string
 
