drive: a commit wakes only polls whose ends it stored

Cause: each commit woke all polls that wait until their workers' ends are stored.

Change: a waiting poll registers with its worker's id; the commit wakes those whose workers have no unstored end left.

--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -173,8 +173,7 @@
 		h.core.MarkTracked(c.trackedWorkers)
 	}
 	h.trackedCount = c.workerCount
-	close(h.commitDone)
-	h.commitDone = make(chan struct{})
+	h.wakeAckedPolls()
 	h.mu.Unlock()
 	for _, w := range c.recordWaiters {
 		close(w)
@@ -182,6 +181,16 @@
 	h.requestPlan()
 }
 
+// wakeAckedPolls wakes the polls that wait until their workers' ends are stored, where all are. The caller holds h.mu.
+func (h *Holder) wakeAckedPolls() {
+	for id, acked := range h.ackWaiters {
+		if !h.core.HasUnackedEnds(id) {
+			close(acked)
+			delete(h.ackWaiters, id)
+		}
+	}
+}
+
 // forgetLoop removes jobs that are past their retention from the core and the store.
 func (h *Holder) forgetLoop() {
 	for wait.For(h.ctx, forgetInterval) {
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -117,7 +117,7 @@
 	submissions          []*submission              // not part of a write yet, oldest first
 	submissionsByID      map[string]*submission     // not stored yet, by job id
 	recordWaiters        map[string][]chan struct{} // closed when the job's next record is stored, by job id
-	commitDone           chan struct{}              // closed, and replaced, after each commit
+	ackWaiters           map[string]chan struct{}   // closed when all ends that the worker reported are stored, by worker id
 	writeStarted         time.Time                  // start of the write in flight; zero: none
 	trackedWorkers       []sched.Member             // as last stored
 	trackedCount         int                        // number of tracked workers, as last stored
@@ -147,7 +147,7 @@
 		polling:           map[string]bool{},
 		submissionsByID:   map[string]*submission{},
 		recordWaiters:     map[string][]chan struct{}{},
-		commitDone:        make(chan struct{}),
+		ackWaiters:        map[string]chan struct{}{},
 		loggedMaintenance: map[string]bool{},
 		trackedCount:      opt.Tenure.Load(),
 
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -207,24 +207,26 @@
 // awaitStoredEnds waits, up to maxStoreWait, until the ended runs that a worker has reported are stored. The next
 // poll acknowledges them; if it were sent before, the worker would answer at once with the same ended runs.
 func (h *Holder) awaitStoredEnds(id string) {
+	h.mu.Lock()
+	unstored := h.core.HasUnackedEnds(id)
+	acked := make(chan struct{})
+	if unstored {
+		h.ackWaiters[id] = acked
+	}
+	h.mu.Unlock()
+	if !unstored {
+		return
+	}
+	wait.Wake(h.commitWake)
 	t := time.NewTimer(maxStoreWait)
 	defer t.Stop()
-	for {
+	select {
+	case <-h.ctx.Done():
+	case <-acked:
+	case <-t.C:
 		h.mu.Lock()
-		unstored := h.core.HasUnackedEnds(id)
-		commitDone := h.commitDone
+		delete(h.ackWaiters, id)
 		h.mu.Unlock()
-		if !unstored {
-			return
-		}
-		wait.Wake(h.commitWake)
-		select {
-		case <-h.ctx.Done():
-			return
-		case <-commitDone:
-		case <-t.C:
-			return
-		}
 	}
 }
 
