sched: lease expiry walks the workers without a copy

Cause: expireLeases copied the list of all workers at each plan and each change of the directory, as it may remove some of them on the way.

Change: it removes them after the walk.

--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -154,26 +154,36 @@
 // elected on the other side of a network partition and may have renewed the lease. The tasks would continue there while
 // they look expired from here.
 func (c *Core) expireLeases(now time.Time) {
-	for _, w := range slices.Clone(c.workersByID) {
+	var gone []*worker
+	for _, w := range c.workersByID {
 		if w.contact == ContactGood || now.Before(w.leaseExpiry) || c.confirmedByStore.Before(w.leaseExpiry) {
 			continue
 		}
-		kept, mayBeLonger := false, c.leaseMayBeLonger(now, w)
-		for _, r := range w.cloneRuns() {
-			if c.orphaned(now, r) || mayBeLonger && r.incarnation == w.StartedAt {
-				kept = true
-				continue
-			}
-			c.releaseRun(r)
+		if kept := c.releaseExpiredRuns(now, w); !w.listed && !kept {
+			gone = append(gone, w)
 		}
-		c.setExpired(w, !mayBeLonger && (!w.restarted || now.Sub(w.leaseExpiry) >= c.lateOrderWait()))
-		if !w.listed && !kept {
-			c.unindexWorker(w)
-			delete(c.workers, w.ID)
-			c.removeByID(w)
-			c.trackedVersion++
+	}
+	for _, w := range gone {
+		c.unindexWorker(w)
+		delete(c.workers, w.ID)
+		c.removeByID(w)
+		c.trackedVersion++
+	}
+}
+
+// releaseExpiredRuns releases the runs of a worker whose lease has expired, and reports whether one is kept because it
+// may still be active.
+func (c *Core) releaseExpiredRuns(now time.Time, w *worker) bool {
+	kept, mayBeLonger := false, c.leaseMayBeLonger(now, w)
+	for _, r := range w.cloneRuns() {
+		if c.orphaned(now, r) || mayBeLonger && r.incarnation == w.StartedAt {
+			kept = true
+			continue
 		}
+		c.releaseRun(r)
 	}
+	c.setExpired(w, !mayBeLonger && (!w.restarted || now.Sub(w.leaseExpiry) >= c.lateOrderWait()))
+	return kept
 }
 
 // setExpired sets whether a worker counts as expired.
