--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -80,8 +80,8 @@
 	defer h.mu.Unlock()
 	c := &pendingCommit{}
 	free := lead.MaxWrites
-	tracked := h.core.TrackedWorkers()
-	if !sameMembers(tracked, h.trackedWorkers) {
+	tracked, changed := h.currentTrackedWorkers()
+	if changed {
 		data, err := json.Marshal(tracked)
 		if err != nil {
 			return nil, errors.Wrap(err, "drive")
@@ -132,6 +132,18 @@
 	return c, nil
 }
 
+// currentTrackedWorkers returns the workers that may hold runs, and whether the list differs from the stored one. The
+// caller holds h.mu.
+func (h *Holder) currentTrackedWorkers() ([]sched.Member, bool) {
+	version := h.core.TrackedVersion()
+	if version == h.trackedVersion {
+		return h.trackedWorkers, false
+	}
+	h.trackedVersion = version
+	tracked := h.core.TrackedWorkers()
+	return tracked, !sameMembers(tracked, h.trackedWorkers)
+}
+
 // sameMembers reports whether two lists name the same incarnations at the same addresses, in the same order.
 func sameMembers(a, b []sched.Member) bool {
 	if len(a) != len(b) {
@@ -161,8 +173,7 @@
 		h.core.MarkTracked(c.trackedWorkers)
 	}
 	h.trackedCount = c.workerCount
-	close(h.commitDone)
-	h.commitDone = make(chan struct{})
+	h.wakeAckedPolls()
 	h.mu.Unlock()
 	for _, w := range c.recordWaiters {
 		close(w)
@@ -170,6 +181,16 @@
 	h.requestPlan()
 }
 
+// wakeAckedPolls wakes the polls that wait until their workers' ends are stored, where all are. The caller holds h.mu.
+func (h *Holder) wakeAckedPolls() {
+	for id, acked := range h.ackWaiters {
+		if !h.core.HasUnackedEnds(id) {
+			close(acked)
+			delete(h.ackWaiters, id)
+		}
+	}
+}
+
 // forgetLoop removes jobs that are past their retention from the core and the store.
 func (h *Holder) forgetLoop() {
 	for wait.For(h.ctx, forgetInterval) {
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -37,7 +37,8 @@
 	IntentPrefix    string                              // of the operators' keys
 	DecodeIntent    func([]store.Entry) (Intent, error) // decodes all entries below IntentPrefix
 	DirectoryPrefix string                              // of the directory's keys
-	// DecodeMember decodes a worker's entry in the directory. It returns false for an entry that names no worker.
+	// DecodeMember decodes a worker's entry in the directory, of which each worker has one. It returns false for an
+	// entry that names no worker.
 	DecodeMember func(store.Entry) (sched.Member, bool)
 }
 
@@ -120,10 +121,11 @@
 	submissions          []*submission              // not part of a write yet, oldest first
 	submissionsByID      map[string]*submission     // not stored yet, by job id
 	recordWaiters        map[string][]chan struct{} // closed when the job's next record is stored, by job id
-	commitDone           chan struct{}              // closed, and replaced, after each commit
+	ackWaiters           map[string]chan struct{}   // closed when all ends that the worker reported are stored, by worker id
 	writeStarted         time.Time                  // start of the write in flight; zero: none
 	trackedWorkers       []sched.Member             // as last stored
 	trackedCount         int                        // number of tracked workers, as last stored
+	trackedVersion       uint64                     // of the core's list of tracked workers when it was last collected; 0: never
 	loggedMaintenance    map[string]bool            // maintenance requests that were logged as refused
 	learnedModelStoredAt time.Time                  // when the learned model was last collected for a write
 }
@@ -149,7 +151,7 @@
 		polling:           map[string]bool{},
 		submissionsByID:   map[string]*submission{},
 		recordWaiters:     map[string][]chan struct{}{},
-		commitDone:        make(chan struct{}),
+		ackWaiters:        map[string]chan struct{}{},
 		loggedMaintenance: map[string]bool{},
 		trackedCount:      opt.Tenure.Load(),
 
@@ -172,7 +174,7 @@
 	for _, w := range watches {
 		h.wg.Go(func() { w.run(h.ctx) })
 	}
-	h.startPolling()
+	h.pollWorkers()
 	h.wg.Go(h.commitLoop)
 	h.wg.Go(h.forgetLoop)
 	wait.Wake(h.commitWake)
@@ -232,7 +234,7 @@
 	h.mu.Unlock()
 	watches := []*prefixWatch{
 		{store: h.opt.Store, prefix: h.opt.Codec.IntentPrefix, readInterval: intentReadInterval, onChange: h.applyIntent, onConfirm: h.noteIntentRead},
-		{store: h.opt.Store, prefix: h.opt.Codec.DirectoryPrefix, readInterval: directoryReadInterval, pause: directoryWatchPause, onChange: h.applyDirectory, onConfirm: h.noteDirectoryRead},
+		{store: h.opt.Store, prefix: h.opt.Codec.DirectoryPrefix, readInterval: directoryReadInterval, pause: directoryWatchPause, onChange: h.applyDirectory, onUpdate: h.updateDirectory, onConfirm: h.noteDirectoryRead},
 	}
 	for _, w := range watches {
 		if err := w.readAll(h.ctx); err != nil {
@@ -338,7 +340,18 @@
 	h.mu.Lock()
 	h.core.UpdateDirectory(at, members)
 	h.mu.Unlock()
-	h.startPolling()
+	h.pollWorkers()
+	h.requestPlan()
+	wait.Wake(h.commitWake)
+}
+
+// updateDirectory passes changes of the directory to the core and polls new workers.
+func (h *Holder) updateDirectory(at time.Time, changed []store.Entry, deleted []string) {
+	members, removed := h.directory.decodeChanges(changed, deleted)
+	h.mu.Lock()
+	h.core.UpdateMembers(at, members, removed)
+	h.startPolling(members)
+	h.mu.Unlock()
 	h.requestPlan()
 	wait.Wake(h.commitWake)
 }
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -159,11 +159,16 @@
 	h.opt.Tenure.End()
 }
 
-// startPolling starts a polling goroutine for each worker that has none.
-func (h *Holder) startPolling() {
+// pollWorkers starts a polling goroutine for each worker that has none.
+func (h *Holder) pollWorkers() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, m := range h.core.Workers() {
+	h.startPolling(h.core.Workers())
+}
+
+// startPolling starts a polling goroutine for each of the workers that has none. The caller holds h.mu.
+func (h *Holder) startPolling(workers []sched.Member) {
+	for _, m := range workers {
 		if !h.polling[m.ID] {
 			h.polling[m.ID] = true
 			h.wg.Go(func() { h.pollWorker(m.ID) })
@@ -241,24 +246,26 @@
 // awaitStoredEnds waits, up to maxStoreWait, until the ended runs that a worker has reported are stored. The next
 // poll acknowledges them; if it were sent before, the worker would answer at once with the same ended runs.
 func (h *Holder) awaitStoredEnds(id string) {
+	h.mu.Lock()
+	unstored := h.core.HasUnackedEnds(id)
+	acked := make(chan struct{})
+	if unstored {
+		h.ackWaiters[id] = acked
+	}
+	h.mu.Unlock()
+	if !unstored {
+		return
+	}
+	wait.Wake(h.commitWake)
 	t := time.NewTimer(maxStoreWait)
 	defer t.Stop()
-	for {
+	select {
+	case <-h.ctx.Done():
+	case <-acked:
+	case <-t.C:
 		h.mu.Lock()
-		unstored := h.core.HasUnackedEnds(id)
-		commitDone := h.commitDone
+		delete(h.ackWaiters, id)
 		h.mu.Unlock()
-		if !unstored {
-			return
-		}
-		wait.Wake(h.commitWake)
-		select {
-		case <-h.ctx.Done():
-			return
-		case <-commitDone:
-		case <-t.C:
-			return
-		}
 	}
 }
 
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -34,11 +34,13 @@
 	workersByID        []*worker                           // the same, sorted by id
 	workerIndexes      map[string]*workerIndex             // by service
 	staleWorkers       []*worker                           // workers whose entry in workerIndexes may be out of date
+	orderWorkers       []*worker                           // workers that may have a run to be stopped or throttled
 	feasibleBuf        feasibleWorkers                     // reused to save allocations
 	candidateBuf       []reserveCandidate                  // likewise
 	expectedEndBuf     []expectedEnd                       // likewise
 	reserveScans       int                                 // workers for which the current plan has estimated when a task fits
 	sampleCount        int                                 // how often workers were sampled
+	trackedVersion     uint64                              // changes with the list of TrackedWorkers
 	evacuatedZones     map[string]bool                     // failure domains that operators have taken out
 	startLimiter       startLimiter                        // bounds the starts in flight
 	planNumber         int                                 // number of the newest plan
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -20,6 +20,20 @@
 	c.expireLeases(now)
 }
 
+// UpdateMembers applies changes of the directory: the workers of changed entries, and the ids of workers that are no
+// longer listed. A worker named by both is listed.
+func (c *Core) UpdateMembers(now time.Time, changed []Member, removed []string) {
+	for _, id := range removed {
+		if w := c.workers[id]; w != nil {
+			w.listed = false
+		}
+	}
+	for _, m := range changed {
+		c.updateMember(now, m, true)
+	}
+	c.expireLeases(now)
+}
+
 // InheritWorkers takes over the tracked workers of the former holder, which may have started runs on them.
 func (c *Core) InheritWorkers(now time.Time, members []Member) {
 	for _, m := range members {
@@ -38,6 +52,7 @@
 		c.handleRestart(now, w, m.StartedAt)
 	}
 	if w == nil {
+		c.trackedVersion++
 		w = &worker{runs: map[runKey]*run{}, leaseExpiry: c.formerLeasesEnd()}
 		c.workers[m.ID] = w
 		w.ID = m.ID
@@ -46,10 +61,15 @@
 	if m.StartedAt < w.StartedAt {
 		m.StartedAt = w.StartedAt
 	}
-	w.Member = m
-	c.markStale(w)
+	if w.Incarnation != m.Incarnation || w.Addr != m.Addr {
+		c.trackedVersion++
+	}
+	if w.indexKey == nil || !w.Member.equal(m) {
+		w.Member = m
+		c.markStale(w)
+	}
 	w.listed = listed
-	// An entry is read again whenever any other entry changes, so the drain time counts from the first read that shows
+	// An entry may be read many times while its worker drains, so the drain time counts from the first read that shows
 	// it.
 	switch {
 	case !m.Draining:
@@ -79,12 +99,14 @@
 		}
 	}
 	w.StartedAt = startedAt
+	c.trackedVersion++
+	c.noteOrderDue(w)
 	w.leaseExpiry = now
 	w.restarted, w.inventoryComplete = true, false
 	w.ackedSeq, w.handledSeq, w.pendingAcks = 0, 0, nil
 	w.contact = ContactNone
 	w.tracked = false
-	w.expired = false
+	c.setExpired(w, false)
 	w.breaker = health.Breaker{}
 	w.colocation = colocation{}
 	w.clock = clockReading{}
@@ -133,24 +155,43 @@
 // elected on the other side of a network partition and may have renewed the lease. The tasks would continue there while
 // they look expired from here.
 func (c *Core) expireLeases(now time.Time) {
-	for _, w := range slices.Clone(c.workersByID) {
+	var gone []*worker
+	for _, w := range c.workersByID {
 		if w.contact == ContactGood || now.Before(w.leaseExpiry) || c.confirmedByStore.Before(w.leaseExpiry) {
 			continue
 		}
-		kept, mayBeLonger := false, c.leaseMayBeLonger(now, w)
-		for _, r := range w.cloneRuns() {
-			if c.orphaned(now, r) || mayBeLonger && r.incarnation == w.StartedAt {
-				kept = true
-				continue
-			}
-			c.releaseRun(r)
+		if kept := c.releaseExpiredRuns(now, w); !w.listed && !kept {
+			gone = append(gone, w)
 		}
-		w.expired = !mayBeLonger && (!w.restarted || now.Sub(w.leaseExpiry) >= c.lateOrderWait())
-		if !w.listed && !kept {
-			c.unindexWorker(w)
-			delete(c.workers, w.ID)
-			c.removeByID(w)
+	}
+	for _, w := range gone {
+		c.unindexWorker(w)
+		delete(c.workers, w.ID)
+		c.removeByID(w)
+		c.trackedVersion++
+	}
+}
+
+// releaseExpiredRuns releases the runs of a worker whose lease has expired, and reports whether one is kept because it
+// may still be active.
+func (c *Core) releaseExpiredRuns(now time.Time, w *worker) bool {
+	kept, mayBeLonger := false, c.leaseMayBeLonger(now, w)
+	for _, r := range w.cloneRuns() {
+		if c.orphaned(now, r) || mayBeLonger && r.incarnation == w.StartedAt {
+			kept = true
+			continue
 		}
+		c.releaseRun(r)
+	}
+	c.setExpired(w, !mayBeLonger && (!w.restarted || now.Sub(w.leaseExpiry) >= c.lateOrderWait()))
+	return kept
+}
+
+// setExpired sets whether a worker counts as expired.
+func (c *Core) setExpired(w *worker, expired bool) {
+	if w.expired != expired {
+		w.expired = expired
+		c.trackedVersion++
 	}
 }
 
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -137,13 +137,15 @@
 	if rep.StartedAt > w.StartedAt && w.StartedAt != 0 {
 		c.handleRestart(now, w, rep.StartedAt)
 	}
-	if w.StartedAt == 0 {
+	if w.StartedAt == 0 && rep.StartedAt != 0 {
 		w.StartedAt = rep.StartedAt
+		c.trackedVersion++
 	}
 	if rep.StartedAt != 0 && rep.StartedAt < w.StartedAt {
 		return nil
 	}
 	c.extendExpiry(now, w)
+	c.noteOrderDue(w)
 	w.contact = ContactGood
 	w.clock = clockReading{rep.Clock, now}
 	var newEnds []FinishedRun
@@ -160,7 +162,8 @@
 		}
 		w.handledSeq = f.Seq
 	}
-	w.expired, w.restarted = false, false
+	c.setExpired(w, false)
+	w.restarted = false
 	listed := c.recordRunning(sent, now, w, rep)
 	if len(rep.Finished) < maxReportedEnds {
 		w.inventoryComplete = true
@@ -396,5 +399,6 @@
 func (c *Core) stopRun(r *run) {
 	if r.state != RunStopped {
 		r.state = RunStopping
+		c.noteOrderDue(r.worker)
 	}
 }
