peer/link: a second service on a server

A Server offered the methods of one value only. Server.Register adds a service under a name of its own; a peer that lacks it answers with an rpc.ServerError over a connection that stays open.

--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -187,6 +187,11 @@
 	return s, nil
 }
 
+// Register offers the methods of impl as those of the net/rpc service name, besides the service of NewServer.
+func (s *Server) Register(name string, impl any) error {
+	return errors.Wrap(s.rpc.RegisterName(name, impl), "link")
+}
+
 // Serve accepts connections and answers their calls until Close. A failed accept is retried.
 func (s *Server) Serve(lis net.Listener) {
 	s.mu.Lock()
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/rpc"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -98,3 +100,48 @@
 	s.Close()
 	<-served
 }
+
+// negate is the implementation of a second net/rpc service for tests.
+type negate struct{}
+
+// Value answers with the negated argument. It is called by name over net/rpc.
+func (negate) Value(in int, out *int) error {
+	*out = -in
+	return nil
+}
+
+// TestRegister guards against a server that answers for one of its services only, and against one that an older build
+// runs: a call of a service that it lacks must return a peer's error, which shows that the connection works.
+func TestRegister(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := NewServer("Echo", echo{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Register("Negate", negate{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Register("Negate", negate{}); err == nil {
+		t.Error("a second service of the same name was registered")
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { s.Serve(lis) })
+	defer wg.Wait()
+	defer s.Close()
+	l := New(lis.Addr().String())
+	defer l.Close()
+	ctx := context.Background()
+	if got, err := Call[int, int](ctx, l, "Echo.Same", 7); err != nil || got != 7 {
+		t.Errorf("Echo.Same: %d, %v, want 7", got, err)
+	}
+	if got, err := Call[int, int](ctx, l, "Negate.Value", 7); err != nil || got != -7 {
+		t.Errorf("Negate.Value: %d, %v, want -7", got, err)
+	}
+	var serverErr rpc.ServerError
+	if _, err := Call[int, int](ctx, l, "None.Value", 7); !errors.As(err, &serverErr) {
+		t.Errorf("call of an unknown service: %v, want an rpc.ServerError", err)
+	}
+}
