batch/agent: the holder's calls to workers over other entry processes

A holder of thousands of workers spends most of its processor time and memory on the HTTP calls to them (34 % of its time before garbage collection, 50 to 100 kB a worker), while the other entry processes idle.

A Client makes the holder's calls directly as long as it has capacity for all workers, and otherwise in batches over net/rpc through the Services of a few agents, chosen by rendezvous hashing. Decisions stay with the holder.

- A call carries the last moment at which it may be made, on the agent's clock (300 ms from an order, 1 s from a poll).
A call that sat in a frozen agent, or in a queue, is answered as unsent and not made: its worker may have restarted, and a new incarnation would carry it out.
- An answer is awaited as long as the session lives.
- A lost agent's polls and stops, and calls that it certainly didn't get, go another way at once.
Starts and throttles that it may have got end as unknown: sched looks for them by polls, as for any order without an answer.
Sent again, a start that is seen to run and ends with its worker's incarnation could be carried out once more by the next one.
- An agent without a reply for 0.8 s is lost after 0.2 s more, in which a holder short of processor time reads what has arrived.

--- /dev/null
+++ b/internal/batch/agent/doc.go
@@ -0,0 +1,4 @@
+// Package agent spreads the holder's calls to workers over other entry processes, its agents. A Client collects the
+// calls of the holder and sends them in batches; a Service on each agent makes them and returns the outcomes in batches.
+// All decisions stay with the holder.
+package agent
--- /dev/null
+++ b/internal/batch/agent/wire.go
@@ -0,0 +1,54 @@
+package agent
+
+import (
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+)
+
+// ServiceName is the net/rpc name of a Service.
+const ServiceName = "Agent"
+
+// Call is a call to a worker: a poll or an order.
+type Call struct {
+	ID       uint64        // identifies the call within its session
+	Fence    int64         // fencing token: the term of the holder
+	Deadline time.Duration // on the agent's clock; the call isn't made after it
+	Poll     *sched.PollRequest
+	Order    *sched.Order
+}
+
+// Answer is the outcome of a Call.
+type Answer struct {
+	ID      uint64 // Call.ID
+	Outcome sched.Outcome
+	Report  sched.Report // of a poll that was answered
+}
+
+// OpenArgs are the arguments of Service.Open.
+type OpenArgs struct {
+	Session string // identifies the holder's session with the agent
+}
+
+// OpenReply is the reply of Service.Open.
+type OpenReply struct {
+	Clock time.Duration // the agent's clock
+}
+
+// SendArgs are the arguments of Service.Send.
+type SendArgs struct {
+	Session string
+	Calls   []Call
+}
+
+// ReceiveArgs are the arguments of Service.Receive.
+type ReceiveArgs struct {
+	Session string
+}
+
+// ReceiveReply is the reply of Service.Receive.
+type ReceiveReply struct {
+	Answers  []Answer
+	Clock    time.Duration // the agent's clock
+	Stopping bool          // the agent takes no more calls
+}
