proc/front: the holder makes its calls over agents where it lacks capacity

Where a holder has more workers than workerCapacity at its machine's full speed, it chooses agents among the followers that it has heard, one for 2.5 times that capacity, and makes its calls over them. With capacity for all workers, or where the limits aren't known, all calls stay direct.

- A process that is told to stop refuses calls at once and finishes the others.
- A holder with 1,002 workers and a capacity of 108 was seen to hand over needlessly: its machine was slow for a moment, and a follower with the same limits wasn't.
With agents in use its capacity at full speed is compared.
Claim delays stay: a host with more capacity still comes first.

--- a/internal/proc/front/forward.go
+++ b/internal/proc/front/forward.go
@@ -217,12 +217,12 @@
 }
 
 // Follow records a heartbeat of the follower whose peer interface is at addr. It returns an error if this process isn't
-// the holder.
+// the holder, or not yet: a new holder may choose agents before it has read the jobs.
 func (p *Peer) Follow(addr string, _ *int) error {
+	p.monitor.recordFollower(addr, time.Now())
 	if p.forwarder.localHolder() == nil {
 		return errNoHolder
 	}
-	p.monitor.recordFollower(addr, time.Now())
 	return nil
 }
 
--- a/internal/proc/front/handover.go
+++ b/internal/proc/front/handover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/batch/agent"
 	"bramleysail.example/bramleysail/internal/ctrl/lead"
 )
 
@@ -60,6 +61,16 @@
 	return best, float64(best.Carries) >= minCapacityGain*float64(capacity)
 }
 
+// comparedCapacity returns the holder's capacity with which that of the followers is compared: the current one, or that at
+// full speed if agents make its calls. These take most of the work off it, so that a slowdown costs it less than a
+// handover, and a follower with the same limits would be no better.
+func comparedCapacity(current, fullSpeed int, agentsInUse bool) int {
+	if agentsInUse {
+		return max(current, fullSpeed)
+	}
+	return current
+}
+
 // handOverIfOverloaded resigns when this holder has more workers than capacity and a follower has clearly more
 // capacity. It doesn't resign while the store doesn't confirm the holder, nor while tasks are withheld, as the
 // successor would withhold them for the full time again.
@@ -68,7 +79,7 @@
 // were down; or the holder's machine becomes slow. Without a handover it would remain the holder, while orders time out
 // and workers' leases expire. After the handover, a host with enough capacity becomes the holder, as the others delay
 // their claims (see lead.Options.Capacity).
-func (p *Process) handOverIfOverloaded(t *lead.Tenure) {
+func (p *Process) handOverIfOverloaded(t *lead.Tenure, client *agent.Client) {
 	fullSpeedCapacity := workerCapacity(p.settings.Limit, 1)
 	delay := minTenureBeforeHandover
 	if at := p.lastHandover.Load(); at != nil {
@@ -88,7 +99,7 @@
 		workers := holder.TrackedWorkerCount()
 		replies := p.monitor.queryFollowers(t.Context(), p.monitor.followers(t.ConfirmedAt()), successorSearchTimeout)
 		// A single check may be wrong, or the machine may have recovered in the meantime.
-		capacity = max(capacity, p.capacity())
+		capacity = comparedCapacity(max(capacity, p.capacity()), fullSpeedCapacity, client.InUse())
 		successor, ok := chooseSuccessor(capacity, fullSpeedCapacity, workers, t.Term(), replies)
 		if !ok {
 			continue
--- a/internal/proc/front/handover_test.go
+++ b/internal/proc/front/handover_test.go
@@ -43,3 +43,25 @@
 		}
 	}
 }
+
+// Guards against a holder that hands over to one of the same size although its agents make its calls: its machine is slow
+// for a moment, the tasks of all workers wait for the change, and the next holder hands over again.
+func TestHandoverWithAgents(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		capacity    int
+		agentsInUse bool
+		follower    int
+		want        bool
+	}{
+		{"slowed, follower with the same limits", 50, true, 108, false},
+		{"slowed, follower with clearly more", 50, true, 162, true},
+		{"full speed, follower with clearly more", 108, true, 1100, true},
+		{"slowed, no agents", 50, false, 108, true},
+	} {
+		capacity := comparedCapacity(tt.capacity, 108, tt.agentsInUse)
+		if _, got := chooseSuccessor(capacity, 108, 1002, 3, []followerReply{{"a", FollowerStatus{Carries: tt.follower, Term: 3}}}); got != tt.want {
+			t.Errorf("%s: hands over: %t", tt.name, got)
+		}
+	}
+}
--- a/internal/proc/front/peers.go
+++ b/internal/proc/front/peers.go
@@ -86,6 +86,19 @@
 	return addrs
 }
 
+// heardSince returns the addresses of the followers with a heartbeat since the given time.
+func (m *peerMonitor) heardSince(at time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var addrs []string
+	for addr, heardAt := range m.heardAt {
+		if heardAt.After(at) {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
 // lastConfirmed returns when the followers last confirmed this process as the holder.
 func (m *peerMonitor) lastConfirmed() time.Time {
 	m.mu.Lock()
@@ -93,12 +106,14 @@
 	return m.confirmedAt
 }
 
-// sendHeartbeats sends a heartbeat to the holder every heartbeatInterval until ctx ends, and updates whether this
-// process is isolated. selfAddr is the address of this process's peer interface, selfName its name.
-func (m *peerMonitor) sendHeartbeats(ctx context.Context, selfAddr string, selfName string) {
+// sendHeartbeats sends a heartbeat to the holder at each interval, and at once to a new holder, until ctx ends. It
+// updates whether this process is isolated. selfAddr is the address of this process's peer interface, selfName its name.
+func (m *peerMonitor) sendHeartbeats(ctx context.Context, selfAddr, selfName string, interval time.Duration) {
 	misses := 0
-	for wait.For(ctx, heartbeatInterval) {
-		h, _ := m.elector.Holder()
+	_, changed := m.elector.Holder()
+	for awaitHeartbeat(ctx, changed, interval) {
+		var h lead.Holder
+		h, changed = m.elector.Holder()
 		if h.Name == selfName {
 			m.setIsolated(false)
 			continue
@@ -127,6 +142,18 @@
 	}
 }
 
+// awaitHeartbeat waits for the interval or until changed is closed, and reports whether ctx has not ended.
+func awaitHeartbeat(ctx context.Context, changed <-chan struct{}, interval time.Duration) bool {
+	t := time.NewTimer(interval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-t.C:
+	}
+	return ctx.Err() == nil
+}
+
 // probeIsolation reports whether neither the holder nor the store answers this process. It probes the store only if the
 // holder hasn't answered for holderSilentAfter. An isolated process can't have requests answered, nor learn of a new
 // holder, until one of them answers again.
--- a/internal/proc/front/process.go
+++ b/internal/proc/front/process.go
@@ -16,6 +16,7 @@
 	"bramleysail.example/bramleysail/internal/base/conf"
 	"bramleysail.example/bramleysail/internal/base/telem"
 	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/batch/agent"
 	"bramleysail.example/bramleysail/internal/batch/drive"
 	"bramleysail.example/bramleysail/internal/ctrl/lead"
 	"bramleysail.example/bramleysail/internal/peer/link"
@@ -39,11 +40,12 @@
 	settings   conf.HostSettings
 	adapters   Adapters
 	log        logr.Logger
-	elector    *lead.Elector // claims to be the holder and knows who is
-	forwarder  *Forwarder    // answers callers' requests
-	monitor    *peerMonitor  // exchanges heartbeats and status with the other entry processes
-	speed      speedMonitor  // measures the machine's slowdown
-	callerAddr string        // of the callers' listener
+	elector    *lead.Elector  // claims to be the holder and knows who is
+	forwarder  *Forwarder     // answers callers' requests
+	agent      *agent.Service // calls workers for the holder
+	monitor    *peerMonitor   // exchanges heartbeats and status with the other entry processes
+	speed      speedMonitor   // measures the machine's slowdown
+	callerAddr string         // of the callers' listener
 
 	metricsHandler     http.Handler                // serves the metrics
 	metricsCloser      io.Closer                   // closes the scope of the metrics
@@ -103,6 +105,10 @@
 	if p.peerServer, err = link.NewServer("Peer", &Peer{p.forwarder, p.monitor}); err != nil {
 		return nil, err
 	}
+	p.agent = agent.NewService(adapters.WorkerClient)
+	if err := p.peerServer.Register(agent.ServiceName, p.agent); err != nil {
+		return nil, err
+	}
 	p.wg.Go(func() { p.peerServer.Serve(listeners[0]) })
 	p.serveListener(listeners[1], p.closeUnlessReady(adapters.CallerHandler(p.forwarder)))
 	p.serveListener(listeners[2], adapters.ReadinessHandler(p.Ready))
@@ -110,7 +116,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.wg.Go(func() { p.elector.Run(ctx, p.runTenure) })
-	p.wg.Go(func() { p.monitor.sendHeartbeats(ctx, listeners[0].Addr().String(), settings.Name) })
+	p.wg.Go(func() { p.monitor.sendHeartbeats(ctx, listeners[0].Addr().String(), settings.Name, heartbeatInterval) })
 	p.wg.Go(func() { p.speed.run(ctx) })
 	log.Info("start", "zone", settings.Zone, "carries", p.capacity(), "caller", listeners[1].Addr(), "peer", listeners[0].Addr())
 	return p, nil
@@ -168,15 +174,17 @@
 	return err == nil && alive
 }
 
-// runTenure runs the scheduler, peer confirmation and the check for a handover until the tenure ends.
+// runTenure runs the scheduler, the choice of agents, peer confirmation and the check for a handover until the tenure ends.
 func (p *Process) runTenure(t *lead.Tenure) {
 	p.tenure.Store(t)
 	defer p.tenure.CompareAndSwap(t, nil)
 	defer p.forwarder.setLocalHolder(nil)
 	p.wg.Go(func() { p.monitor.confirmWithPeers(t) })
-	p.wg.Go(func() { p.handOverIfOverloaded(t) })
+	client := agent.NewClient(t.Context(), agent.Options{Direct: p.adapters.WorkerClient, Log: p.log, Scope: p.forwarder.scope})
+	p.wg.Go(func() { p.chooseAgents(t, client) })
+	p.wg.Go(func() { p.handOverIfOverloaded(t, client) })
 	err := drive.Run(drive.Options{
-		Store: p.adapters.Store, Workers: p.adapters.WorkerClient, Codec: p.adapters.Codec, Tenure: t, Log: p.log,
+		Store: p.adapters.Store, Workers: client, Codec: p.adapters.Codec, Tenure: t, Log: p.log,
 		WorkerLease: drive.WorkerLease(conf.Milliseconds(p.settings.Bound.MaxWorkerLeaseMillis)), MaxUnconfirmed: drive.MaxUnconfirmed,
 		MaxWorkerLease:   conf.Milliseconds(p.settings.Bound.MaxWorkerLeaseMillis),
 		MaxStopTime:      conf.Milliseconds(p.settings.Bound.MaxStopMillis),
@@ -204,6 +212,7 @@
 	defer cancel()
 	p.log.Info("stop")
 	p.stopping.Store(true)
+	p.agent.Stop()
 	p.elector.SuspendClaims(conf.Seconds(p.settings.Bound.GraceSeconds))
 	if t := p.tenure.Load(); t != nil {
 		p.resign(ctx, t)
@@ -216,6 +225,7 @@
 		}
 	}
 	p.cancel()
+	p.agent.Close()
 	p.peerServer.Close()
 	p.wg.Wait()
 	if err := p.metricsCloser.Close(); err != nil && firstErr == nil {
