--- a/internal/batch/drive/lateanswer_test.go
+++ b/internal/batch/drive/lateanswer_test.go
@@ -116,10 +116,11 @@
 		c.awaitRunning(workers, time.Second)
 		late.setDelay(2 * time.Second)
 		time.Sleep(12 * time.Second)
-		if expired := c.workers.ExpiredRuns(); expired > 0 {
+		expired := c.workers.ExpiredRuns()
+		c.stop()
+		if expired > 0 {
 			t.Errorf("the leases of %d of %d runs expired, %d answers given up", expired, workers, late.givenUp)
 		}
-		c.stop()
 	})
 }
 
