drive, sched: an answer to a poll is used however late it is read

What callers saw: tasks done twice (TWICE) and runs lapsing on healthy workers while nothing but the holder's processor was short: it gave up each answer read later than 0.7 s beyond the poll's wait. The worker had listed the ends in it, which counts as taken note of 100 ms later; the polls after that carry no lease, the leases pass, the tasks run again.

Cause: one bound stood both for "no contact" and for "the answer is of no use any more".

Now a poll has two. After Wait + ContactSlack (0.7 s, 2 s for the first answer) the worker is out of contact: PollFailed, no starts, a "contact" line. The call goes on until Wait + AnswerSlack (2.6 s) or an error of the connection, and its report is handled as any other. There is one poll of a worker at a time, as before.

A report read late shows an old clock, and a lease granted by it is short by the delay. The clock is now extrapolated from the former reading at the lowest rate of a worker's clock where that gives more, unless the clock has gone back by more than the poll took (a restart that no start time shows).

2.6 s and not 2.8 s: after 1.4 + 2.6 s and the pause of 0.15 s, a poll that finds contact and one with a lease fit into the lease, 4.8 s from the store's last word, also where a worker's answer was lost.

Before, TestAnswersReadLate and TestLateAnswersLapseNoRun (unchanged): --- FAIL: TestAnswersReadLate/6s_: job a: running, want completed --- FAIL: TestAnswersReadLate/12s_: job a: running, want completed --- FAIL: TestAnswersReadLate/6s_w1: 77 tasks started again, 77 violations, 77 answers given up --- FAIL: TestAnswersReadLate/12s_w1: 77 tasks started again, 77 violations, 154 answers given up --- FAIL: TestLateAnswersLapseNoRun: the leases of 30 of 30 runs expired, 420 answers given up Now both pass.

Not measured: a worker that takes a poll and loses its answer is polled again after 4.15 s instead of 2.25 s.

--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -132,9 +132,19 @@
 	}
 }
 
+// workerPoll is a poll of a worker.
+type workerPoll struct {
+	req  sched.PollRequest
+	sent time.Time
+
+	// Guarded by Holder.mu.
+	done      bool // the result has been handled
+	inContact bool // the worker is in contact, as last logged
+}
+
 // pollWorker polls a worker until the core needs no more polls of it or the tenure is over.
 func (h *Holder) pollWorker(id string) {
-	inContact, answered := true, false
+	p, answered := &workerPoll{inContact: true}, false
 	for h.ctx.Err() == nil {
 		release := func() {}
 		if !answered {
@@ -150,53 +160,86 @@
 		if !ok {
 			delete(h.polling, id)
 		}
+		p = &workerPoll{req: req, sent: sent, inContact: p.inContact}
 		h.mu.Unlock()
 		if !ok {
 			release()
 			return
 		}
+		overdue := time.AfterFunc(req.Wait+req.ContactSlack, func() { h.handleOverduePoll(p) })
 		report, outcome := h.opt.Workers.Poll(h.ctx, req, h.opt.Tenure.Term())
+		overdue.Stop()
 		release()
 		if h.ctx.Err() != nil {
 			return
 		}
 		answered = outcome == sched.OutcomeDone
-		if inContact != (outcome == sched.OutcomeDone) {
-			inContact = !inContact
-			h.log.Info("contact", "worker", id, "outcome", outcome, "took", time.Since(sent))
-		}
-		h.handlePollResult(sent, req, report, outcome)
+		h.handlePollResult(p, report, outcome)
 		if pause := h.planLag.pollPause(); pause > 0 {
 			wait.For(h.ctx, pause)
 		}
 	}
 }
 
+// handleOverduePoll records that a worker is out of contact because the answer to a poll is overdue. The poll goes on: a
+// worker may count the ends that its answer lists as delivered.
+func (h *Holder) handleOverduePoll(p *workerPoll) {
+	h.mu.Lock()
+	if p.done || h.ctx.Err() != nil {
+		h.mu.Unlock()
+		return
+	}
+	h.core.PollFailed(time.Now(), p.req.ID, p.req.StartedAt)
+	changed := p.setContact(false)
+	h.mu.Unlock()
+	if changed {
+		h.logContact(p, sched.OutcomeUnknown)
+	}
+	h.requestPlan()
+}
+
+// setContact records whether the worker is in contact, and reports whether that is a change.
+func (p *workerPoll) setContact(inContact bool) bool {
+	changed := p.inContact != inContact
+	p.inContact = inContact
+	return changed
+}
+
+// logContact logs that contact with a worker was lost or regained.
+func (h *Holder) logContact(p *workerPoll, outcome sched.Outcome) {
+	h.log.Info("contact", "worker", p.req.ID, "outcome", outcome, "took", time.Since(p.sent))
+}
+
 // handlePollResult passes the result of a poll to the core and waits until the worker may be polled again.
-func (h *Holder) handlePollResult(sent time.Time, req sched.PollRequest, report sched.Report, outcome sched.Outcome) {
-	now := time.Now()
+func (h *Holder) handlePollResult(p *workerPoll, report sched.Report, outcome sched.Outcome) {
+	now, id := time.Now(), p.req.ID
 	var newEnds []sched.FinishedRun
 	h.mu.Lock()
+	p.done = true
+	changed := p.setContact(outcome == sched.OutcomeDone)
 	switch outcome {
 	case sched.OutcomeDone:
-		newEnds = h.core.HandleReport(sent, now, req.ID, report)
+		newEnds = h.core.HandleReport(p.sent, now, id, report)
 	case sched.OutcomeOtherIncarnation:
-		h.core.IncarnationEnded(now, req.ID, req.StartedAt)
+		h.core.IncarnationEnded(now, id, p.req.StartedAt)
 	default:
-		h.core.PollFailed(now, req.ID, req.StartedAt)
+		h.core.PollFailed(now, id, p.req.StartedAt)
 	}
 	h.mu.Unlock()
+	if changed {
+		h.logContact(p, outcome)
+	}
 	if outcome == sched.OutcomeFenced {
-		h.endFencedTenure(req.ID)
+		h.endFencedTenure(id)
 		return
 	}
-	h.logEnds(req.ID, newEnds)
+	h.logEnds(id, newEnds)
 	h.requestPlan()
 	if outcome != sched.OutcomeDone {
 		wait.For(h.ctx, pollRetryDelay)
 		return
 	}
-	h.awaitStoredEnds(req.ID)
+	h.awaitStoredEnds(id)
 }
 
 // awaitStoredEnds waits, up to maxStoreWait, until the ended runs that a worker has reported are stored. The next
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -119,7 +119,7 @@
 	c.expireLeases(now)
 }
 
-// PollFailed records that a poll of a worker was not answered.
+// PollFailed records that a poll of a worker was not answered, or not within its ContactSlack.
 func (c *Core) PollFailed(now time.Time, id string, startedAt int64) {
 	if w := c.workers[id]; w != nil && w.StartedAt == startedAt && w.contact == ContactGood {
 		w.contact = ContactLost
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -15,17 +15,34 @@
 // PollRequest is the next poll to send to a worker.
 type PollRequest struct {
 	Incarnation
-	Addr        string        // network address
-	AckedSeq    int64         // the worker may forget its ends up to this number
-	LeaseUntil  time.Duration // end of the granted lease, on the worker's clock; 0: no lease
-	Wait        time.Duration // time for which the worker may delay its answer while no run ends
-	AnswerSlack time.Duration // time that the answer may take beyond Wait
+	Addr         string        // network address
+	AckedSeq     int64         // the worker may forget its ends up to this number
+	LeaseUntil   time.Duration // end of the granted lease, on the worker's clock; 0: no lease
+	Wait         time.Duration // time for which the worker may delay its answer while no run ends
+	ContactSlack time.Duration // time beyond Wait after which the worker is out of contact until it answers
+	AnswerSlack  time.Duration // time beyond Wait after which the answer is given up
 }
 
-// clockReading is a reading of a worker's clock.
+// clockReading is a lower bound of the time on a worker's clock.
 type clockReading struct {
 	value      time.Duration // time on the worker's clock
-	receivedAt time.Time     // time at which the report with the reading arrived
+	receivedAt time.Time     // time at which the report that set it was handled
+}
+
+// update returns the reading after a report with the clock value that answers a poll sent at the time sent.
+//
+// A report that is handled late shows the clock as it was when the worker answered. Leases granted by that value would
+// be short by the delay, so the former reading counts where it gives a later time. A value that is further back than
+// the poll can have taken comes from a clock that started anew.
+func (k clockReading) update(sent, now time.Time, value time.Duration) clockReading {
+	if k.receivedAt.IsZero() {
+		return clockReading{value, now}
+	}
+	expected := k.value + time.Duration(float64(now.Sub(k.receivedAt))*minClockRate)
+	if expected-value > now.Sub(sent) {
+		return clockReading{value, now}
+	}
+	return clockReading{max(value, expected), now}
 }
 
 // now returns the time on the worker's clock at t, assuming that it runs at the rate of this host's clock.
@@ -49,11 +66,14 @@
 )
 
 const (
-	// answerSlack is well above the time that a worker's answer takes. firstAnswerSlack is well above the time of the
-	// first answer to this holder: all workers answer at once after a takeover, and with a shorter timeout all of them
-	// would be polled again.
-	answerSlack      = 700 * time.Millisecond
-	firstAnswerSlack = 2 * time.Second
+	// contactSlack is well above the time that a worker's answer takes. firstContactSlack is well above the time of the
+	// first answer to this holder, as all workers answer at once after a takeover.
+	contactSlack      = 700 * time.Millisecond
+	firstContactSlack = 2 * time.Second
+	// answerSlack is how late an answer may be read. The worker counts the ends that it lists as delivered, and the
+	// holder may be late because it is short of processor time. After pollIdle and answerSlack, enough of the lease is
+	// left to regain contact by one poll and to renew the lease by the next.
+	answerSlack = 2600 * time.Millisecond
 )
 
 // NextPoll returns the next poll to send to a worker. It returns false if the worker is not to be polled any more.
@@ -62,10 +82,10 @@
 	if w == nil {
 		return PollRequest{}, false
 	}
-	req := PollRequest{Incarnation: w.Incarnation, Addr: w.Addr, AnswerSlack: answerSlack}
+	req := PollRequest{Incarnation: w.Incarnation, Addr: w.Addr, ContactSlack: contactSlack, AnswerSlack: answerSlack}
 	if !w.polled {
 		w.polled = true
-		req.AnswerSlack = firstAnswerSlack
+		req.ContactSlack = firstContactSlack
 	}
 	if w.contact != ContactGood {
 		// The worker may have restarted under the same id and numbers its ends from 1 again. Acknowledging by the
@@ -145,7 +165,7 @@
 	}
 	c.extendExpiry(now, w)
 	w.contact = ContactGood
-	w.clock = clockReading{rep.Clock, now}
+	w.clock = w.clock.update(sent, now, rep.Clock)
 	var newEnds []FinishedRun
 	for _, f := range rep.Finished {
 		if f.Seq <= w.handledSeq {
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -75,7 +75,7 @@
 const (
 	ContactNone Contact = ""     // this incarnation has not answered a poll yet, so this holder has not fenced it
 	ContactGood Contact = "good" // the last poll was answered
-	ContactLost Contact = "lost" // the last poll failed
+	ContactLost Contact = "lost" // the last poll failed or is overdue
 )
 
 // worker is the current incarnation of a worker with the runs assigned to it. Runs of a former incarnation stay listed
