batch/agent: a poll that is made again waits only for the rest of its time

With answers used however late, a worker is out of contact once its answer is 0.7 s overdue. The poll now asks the worker to answer when the first one would have; 20 of 20 runs of the package pass.

--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -263,10 +263,13 @@
 	c.bypassed[worker] = time.Now().Add(bypassTime)
 }
 
-// Poll implements drive.WorkerClient. The poll of an agent that is lost is made another way; it is idempotent.
+// Poll implements drive.WorkerClient. The poll of an agent that is lost is made another way; it is idempotent. The worker
+// then delays its answer only for the rest of the wait, so that it isn't overdue.
 func (c *Client) Poll(ctx context.Context, req sched.PollRequest, fence int64) (sched.Report, sched.Outcome) {
 	c.awaitReady(ctx)
+	begun, wait := time.Now(), req.Wait
 	for range maxAttempts {
+		req.Wait = max(0, wait-time.Since(begun))
 		r := c.route(req.ID)
 		if r == nil {
 			break
@@ -284,6 +287,7 @@
 		return a.Report, a.Outcome
 	}
 	c.directCalls.Inc(1)
+	req.Wait = max(0, wait-time.Since(begun))
 	report, outcome := c.opts.Direct.Poll(ctx, req, fence)
 	if outcome == sched.OutcomeUnknown || outcome == sched.OutcomeUnsent {
 		c.setBypass(req.ID, false) // it isn't the agent that doesn't reach it
