batch/sched: an ended job is remembered by its final state alone

What callers saw: with thousands of workers and many jobs the holder grew until the memory limit ended it, and the next one inherited the state. Cause: an ended job stays known for twice the retention so that callers can ask for it, and kept its Job with the spec and the steps, its occurrences with all tasks, the observed durations and the failed runs for that long, although the store has only its state. The arrays of the store queue and of the pending acknowledgements kept the jobs that had been taken from them, too. Change: once the final state is stored, nothing is left to store after it and no run of the job is left, Core.jobs gives the job up, and Core.endedJobs keeps its state and when it ended. A job that a former holder has ended is restored as the same. Taken elements are cleared. Why it works: everything that asks for a job by its id asks for both. findTask finds no task of such a job, so the late end of a run is acknowledged and a run that a worker reports is stopped, like those of an unknown job. The condition is checked with each commit, and the end or the drop of the last run is followed by one.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -26,7 +26,9 @@
 	// When the reads of the directory and of the operators' intent that are in use began; zero: not known.
 	directoryReadAt, intentReadAt time.Time
 
-	jobs               map[string]*job                     // by id
+	jobs               map[string]*job                     // by id, without those in endedJobs
+	endedJobs          map[string]endedJob                 // jobs of which only the final state is kept, by id
+	settling           []*job                              // ended jobs whose final state is stored; see compactEnded
 	waitQueue          waitQueue                           // steps with tasks to place
 	storeQueue         storeQueue                          // jobs whose changed progress has to be stored
 	recurring          []*job                              // jobs with occurrences still to be released
@@ -60,6 +62,7 @@
 		opts:              opt,
 		termStart:         now,
 		jobs:              map[string]*job{},
+		endedJobs:         map[string]endedJob{},
 		workers:           map[string]*worker{},
 		workerIndexes:     map[string]*workerIndex{},
 		infeasibleByClass: map[placementClass]*infeasibleSizes{},
@@ -203,12 +206,16 @@
 
 // HasJob reports whether a job is known.
 func (c *Core) HasJob(id string) bool {
-	return c.jobs[id] != nil
+	_, ended := c.endedJobs[id]
+	return ended || c.jobs[id] != nil
 }
 
 // JobState returns the state of a job as callers may see it, and whether the job is known. A job that has ended is
 // shown as running until its final state is stored.
 func (c *Core) JobState(id string) (State, bool) {
+	if e, ok := c.endedJobs[id]; ok {
+		return e.state, true
+	}
 	j := c.jobs[id]
 	if j == nil {
 		return "", false
@@ -235,7 +242,7 @@
 
 // AddJob adds a job that is in the store. It does nothing if the job is known already.
 func (c *Core) AddJob(now time.Time, spec *Job) {
-	if c.jobs[spec.ID] != nil {
+	if c.HasJob(spec.ID) {
 		return
 	}
 	c.registerJob(now, &job{Job: spec, state: StateQueued, storedState: StateQueued})
@@ -338,7 +345,7 @@
 func (c *Core) CancelJob(now time.Time, id string) bool {
 	j := c.jobs[id]
 	if j == nil {
-		return false
+		return c.HasJob(id)
 	}
 	if !j.state.Final() {
 		c.finishJob(now, j, StateCancelled)
@@ -368,6 +375,12 @@
 // returns their ids.
 func (c *Core) ForgetJobs(now time.Time, keep time.Duration) []string {
 	var forgotten []string
+	for id, e := range c.endedJobs {
+		if now.Sub(e.endedAt) > keep {
+			delete(c.endedJobs, id)
+			forgotten = append(forgotten, id)
+		}
+	}
 	for id, j := range c.jobs {
 		if j.state.Final() && j.storedState == j.state && now.Sub(j.endedAt) > keep && j.activeRuns == 0 {
 			delete(c.jobs, id)
@@ -432,10 +445,13 @@
 
 // JobIDs returns the ids of all known jobs in no particular order.
 func (c *Core) JobIDs() []string {
-	ids := make([]string, 0, len(c.jobs))
+	ids := make([]string, 0, len(c.jobs)+len(c.endedJobs))
 	for id := range c.jobs {
 		ids = append(ids, id)
 	}
+	for id := range c.endedJobs {
+		ids = append(ids, id)
+	}
 	return ids
 }
 
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -64,6 +64,7 @@
 			remaining = append(remaining, j)
 		}
 	}
+	clear(c.recurring[len(remaining):])
 	c.recurring = remaining
 }
 
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -72,9 +72,13 @@
 func (c *Core) MarkCommitted(b *Batch) {
 	for id, s := range b.states {
 		if j := c.jobs[id]; j != nil {
+			if s.Final() && !j.storedState.Final() {
+				c.settling = append(c.settling, j)
+			}
 			j.storedState = s
 		}
 	}
+	c.compactEnded()
 	for _, a := range b.acks {
 		// The worker may have restarted while the batch was being stored. Its ends are then numbered
 		// from 1 again; acknowledging up to a number of the former incarnation would lose them.
@@ -134,8 +138,12 @@
 			return errors.Wrapf(err, "sched: progress of %s", id)
 		}
 	}
-	if spec == nil || p.State.Final() {
-		c.jobs[id] = &job{Job: &Job{ID: id, Queue: p.Queue}, state: p.State, storedState: p.State, endedAt: p.EndedAt, started: true}
+	if p.State.Final() {
+		c.endedJobs[id] = endedJob{p.State, p.EndedAt}
+		return nil
+	}
+	if spec == nil {
+		c.jobs[id] = &job{Job: &Job{ID: id, Queue: p.Queue}, state: p.State, storedState: p.State, started: true}
 		return nil
 	}
 	j := &job{Job: spec, state: p.State, storedState: p.State, restored: true, started: p.Started}
--- a/internal/batch/sched/storequeue.go
+++ b/internal/batch/sched/storequeue.go
@@ -44,10 +44,12 @@
 	var j *job
 	switch {
 	case len(q.urgent) > 0:
-		j, q.urgent = q.urgent[0], q.urgent[1:]
+		j, q.urgent[0] = q.urgent[0], nil // or the array would keep the job in memory
+		q.urgent = q.urgent[1:]
 		j.inUrgentQueue = false
 	case len(q.normal) > 0:
-		j, q.normal = q.normal[0], q.normal[1:]
+		j, q.normal[0] = q.normal[0], nil
+		q.normal = q.normal[1:]
 		j.inNormalQueue = false
 	}
 	return j
@@ -78,6 +80,7 @@
 		if first.job.collectedVersion < first.version {
 			return first.seq - 1
 		}
+		w.pendingAcks[0].job = nil // or the array would keep the job in memory
 		w.pendingAcks = w.pendingAcks[1:]
 	}
 	return w.handledSeq
