batch/drive, proc/front: new jobs are refused before the memory limit ends the holder

What callers saw: with thousands of workers and many jobs the process that holds was ended by its memory limit ("memory over the limit": peak 284.6 of 284 MB); all requests waited for the next holder, which inherited the same state. Cause: nothing compared the memory in use with limit.memory, and without a memory limit of the Go runtime garbage doubles the live heap. Change: `bramleysail host` sets the runtime's soft limit to 85 % of limit.memory at its start. The holder reads its memory at most twice a second (drive.memoryGuard, a decision without clock or readings) and refuses new jobs from the moment on when live memory reaches 75 % of the limit, or all memory 95 %, until both are 7 % below these marks. The time to come back follows from how the usage has fallen since its peak. State requests, cancellations, repeated submissions, polls and ends go on. Log line "memory short", gauge memory_level, counter refusals by cause. Only the command sets the soft limit and passes a reading, so tests and the demo, with many hosts in one process, aren't judged by it. Why it works: live memory, what a collection can't free, tells that jobs are too many; garbage doesn't, as the soft limit has it collected. Tests of internal/batch/drive, proc/front, proc/tool and platform pass, the first two with -race. No play at thousands of workers was made here.

--- /dev/null
+++ b/internal/batch/drive/admit.go
@@ -0,0 +1,64 @@
+package drive
+
+import (
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+)
+
+// refusalCause is why the holder refuses a new job.
+type refusalCause string
+
+// The causes of a refusal.
+const (
+	refusedForStore  refusalCause = "store"  // the store doesn't answer
+	refusedForMemory refusalCause = "memory" // this process is near its memory limit
+)
+
+// refusalCauses lists all causes.
+var refusalCauses = []refusalCause{refusedForStore, refusedForMemory}
+
+// admission decides whether new jobs are accepted. Holder.mu guards it.
+type admission struct {
+	memory     memoryGuard
+	readMemory func() MemoryUsage             // nil: the memory isn't watched
+	refusals   map[refusalCause]tally.Counter // refused jobs
+}
+
+func newAdmission(opt Options) admission {
+	a := admission{readMemory: opt.ReadMemory, refusals: map[refusalCause]tally.Counter{}}
+	if a.readMemory != nil {
+		a.memory.limit = opt.MemoryLimit
+	}
+	for _, cause := range refusalCauses {
+		a.refusals[cause] = opt.Scope.Tagged(map[string]string{"cause": string(cause)}).Counter("refusals")
+	}
+	return a
+}
+
+// checkMemory observes the memory usage if that is due.
+func (a *admission) checkMemory(now time.Time) {
+	if a.memory.due(now) {
+		a.memory.observe(now, a.readMemory())
+	}
+}
+
+// refuse counts a refusal and returns the reply.
+func (a *admission) refuse(cause refusalCause, why string, after time.Duration) (Reply, bool) {
+	a.refusals[cause].Inc(1)
+	return RefusedReply(why, after), true
+}
+
+// refuseJob returns the refusal of a job that isn't known yet, and whether it is refused. The caller holds h.mu.
+func (h *Holder) refuseJob(now time.Time, _ *sched.Job) (Reply, bool) {
+	if !h.writeStarted.IsZero() && now.Sub(h.writeStarted) > stalledWriteAfter {
+		return h.admission.refuse(refusedForStore, "store away", retryAfterStoreOutage)
+	}
+	h.admission.checkMemory(now)
+	if h.admission.memory.refusing {
+		return h.admission.refuse(refusedForMemory, "memory short", h.admission.memory.retryAfter())
+	}
+	return Reply{}, false
+}
--- a/internal/batch/drive/cluster_test.go
+++ b/internal/batch/drive/cluster_test.go
@@ -33,6 +33,9 @@
 
 	wrapStore func(store.TxnStore) store.TxnStore // wraps each host's client of the store; nil: no wrapper
 
+	memoryLimit uint64                   // of each host in bytes
+	readMemory  func() drive.MemoryUsage // returns the memory that each host uses; nil: it isn't watched
+
 	mu      sync.Mutex
 	cutZone string // failure domain that is partitioned from the others and the store; empty: none
 }
@@ -134,6 +137,7 @@
 			_ = drive.Run(drive.Options{ // an error only means that the tenure ended while loading
 				Store: client, Workers: workers, Codec: codec.New(), Tenure: tenure, Log: logr.Discard(),
 				WorkerLease: drive.WorkerLease(fleet.MaxLease), MaxWorkerLease: fleet.MaxLease, MaxUnconfirmed: drive.MaxUnconfirmed, MaxStopTime: fleet.MaxStopTime, JobRetention: time.Hour,
+				MemoryLimit: h.cluster.memoryLimit, ReadMemory: h.cluster.readMemory,
 			}, func(holder *drive.Holder) { h.setHolder(holder, tenure.Term()) })
 			h.setHolder(nil, 0)
 		})
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -54,6 +54,10 @@
 	Log            logr.Logger
 	Tenure         *lead.Tenure // this process's time as the holder
 	Scope          tally.Scope  // for metrics; nil: none
+	// MemoryLimit is the memory in bytes at which this process is ended; 0: not known. ReadMemory returns the memory
+	// that it uses; nil: the memory isn't watched.
+	MemoryLimit uint64
+	ReadMemory  func() MemoryUsage
 	// PeersConfirmedAt returns when most peers of this process last confirmed that they reach the store
 	// no better than it does. If it is nil, peers never confirm the holder.
 	PeersConfirmedAt func() time.Time
@@ -122,6 +126,7 @@
 	trackedCount         int                        // number of tracked workers, as last stored
 	loggedMaintenance    map[string]bool            // maintenance requests that were logged as refused
 	learnedModelStoredAt time.Time                  // when the learned model was last collected for a write
+	admission            admission                  // decides whether new jobs are accepted
 }
 
 // submission is a submitted job that isn't stored yet.
@@ -155,6 +160,7 @@
 	if h.opt.Scope == nil {
 		h.opt.Scope = tally.NoopScope
 	}
+	h.admission = newAdmission(h.opt)
 	h.countOrder = newOutcomeCounter(h.opt.Scope, "orders")
 	h.countEnd = newOutcomeCounter(h.opt.Scope, "ends")
 	start := time.Now()
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -32,14 +32,18 @@
 		unplaced := h.core.TakeUnplacedSteps()
 		placed, ended := h.core.TakeEvents()
 		var stats sched.Stats
+		var memory memoryGuard
 		reportDue := reporter.reportDue(now, lag)
 		if reportDue {
 			stats = h.core.Stats(now)
+			h.admission.checkMemory(now)
+			memory = h.admission.memory
 		}
 		h.mu.Unlock()
 		reporter.logBlockedStarts(h, staleCause)
 		if reportDue {
 			reporter.report(h, now, stats)
+			reporter.reportMemory(h, memory)
 		}
 		for _, u := range unplaced {
 			h.log.Info("waits", "job", u.Job, "step", u.Step, "image", u.Image, "tasks", u.Tasks, "since", u.Waited, "workers", u.Workers,
--- a/internal/batch/drive/request.go
+++ b/internal/batch/drive/request.go
@@ -135,9 +135,9 @@
 	}
 	s := h.submissionsByID[id]
 	if s == nil {
-		if !h.writeStarted.IsZero() && time.Since(h.writeStarted) > stalledWriteAfter {
+		if refusal, refused := h.refuseJob(time.Now(), job); refused {
 			h.mu.Unlock()
-			return RefusedReply("store away", retryAfterStoreOutage)
+			return refusal
 		}
 		s = &submission{job: job, data: data, done: make(chan struct{})}
 		h.submissionsByID[id] = s
--- a/internal/batch/drive/status.go
+++ b/internal/batch/drive/status.go
@@ -12,7 +12,7 @@
 const statusInterval = time.Second
 
 // statusReporter reports a holder's status as gauges. It logs when the holder begins and stops withholding tasks,
-// blocking starts and being behind.
+// blocking starts, being short of memory and being behind.
 type statusReporter struct {
 	scope        tally.Scope
 	tickDelay    tally.Histogram   // how late planLoop handles its ticks
@@ -20,6 +20,7 @@
 	withheld     int               // withheld tasks at that time
 	maxPlanLag   time.Duration     // largest plan lag since then
 	behindLogged bool              // the holder was last logged as behind
+	memoryShort  bool              // the memory was last logged as short
 	blockCause   sched.UnsentCause // why starts are blocked, as last logged; sched.CauseNone: they aren't
 }
 
@@ -65,6 +66,17 @@
 	h.log.Info("bars starts", "now", cause != sched.CauseNone, "cause", cause)
 }
 
+// reportMemory updates the gauge of the memory and logs when the holder begins and stops refusing new jobs because of
+// it.
+func (s *statusReporter) reportMemory(h *Holder, g memoryGuard) {
+	s.scope.Gauge("memory_level").Update(g.level)
+	if g.refusing == s.memoryShort {
+		return
+	}
+	s.memoryShort = g.refusing
+	h.log.Info("memory short", "now", g.refusing, "level", g.level, "limit", g.limit)
+}
+
 // logBehind logs when the holder begins and stops being behind.
 func (s *statusReporter) logBehind(h *Holder, stats sched.Stats) {
 	if behind := s.maxPlanLag >= behindThreshold; behind != s.behindLogged {
@@ -77,6 +89,7 @@
 // clearGauges resets the gauges when the tenure is over, as they would go on showing its last state.
 func (s *statusReporter) clearGauges() {
 	s.setGauges(0, sched.Stats{}, 0)
+	s.scope.Gauge("memory_level").Update(0)
 }
 
 // setGauges sets all gauges.
--- /dev/null
+++ b/internal/proc/front/memory_test.go
@@ -0,0 +1,39 @@
+package front
+
+import (
+	"runtime"
+	"testing"
+
+	"bramleysail.example/bramleysail/internal/base/conf"
+)
+
+// Guards against memory that is counted as garbage although it is in use, or the other way around.
+func TestReadMemory(t *testing.T) {
+	const size = 64 << 20
+	runtime.GC()
+	before := ReadMemory()
+	data := make([]byte, size)
+	runtime.GC()
+	held := ReadMemory()
+	runtime.KeepAlive(data)
+	data = nil
+	runtime.GC()
+	after := ReadMemory()
+	if held.Live < before.Live+size*9/10 || held.Total < held.Live {
+		t.Errorf("%+v with another %d bytes in use, %+v before", held, size, before)
+	}
+	if after.Live > held.Live-size*9/10 {
+		t.Errorf("%+v once they aren't in use any more, %+v before", after, held)
+	}
+}
+
+// Guards against garbage that fills the memory up to the limit, and against a limit of 0 where none is known.
+func TestSoftMemoryLimit(t *testing.T) {
+	if got := SoftMemoryLimit(conf.HostLimit{}); got != 0 {
+		t.Errorf("soft limit %d without a limit, want 0", got)
+	}
+	l := conf.HostLimit{MemoryMiB: 200}
+	if got := SoftMemoryLimit(l); got != 170<<20 || MemoryLimit(l) != 200<<20 {
+		t.Errorf("soft limit %d, limit %d; want 170 and 200 MiB", got, MemoryLimit(l))
+	}
+}
--- a/internal/proc/front/process.go
+++ b/internal/proc/front/process.go
@@ -32,6 +32,8 @@
 	ReadinessHandler func(ready func() bool) http.Handler // returns the HTTP handler of readiness checks
 	// TimeComputation times a fixed computation on the machine. If it is nil, a built-in one is used.
 	TimeComputation func() time.Duration
+	// ReadMemory returns the memory that this process uses. If it is nil, the memory isn't watched.
+	ReadMemory func() drive.MemoryUsage
 }
 
 // Process is one entry process. It is created by Start and ended by Stop.
@@ -183,6 +185,8 @@
 		JobRetention:     2 * conf.Seconds(p.settings.Bound.JobRetentionSeconds),
 		PeersConfirmedAt: p.monitor.lastConfirmed,
 		Scope:            p.forwarder.scope,
+		MemoryLimit:      MemoryLimit(p.settings.Limit),
+		ReadMemory:       p.adapters.ReadMemory,
 	}, p.forwarder.setLocalHolder)
 	cause := ""
 	if err != nil {
--- a/internal/proc/tool/host.go
+++ b/internal/proc/tool/host.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -42,6 +43,9 @@
 	if err != nil {
 		return err
 	}
+	if limit := front.SoftMemoryLimit(settings.Limit); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	logWriter := telem.NewAsyncWriter(out)
 	defer logWriter.Close()
 	log := telem.NewLogger(logWriter, settings.Log.Level).WithValues("host", settings.Name)
@@ -55,6 +59,7 @@
 		Codec:            platform.NewCodec(),
 		CallerHandler:    func(d *front.Forwarder) http.Handler { return platform.NewCallerHandler(d) },
 		ReadinessHandler: platform.NewReadinessHandler,
+		ReadMemory:       front.ReadMemory,
 	}, log)
 	if err != nil {
 		return err
