batch/sched, batch/drive: new jobs are refused while starts can't keep up

Cause: the start limiter bounds the starts in flight to what the process and its workers answer in time. When tasks become ready faster than that, they queue in the holder without bound; newer jobs go first, so the oldest wait longest. Change: each plan counts the tasks that the limiter, not a lack of room, holds back (sched.startBacklog). Once it has held some back in every plan for 2 s, a new job is refused if starting them, at the rate at which starts were answered in the last seconds, takes longer than the job stays useful to its caller (within 1 and 3 s), or if a step has been held back for over 3 s. Retry-After is the drain time less what the job bears; in the second case all of it, as newer jobs would go before that step. Known jobs, next steps, restarts of long-running tasks and occurrences go on. Log line "starts behind", gauges starts_held and starts_drain, counter refusals{cause="starts"}. Why it works: what is accepted stays within a few seconds of starts, and the step that has waited longest closes the door until it is served. A plan that the limiter doesn't bind, as with full workers, ends the count; a step that lacked a worker when last tried isn't counted, and the rate of a new holder with a thousand starts is known, and they are sent, before 2 s are over. Before, TestStartsBehind with the refusal taken out (virtual time, 60 jobs a second of which the processor starts some 35, room for all): overload_test.go:105: 0 jobs were refused under high load, within 0s and for at least 1h0m0s overload_test.go:114: an accepted job waited for 32.767s, want at most 8s overload_test.go:116: 261 of 1600 accepted jobs haven't completed; replies neither accepted nor refused: [] Other guards: without the 2 s TestAdmissionDelay and TestFullWorkersDontRefuse fail, without the bound on the oldest step TestStartsBehind (18.757s), with steps counted that have no room TestBacklogWithoutRoomDoesntRefuse. Result: 40 of 40 runs of TestStartsBehind and TestFullWorkersAccept pass; refusals take no virtual time. Tests of internal/batch, proc/front, proc/tool, platform pass, batch/sched and batch/drive with -race. No play with real processes was made here.

--- a/internal/batch/drive/admit.go
+++ b/internal/batch/drive/admit.go
@@ -15,16 +15,19 @@
 const (
 	refusedForStore  refusalCause = "store"  // the store doesn't answer
 	refusedForMemory refusalCause = "memory" // this process is near its memory limit
+	refusedForStarts refusalCause = "starts" // this process can't start in time what it has accepted
 )
 
 // refusalCauses lists all causes.
-var refusalCauses = []refusalCause{refusedForStore, refusedForMemory}
+var refusalCauses = []refusalCause{refusedForStore, refusedForMemory, refusedForStarts}
 
 // admission decides whether new jobs are accepted. Holder.mu guards it.
 type admission struct {
 	memory     memoryGuard
 	readMemory func() MemoryUsage             // nil: the memory isn't watched
 	refusals   map[refusalCause]tally.Counter // refused jobs
+
+	startsRefusedAt time.Time // when a job was last refused as starts are behind
 }
 
 func newAdmission(opt Options) admission {
@@ -52,7 +55,7 @@
 }
 
 // refuseJob returns the refusal of a job that isn't known yet, and whether it is refused. The caller holds h.mu.
-func (h *Holder) refuseJob(now time.Time, _ *sched.Job) (Reply, bool) {
+func (h *Holder) refuseJob(now time.Time, job *sched.Job) (Reply, bool) {
 	if !h.writeStarted.IsZero() && now.Sub(h.writeStarted) > stalledWriteAfter {
 		return h.admission.refuse(refusedForStore, "store away", retryAfterStoreOutage)
 	}
@@ -60,5 +63,9 @@
 	if h.admission.memory.refusing {
 		return h.admission.refuse(refusedForMemory, "memory short", h.admission.memory.retryAfter())
 	}
+	if delay := h.core.AdmissionDelay(now, job); delay > 0 {
+		h.admission.startsRefusedAt = now
+		return h.admission.refuse(refusedForStarts, "starts behind", delay)
+	}
 	return Reply{}, false
 }
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -33,17 +33,19 @@
 		placed, ended := h.core.TakeEvents()
 		var stats sched.Stats
 		var memory memoryGuard
+		var startsRefusedAt time.Time
 		reportDue := reporter.reportDue(now, lag)
 		if reportDue {
 			stats = h.core.Stats(now)
 			h.admission.checkMemory(now)
-			memory = h.admission.memory
+			memory, startsRefusedAt = h.admission.memory, h.admission.startsRefusedAt
 		}
 		h.mu.Unlock()
 		reporter.logBlockedStarts(h, staleCause)
 		if reportDue {
 			reporter.report(h, now, stats)
 			reporter.reportMemory(h, memory)
+			reporter.logRefusing(h, now, startsRefusedAt, stats)
 		}
 		for _, u := range unplaced {
 			h.log.Info("waits", "job", u.Job, "step", u.Step, "image", u.Image, "tasks", u.Tasks, "since", u.Waited, "workers", u.Workers,
--- a/internal/batch/drive/status.go
+++ b/internal/batch/drive/status.go
@@ -11,8 +11,11 @@
 // statusInterval is the interval at which a holder updates its gauges.
 const statusInterval = time.Second
 
+// refusingQuiet is how long no job was refused when refusing counts as over.
+const refusingQuiet = 3 * time.Second
+
 // statusReporter reports a holder's status as gauges. It logs when the holder begins and stops withholding tasks,
-// blocking starts, being short of memory and being behind.
+// blocking starts, refusing new jobs and being behind.
 type statusReporter struct {
 	scope        tally.Scope
 	tickDelay    tally.Histogram   // how late planLoop handles its ticks
@@ -21,6 +24,7 @@
 	maxPlanLag   time.Duration     // largest plan lag since then
 	behindLogged bool              // the holder was last logged as behind
 	memoryShort  bool              // the memory was last logged as short
+	refusing     bool              // the holder was last logged as refusing jobs as starts are behind
 	blockCause   sched.UnsentCause // why starts are blocked, as last logged; sched.CauseNone: they aren't
 }
 
@@ -77,6 +81,16 @@
 	h.log.Info("memory short", "now", g.refusing, "level", g.level, "limit", g.limit)
 }
 
+// logRefusing logs when the holder begins and stops refusing new jobs as it can't start in time what it has accepted.
+func (s *statusReporter) logRefusing(h *Holder, now, refusedAt time.Time, stats sched.Stats) {
+	refusing := now.Sub(refusedAt) < refusingQuiet
+	if refusing == s.refusing {
+		return
+	}
+	s.refusing = refusing
+	h.log.Info("starts behind", "now", refusing, "tasks", stats.HeldTasks, "drain", stats.StartDrainTime, "window", stats.StartWindow)
+}
+
 // logBehind logs when the holder begins and stops being behind.
 func (s *statusReporter) logBehind(h *Holder, stats sched.Stats) {
 	if behind := s.maxPlanLag >= behindThreshold; behind != s.behindLogged {
@@ -105,5 +119,7 @@
 	s.scope.Gauge("steps_waiting").Update(float64(stats.WaitingSteps))
 	s.scope.Gauge("longest_wait").Update(stats.LongestWait.Seconds())
 	s.scope.Gauge("behind").Update(lag.Seconds())
+	s.scope.Gauge("starts_held").Update(float64(stats.HeldTasks))
+	s.scope.Gauge("starts_drain").Update(stats.StartDrainTime.Seconds())
 	s.scope.Gauge("starts_open").Update(float64(stats.OpenStarts))
 }
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -43,6 +43,7 @@
 	sampleCount        int                                 // how often workers were sampled
 	evacuatedZones     map[string]bool                     // failure domains that operators have taken out
 	startLimiter       startLimiter                        // bounds the starts in flight
+	startBacklog       startBacklog                        // tasks that wait although workers have room
 	planNumber         int                                 // number of the newest plan
 	onTimeUnplaced     map[string]int                      // by service: newest plan with an on-time best-effort step unplaced
 	starvedRuns        int                                 // runs that were started for starved jobs
@@ -118,6 +119,8 @@
 	precedence        precedence           // its rank in the wait queue
 	infeasible        *infeasibleSizes     // of its placement class; nil: not looked up yet
 	starved           bool                 // its job counts as starved; see Core.updateStarved
+	lacksWorker       bool                 // the last plan that tried it left tasks without a worker or withheld
+	heldSince         time.Time            // since when the start limiter holds it back; valid if not before startBacklog.limitedSince
 	releasedAt        time.Time            // when the job was accepted or its occurrence fell due
 	unplacedSince     time.Time            // when a task of it first found no worker; zero: never
 	reportedWait      time.Duration        // time since unplacedSince when that was last reported; 0: never reported
@@ -339,6 +342,7 @@
 	}
 	s.inWaitQueue = true
 	c.waitQueue.add(s)
+	c.startBacklog.ready += s.pending
 }
 
 // CancelJob cancels a job and reports whether it is known. A job that has ended keeps its state.
--- a/internal/batch/sched/outcome.go
+++ b/internal/batch/sched/outcome.go
@@ -25,6 +25,9 @@
 		r.settleOrder(now, o.Verb, out)
 		if o.Verb == VerbStart {
 			c.startLimiter.recordAnswer(now, now.Sub(r.orderedAt), out)
+			if out == OutcomeDone {
+				c.startBacklog.recordAnswer(now)
+			}
 		}
 	}
 	if r != nil && r.incarnation != w.StartedAt && out != OutcomeUnsent {
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -37,10 +37,12 @@
 			break
 		}
 		orders = c.placeStep(now, s, formerRuns && s.job.restored, orders)
+		s.lacksWorker = s.pending > 0 && !c.startLimiter.limited
 		if s.pending == 0 {
 			c.recordPlaced(now, s)
 		}
 	}
+	c.updateStartBacklog(now, formerRuns)
 	return orders
 }
 
@@ -253,6 +255,7 @@
 	t.lastRunNumber = number
 	s := t.step
 	s.pending--
+	s.heldSince = time.Time{}
 	if s.spec.BestEffort {
 		w.colocation.bestEffortActiveAt = now
 	}
--- a/internal/batch/sched/stats.go
+++ b/internal/batch/sched/stats.go
@@ -14,6 +14,8 @@
 	IntentAge        time.Duration // the same for the read of the operators' intent
 	OpenStarts       int           // starts in flight
 	StartWindow      int           // starts that may be in flight
+	HeldTasks        int           // tasks that the start limiter holds back although workers may have room
+	StartDrainTime   time.Duration // expected time until these are started
 	WaitingSteps     int           // unplaced steps: those with a task that found no worker
 	LongestWait      time.Duration // longest time since a task of one of these first found no worker
 }
@@ -32,6 +34,7 @@
 // Stats returns the state at now.
 func (c *Core) Stats(now time.Time) Stats {
 	s := Stats{ConfirmationAge: c.confirmationAge(now), OpenStarts: len(c.startLimiter.inFlight), StartWindow: c.startLimiter.window}
+	s.HeldTasks, s.StartDrainTime = c.startBacklog.held, c.startBacklog.drainTime(now)
 	s.DirectoryAge, s.IntentAge = c.readAges()
 	for _, w := range c.workersByID {
 		switch w.contact {
