--- a/internal/batch/drive/status.go
+++ b/internal/batch/drive/status.go
@@ -11,8 +11,11 @@
 // statusInterval is the interval at which a holder updates its gauges.
 const statusInterval = time.Second
 
+// refusingQuiet is how long no job was refused when refusing counts as over.
+const refusingQuiet = 3 * time.Second
+
 // statusReporter reports a holder's status as gauges. It logs when the holder begins and stops withholding tasks,
-// blocking starts and being behind.
+// blocking starts, refusing new jobs and being behind.
 type statusReporter struct {
 	scope        tally.Scope
 	tickDelay    tally.Histogram   // how late planLoop handles its ticks
@@ -20,6 +23,8 @@
 	withheld     int               // withheld tasks at that time
 	maxPlanLag   time.Duration     // largest plan lag since then
 	behindLogged bool              // the holder was last logged as behind
+	memoryShort  bool              // the memory was last logged as short
+	refusing     bool              // the holder was last logged as refusing jobs as starts are behind
 	blockCause   sched.UnsentCause // why starts are blocked, as last logged; sched.CauseNone: they aren't
 }
 
@@ -65,6 +70,27 @@
 	h.log.Info("bars starts", "now", cause != sched.CauseNone, "cause", cause)
 }
 
+// reportMemory updates the gauge of the memory and logs when the holder begins and stops refusing new jobs because of
+// it.
+func (s *statusReporter) reportMemory(h *Holder, g memoryGuard) {
+	s.scope.Gauge("memory_level").Update(g.level)
+	if g.refusing == s.memoryShort {
+		return
+	}
+	s.memoryShort = g.refusing
+	h.log.Info("memory short", "now", g.refusing, "level", g.level, "limit", g.limit)
+}
+
+// logRefusing logs when the holder begins and stops refusing new jobs as it can't start in time what it has accepted.
+func (s *statusReporter) logRefusing(h *Holder, now, refusedAt time.Time, stats sched.Stats) {
+	refusing := now.Sub(refusedAt) < refusingQuiet
+	if refusing == s.refusing {
+		return
+	}
+	s.refusing = refusing
+	h.log.Info("starts behind", "now", refusing, "tasks", stats.HeldTasks, "drain", stats.StartDrainTime, "window", stats.StartWindow)
+}
+
 // logBehind logs when the holder begins and stops being behind.
 func (s *statusReporter) logBehind(h *Holder, stats sched.Stats) {
 	if behind := s.maxPlanLag >= behindThreshold; behind != s.behindLogged {
@@ -77,6 +103,7 @@
 // clearGauges resets the gauges when the tenure is over, as they would go on showing its last state.
 func (s *statusReporter) clearGauges() {
 	s.setGauges(0, sched.Stats{}, 0)
+	s.scope.Gauge("memory_level").Update(0)
 }
 
 // setGauges sets all gauges.
@@ -92,5 +119,7 @@
 	s.scope.Gauge("steps_waiting").Update(float64(stats.WaitingSteps))
 	s.scope.Gauge("longest_wait").Update(stats.LongestWait.Seconds())
 	s.scope.Gauge("behind").Update(lag.Seconds())
+	s.scope.Gauge("starts_held").Update(float64(stats.HeldTasks))
+	s.scope.Gauge("starts_drain").Update(stats.StartDrainTime.Seconds())
 	s.scope.Gauge("starts_open").Update(float64(stats.OpenStarts))
 }
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -26,7 +26,9 @@
 	// When the reads of the directory and of the operators' intent that are in use began; zero: not known.
 	directoryReadAt, intentReadAt time.Time
 
-	jobs               map[string]*job                     // by id
+	jobs               map[string]*job                     // by id, without those in endedJobs
+	endedJobs          map[string]endedJob                 // jobs of which only the final state is kept, by id
+	settling           []*job                              // ended jobs whose final state is stored; see compactEnded
 	waitQueue          waitQueue                           // steps with tasks to place
 	storeQueue         storeQueue                          // jobs whose changed progress has to be stored
 	recurring          []*job                              // jobs with occurrences still to be released
@@ -43,6 +45,7 @@
 	trackedVersion     uint64                              // changes with the list of TrackedWorkers
 	evacuatedZones     map[string]bool                     // failure domains that operators have taken out
 	startLimiter       startLimiter                        // bounds the starts in flight
+	startBacklog       startBacklog                        // tasks that wait although workers have room
 	planNumber         int                                 // number of the newest plan
 	onTimeUnplaced     map[string]int                      // by service: newest plan with an on-time best-effort step unplaced
 	starvedRuns        int                                 // runs that were started for starved jobs
@@ -62,6 +65,7 @@
 		opts:              opt,
 		termStart:         now,
 		jobs:              map[string]*job{},
+		endedJobs:         map[string]endedJob{},
 		workers:           map[string]*worker{},
 		workerIndexes:     map[string]*workerIndex{},
 		infeasibleByClass: map[placementClass]*infeasibleSizes{},
@@ -117,6 +121,8 @@
 	precedence        precedence           // its rank in the wait queue
 	infeasible        *infeasibleSizes     // of its placement class; nil: not looked up yet
 	starved           bool                 // its job counts as starved; see Core.updateStarved
+	lacksWorker       bool                 // the last plan that tried it left tasks without a worker or withheld
+	heldSince         time.Time            // since when the start limiter holds it back; valid if not before startBacklog.limitedSince
 	releasedAt        time.Time            // when the job was accepted or its occurrence fell due
 	unplacedSince     time.Time            // when a task of it first found no worker; zero: never
 	reportedWait      time.Duration        // time since unplacedSince when that was last reported; 0: never reported
@@ -205,12 +211,16 @@
 
 // HasJob reports whether a job is known.
 func (c *Core) HasJob(id string) bool {
-	return c.jobs[id] != nil
+	_, ended := c.endedJobs[id]
+	return ended || c.jobs[id] != nil
 }
 
 // JobState returns the state of a job as callers may see it, and whether the job is known. A job that has ended is
 // shown as running until its final state is stored.
 func (c *Core) JobState(id string) (State, bool) {
+	if e, ok := c.endedJobs[id]; ok {
+		return e.state, true
+	}
 	j := c.jobs[id]
 	if j == nil {
 		return "", false
@@ -237,7 +247,7 @@
 
 // AddJob adds a job that is in the store. It does nothing if the job is known already.
 func (c *Core) AddJob(now time.Time, spec *Job) {
-	if c.jobs[spec.ID] != nil {
+	if c.HasJob(spec.ID) {
 		return
 	}
 	c.registerJob(now, &job{Job: spec, state: StateQueued, storedState: StateQueued})
@@ -334,13 +344,14 @@
 	}
 	s.inWaitQueue = true
 	c.waitQueue.add(s)
+	c.startBacklog.ready += s.pending
 }
 
 // CancelJob cancels a job and reports whether it is known. A job that has ended keeps its state.
 func (c *Core) CancelJob(now time.Time, id string) bool {
 	j := c.jobs[id]
 	if j == nil {
-		return false
+		return c.HasJob(id)
 	}
 	if !j.state.Final() {
 		c.finishJob(now, j, StateCancelled)
@@ -370,6 +381,12 @@
 // returns their ids.
 func (c *Core) ForgetJobs(now time.Time, keep time.Duration) []string {
 	var forgotten []string
+	for id, e := range c.endedJobs {
+		if now.Sub(e.endedAt) > keep {
+			delete(c.endedJobs, id)
+			forgotten = append(forgotten, id)
+		}
+	}
 	for id, j := range c.jobs {
 		if j.state.Final() && j.storedState == j.state && now.Sub(j.endedAt) > keep && j.activeRuns == 0 {
 			delete(c.jobs, id)
@@ -434,10 +451,13 @@
 
 // JobIDs returns the ids of all known jobs in no particular order.
 func (c *Core) JobIDs() []string {
-	ids := make([]string, 0, len(c.jobs))
+	ids := make([]string, 0, len(c.jobs)+len(c.endedJobs))
 	for id := range c.jobs {
 		ids = append(ids, id)
 	}
+	for id := range c.endedJobs {
+		ids = append(ids, id)
+	}
 	return ids
 }
 
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -72,6 +72,7 @@
 			remaining = append(remaining, j)
 		}
 	}
+	clear(c.recurring[len(remaining):])
 	c.recurring = remaining
 }
 
