batch/agent: orders wait 200 ms at most

sched reserves 400 ms (orderMargin) for an order's way and for the age of the store's last word, up to 240 ms with a lease of 1.2 s renewed five times. An order over an agent could wait 300 ms of that. 200 ms bring the sum to 440 ms at worst.

The cause of the loss of an agent that doesn't reply reads "no reply".

--- a/internal/batch/agent/remote.go
+++ b/internal/batch/agent/remote.go
@@ -18,9 +18,9 @@
 	// readGrace follows agentTimeout. In it, a holder that is short of processor time reads the replies that have
 	// already arrived.
 	readGrace = 200 * time.Millisecond
-	// maxOrderTransit is the longest time from an order to the agent's call. It is less than sched reserves for the
-	// transit of an order.
-	maxOrderTransit = 300 * time.Millisecond
+	// maxOrderTransit is the longest time from an order to the agent's call. It is half of what sched reserves for the
+	// transit of an order and the time since the last confirmation (orderMargin).
+	maxOrderTransit = 200 * time.Millisecond
 	// maxPollTransit is the same for a poll.
 	maxPollTransit = time.Second
 	// maxQueuedCalls bounds the calls that wait to be sent to one agent.
@@ -32,6 +32,8 @@
 	errNotMade = errors.New("agent: call not made")
 	// errLost means that the agent was lost and may have made the call, or may still make it.
 	errLost = errors.New("agent: lost")
+	// errNoReply is the cause of the loss of an agent that doesn't reply.
+	errNoReply = errors.New("agent: no reply")
 )
 
 // remoteState is the state of a session with an agent.
@@ -121,7 +123,7 @@
 	ctx, cancel := context.WithCancel(r.ctx)
 	expire := func() {
 		if ctx.Err() == nil {
-			r.end(errors.Wrap(errLost, "no reply"))
+			r.end(errNoReply)
 		}
 	}
 	t := time.AfterFunc(timeout, func() { // the grace begins when this process has come to notice the timeout
--- a/internal/batch/sched/sendcheck.go
+++ b/internal/batch/sched/sendcheck.go
@@ -18,9 +18,9 @@
 	CauseStaleIntent    UnsentCause = "intent"  // the last read of the operators' intent is too old, though the store answers
 )
 
-// CheckSend is called right before an order is sent. It returns the cause for which the order must not be sent, or
-// CauseNone after recording now as the time of sending. The caller passes an order that it does not send to HandleOutcome
-// with OutcomeUnsent.
+// CheckSend is called right before an order is sent, or passed to an agent that sends it within half of orderMargin. It
+// returns the cause for which the order must not be sent, or CauseNone after recording now as the time of sending. The
+// caller passes an order that it does not send to HandleOutcome with OutcomeUnsent.
 //
 // It guards against orders that became outdated while they waited to be sent, which happens when there are many: a
 // worker would carry out a start for a job whose cancellation was acknowledged meanwhile, or from a holder whose
