batch/agent: a poll made another way grants nothing

A poll carries the lease and the acknowledgement of the moment when it was made. Passed on after an agent's loss, up to 1.3 s later, it could reach a worker that has restarted since, which would forget ends by the numbers of its former incarnation and take a lease on that one's clock. It now asks only, is answered at once, and the next poll is up to date. An agent makes no poll that is older than 0.5 s (1 s before), and says so, which makes no worker bypass it; a poll that it couldn't send is made directly instead of losing contact.

An order passed from agent to agent keeps its 200 ms in all. An agent that stops as it is first called is logged as stopping, not as lost.

--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -225,6 +225,8 @@
 	}
 	c.mu.Unlock()
 	switch {
+	case cause != nil && isStopping(cause):
+		c.opts.Log.Info("agent stops", "agent", r.addr)
 	case cause != nil:
 		c.opts.Log.Info("agent lost", "agent", r.addr, "how", name, "cause", cause.Error())
 		c.opts.Scope.Tagged(map[string]string{"how": name}).Counter("agents_lost").Inc(1)
@@ -263,7 +265,8 @@
 	c.bypassed[worker] = time.Now().Add(bypassTime)
 }
 
-// Poll implements drive.WorkerClient. The poll of an agent that is lost is made another way; it is idempotent.
+// Poll implements drive.WorkerClient. A poll that a lost agent may have made, or that wasn't made in time, is made another
+// way.
 func (c *Client) Poll(ctx context.Context, req sched.PollRequest, fence int64) (sched.Report, sched.Outcome) {
 	c.awaitReady(ctx)
 	for range maxAttempts {
@@ -276,12 +279,15 @@
 		switch {
 		case ctx.Err() != nil:
 			return sched.Report{}, sched.OutcomeUnknown
-		case err != nil:
-			continue
-		case a.Outcome == sched.OutcomeUnknown || a.Outcome == sched.OutcomeUnsent:
+		case err == nil && a.Outcome == sched.OutcomeUnknown:
+			c.setBypass(req.ID, true)
+			return sched.Report{}, sched.OutcomeUnknown
+		case err == nil && a.Outcome == sched.OutcomeUnsent && !a.Expired:
 			c.setBypass(req.ID, true)
+		case err == nil && !a.Expired:
+			return a.Report, a.Outcome
 		}
-		return a.Report, a.Outcome
+		req = withoutGrants(req)
 	}
 	c.directCalls.Inc(1)
 	report, outcome := c.opts.Direct.Poll(ctx, req, fence)
@@ -291,6 +297,13 @@
 	return report, outcome
 }
 
+// withoutGrants returns a poll that is answered at once and neither renews the lease nor acknowledges ends. The worker may
+// have restarted since the poll was made, and numbers its ends and counts its time anew; the next poll is up to date.
+func withoutGrants(req sched.PollRequest) sched.PollRequest {
+	req.LeaseUntil, req.AckedSeq, req.Wait = 0, 0, 0
+	return req
+}
+
 // SendOrder implements drive.WorkerClient.
 //
 // An order that a lost agent may have received may still be carried out, also after its worker has restarted. If a start
@@ -305,7 +318,11 @@
 			break
 		}
 		c.agentCalls.Inc(1)
-		a, err := r.call(ctx, Call{Fence: fence, Order: &o}, maxOrderTransit)
+		transit := maxOrderTransit
+		if o.Verb != sched.VerbStop {
+			transit -= time.Since(begun)
+		}
+		a, err := r.call(ctx, Call{Fence: fence, Order: &o}, transit)
 		switch {
 		case err == nil:
 			return a.Outcome
--- a/internal/batch/agent/remote.go
+++ b/internal/batch/agent/remote.go
@@ -22,7 +22,7 @@
 	// transit of an order and the time since the last confirmation (orderMargin).
 	maxOrderTransit = 200 * time.Millisecond
 	// maxPollTransit is the same for a poll.
-	maxPollTransit = time.Second
+	maxPollTransit = 500 * time.Millisecond
 	// maxQueuedCalls bounds the calls that wait to be sent to one agent.
 	maxQueuedCalls = 4096
 )
@@ -226,7 +226,7 @@
 		r.finish(c.ID, callResult{err: errNotMade})
 	}
 	r.mu.Unlock()
-	if err.Error() != errStopping.Error() {
+	if !isStopping(err) {
 		r.end(err)
 		return
 	}
@@ -239,9 +239,12 @@
 	return errors.As(err, &serverErr)
 }
 
+// isStopping reports whether err is the answer of an agent that stops.
+func isStopping(err error) bool { return isRefusal(err) && err.Error() == errStopping.Error() }
+
 // lacksService reports whether err is the answer of a process of an older build.
 func lacksService(err error) bool {
-	return isRefusal(err) && err.Error() != errStopping.Error() && err.Error() != errNoSession.Error()
+	return isRefusal(err) && !isStopping(err) && err.Error() != errNoSession.Error()
 }
 
 // receiveLoop passes on the answers until the session ends.
--- a/internal/batch/agent/service.go
+++ b/internal/batch/agent/service.go
@@ -139,7 +139,9 @@
 func (s *Service) makeCall(ctx context.Context, c Call) Answer {
 	a := Answer{ID: c.ID, Outcome: sched.OutcomeUnsent}
 	switch {
-	case s.clock() > c.Deadline || ctx.Err() != nil:
+	case ctx.Err() != nil:
+	case s.clock() > c.Deadline:
+		a.Expired = true
 	case c.Poll != nil:
 		a.Report, a.Outcome = s.workers.Poll(ctx, *c.Poll, c.Fence)
 	case c.Order != nil:
