sched: the window of starts bounds all that are unanswered

What callers saw: a holder short of processor time sent a burst of 470 starts, of which 200 got no answer in time, lost contact with 291 workers within two seconds, and went on so: starts by their hundreds take the turns that the answers need.

Cause: a start counted as in flight for 300 ms, though answers take 600 ms and more then, so that a new window was sent before the outcome of the former was known. And the window of a moment with much processor time (up to 1,024) stayed for good, to be sent at once when many tasks next wait.

Now a start counts until its outcome is known. So that silent workers don't hold up others, it stops to count once a start that was sent 300 ms after it or later is answered promptly: then it's the worker that is slow and not this process. 8 starts may always be sent beside overdue ones, so that there is such a start. A window that limits nothing is halved each second, to 64.

Before: --- FAIL: TestUnansweredStartsStayBounded: 128 starts before the first is answered, want 64 to 72 --- FAIL: TestUnusedWindowShrinks: 1000 starts at once 10 s later, want 64 Now they pass; TestSilentWorkersFreeTheWindow guards the new design. TestUnansweredStartsExpire, TestStartsFollowAnswers and TestSilentWorkersDelayOnlyTheirOwnOrders pass unchanged.

--- a/internal/batch/sched/limiter.go
+++ b/internal/batch/sched/limiter.go
@@ -6,17 +6,23 @@
 )
 
 // startLimiter bounds the starts in flight to what this process and its workers answer in time. The window grows by one
-// with each prompt answer while it limits starts, and halves while late answers outnumber prompt ones. A task that the
-// window delays takes no resources on a worker. When more starts may be sent, the steps that are then first in the wait
-// queue are placed.
+// with each prompt answer while it limits starts, and halves while late answers outnumber prompt ones, and while it is
+// not used. A task that the window delays takes no resources on a worker. When more starts may be sent, the steps that
+// are then first in the wait queue are placed.
 //
 // Without it, a thousand starts would be sent at once after a takeover. The holder would need longer to send them
 // than it waits for their answers, so tasks that run would be taken for lost and started again.
+//
+// A start counts until its outcome is known. If no answer comes for overdueAfter, either this process is short of
+// processor time or the worker is silent. A start sent after that decides: if it is answered promptly, it is the worker,
+// whose start counts no longer. A few starts are always allowed beside overdue ones, so that there is such a start.
 type startLimiter struct {
 	window        int       // starts that may be in flight; 0: initialWindow
 	available     int       // starts that the current plan may still add
 	limited       bool      // the window kept the newest plan from adding a start
-	inFlight      []*run    // runs whose start was sent recently and isn't answered, oldest first
+	limitedAt     time.Time // when the window last did, or was last halved for not being used
+	inFlight      []*run    // runs whose start isn't answered, oldest first
+	newestPrompt  time.Time // when the newest promptly answered start was sent
 	intervalStart time.Time // since when answers are counted
 	promptAnswers int       // prompt answers since then
 	lateAnswers   int       // late answers, and starts without one, since then
@@ -32,9 +38,11 @@
 	lateAnswer   = 150 * time.Millisecond
 	// shrinkInterval is the least time between two reductions of the window.
 	shrinkInterval = 200 * time.Millisecond
-	// inFlightTimeout is how long a start without an answer counts as in flight, so that workers that don't answer
-	// don't delay the starts on others.
-	inFlightTimeout = 300 * time.Millisecond
+	// idleWindowLifetime is how long the window is kept while it limits no start. What the processor could do then tells
+	// nothing of the load that it has later.
+	idleWindowLifetime = time.Second
+	// overdueAfter is the time from which on a start without an answer is overdue.
+	overdueAfter = 300 * time.Millisecond
 )
 
 // refresh computes how many starts the next plan may add.
@@ -42,10 +50,24 @@
 	if l.window == 0 {
 		l.window = initialWindow
 	}
+	switch {
+	case l.limited:
+		l.limitedAt = now
+	case now.Sub(l.limitedAt) >= idleWindowLifetime:
+		l.window = max(l.window/2, min(l.window, initialWindow))
+		l.limitedAt = now
+	}
+	recent := 0
 	l.inFlight = slices.DeleteFunc(l.inFlight, func(r *run) bool {
-		return r.state != RunSent || r.task == nil || r.task.run != r || now.Sub(r.orderedAt) >= inFlightTimeout
+		if r.state != RunSent || r.task == nil || r.task.run != r || l.newestPrompt.Sub(r.orderedAt) >= overdueAfter {
+			return true
+		}
+		if now.Sub(r.orderedAt) < overdueAfter {
+			recent++
+		}
+		return false
 	})
-	l.available = l.window - len(l.inFlight)
+	l.available = max(l.window-len(l.inFlight), minWindow-recent)
 	l.limited = false
 }
 
@@ -79,6 +101,7 @@
 		l.lateAnswers++
 	case took < promptAnswer:
 		l.promptAnswers++
+		l.newestPrompt = latest(l.newestPrompt, now.Add(-took))
 		if l.limited {
 			l.window = min(l.window+1, maxWindow)
 		}
