drive, sched: polls wait for the store as long as an idle poll would

What callers saw: after one second of silence of all workers a load that the holder had served before was served no more, for as long as it lasted. Up to 3,604 of 5,511 polls in 5 s brought only ends that the holder had already.

Cause: awaitStoredEnds gave up after 500 ms; the next poll then has no wait, is answered at once with the same ends, and takes the processor time that the answers and the writes to the store need.

Now it waits as long as a poll would wait for an end: 1.4 s, less where measurements are due more often. It keeps a second of the worker's lease for the next poll, so that a report read 3 s late doesn't cost the lease (but 200 ms at least). Between two renewals of a lease there may then be 2.8 s once, with a store slower than that; it was 1.9 s.

--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -86,7 +86,6 @@
 	commitDelay          = 20 * time.Millisecond
 	loadRetryDelay       = 100 * time.Millisecond // after a failed attempt to load the state
 	pollRetryDelay       = 150 * time.Millisecond // after a poll without an answer
-	maxStoreWait         = 500 * time.Millisecond // for the ended runs of a report to be stored before the next poll
 	forgetInterval       = 10 * time.Second       // between removals of jobs past their retention
 	learnedModelInterval = 3 * time.Second        // between two writes of the learned model
 	// stalledWriteAfter is the duration of a write from which on submissions are refused at once.
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -242,10 +242,13 @@
 	h.awaitStoredEnds(id)
 }
 
-// awaitStoredEnds waits, up to maxStoreWait, until the ended runs that a worker has reported are stored. The next
-// poll acknowledges them; if it were sent before, the worker would answer at once with the same ended runs.
+// awaitStoredEnds waits, up to the core's MaxStoreWait, until the ended runs that a worker has reported are stored. The
+// next poll acknowledges them; if it were sent before, the worker would answer at once with the same ended runs.
 func (h *Holder) awaitStoredEnds(id string) {
-	t := time.NewTimer(maxStoreWait)
+	h.mu.Lock()
+	limit := h.core.MaxStoreWait(time.Now(), id)
+	h.mu.Unlock()
+	t := time.NewTimer(limit)
 	defer t.Stop()
 	for {
 		h.mu.Lock()
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -93,13 +93,7 @@
 		return req, true
 	}
 	req.AckedSeq = w.ackedSeq
-	req.Wait = pollIdle
-	if w.colocated() {
-		req.Wait = pollColocated
-		if w.overTarget() {
-			req.Wait = pollOverTarget
-		}
-	}
+	req.Wait = w.pollInterval()
 	for _, r := range w.runList {
 		if r.state == RunUnknown || r.state == RunStopped {
 			req.Wait = pollUnresolved
@@ -114,6 +108,31 @@
 	return req, true
 }
 
+// pollInterval returns the time that may pass between two polls of a worker if no run ends and none is unresolved.
+func (w *worker) pollInterval() time.Duration {
+	switch {
+	case !w.colocated():
+		return pollIdle
+	case w.overTarget():
+		return pollOverTarget
+	}
+	return pollColocated
+}
+
+// minStoreWait is the least time for which the next poll waits until ends are stored, however little is left of the lease.
+const minStoreWait = 200 * time.Millisecond
+
+// MaxStoreWait returns how long the next poll of a worker may wait until the ends that it has reported are stored. That is
+// no longer than a poll waits for an end, so that measurements arrive as often, and leaves time to renew the lease.
+func (c *Core) MaxStoreWait(now time.Time, id string) time.Duration {
+	w := c.workers[id]
+	if w == nil {
+		return 0
+	}
+	leaseLeft := w.leaseUntil - w.clock.now(now)
+	return max(min(w.pollInterval(), leaseLeft-minStartLease), minStoreWait)
+}
+
 // grantLease renews a worker's lease and returns its end on the worker's clock. It also updates the time by which the
 // lease has certainly expired. A worker without good contact gets no lease, as its clock is not known.
 //
