--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -292,11 +292,11 @@
 	h.awaitStoredEnds(id)
 }
 
-// awaitStoredEnds waits, up to maxStoreWait, until the ended runs that a worker has reported are stored. The next
-// poll acknowledges them; if it were sent before, the worker would answer at once with the same ended runs.
+// awaitStoredEnds waits, up to the core's MaxStoreWait, until the ended runs that a worker has reported are stored. The
+// next poll acknowledges them; if it were sent before, the worker would answer at once with the same ended runs.
 func (h *Holder) awaitStoredEnds(id string) {
 	h.mu.Lock()
-	unstored := h.core.HasUnackedEnds(id)
+	unstored, limit := h.core.HasUnackedEnds(id), h.core.MaxStoreWait(time.Now(), id)
 	acked := make(chan struct{})
 	if unstored {
 		h.ackWaiters[id] = acked
@@ -306,7 +306,7 @@
 		return
 	}
 	wait.Wake(h.commitWake)
-	t := time.NewTimer(maxStoreWait)
+	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
 	case <-h.ctx.Done():
