batch/sched: a read's age counts on after the store's last confirmation unless peers confirm

Found by review, as a further place of the same cause: a holder short of processor time reads the store's answers to its renewals as late as its reads of the directory. The age of a read counted only up to the last confirmation, so a start could leave 1.6 s and the age of that confirmation, up to 3 s, after the read (DRAIN, 2 s; EVAC). That exemption is for outages in which no process reaches the store, which the peers confirm.

The age now counts to the present, less the 0.2 s that a confirmation is usually old, unless peers have confirmed the holder since the store did. TestStartLongAfterReadAndConfirmation fails before ("a start is sent 2.701s after the read of the directory"); it and TestStoreOutageBlocksNoStarts, TestSlowDirectoryReadsAllowStarts (unchanged) pass. Tests of sched and drive pass.

--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -39,7 +39,7 @@
 		orders := h.core.Plan(now)
 		pause := planPause(time.Since(now))
 		startsDue = time.Now().Add(pause)
-		staleCause := h.core.StaleCause()
+		staleCause := h.core.StaleCause(now)
 		unplaced := h.core.TakeUnplacedSteps()
 		placed, ended := h.core.TakeEvents()
 		var stats sched.Stats
--- a/internal/batch/sched/sendcheck.go
+++ b/internal/batch/sched/sendcheck.go
@@ -75,5 +75,5 @@
 	case o.LeaseUntil-w.clock.now(now) < minStartLease:
 		return CauseShortLease
 	}
-	return c.StaleCause()
+	return c.StaleCause(now)
 }
--- a/internal/batch/sched/staleness.go
+++ b/internal/batch/sched/staleness.go
@@ -6,9 +6,12 @@
 const (
 	drainStartLimit = 2 * time.Second // after a worker has announced that it drains
 	evacStartLimit  = 5 * time.Second // after operators have evacuated a zone
-	// orderMargin is the part of these limits reserved for the transit of an order to its worker and for the time since
-	// the store's last confirmation of this holder, which the ages below do not include.
+	// orderMargin is the part of these limits reserved for the transit of an order to its worker and for
+	// usualConfirmationAge.
 	orderMargin = 400 * time.Millisecond
+	// usualConfirmationAge is the part of the time since the store's last confirmation of this holder that the ages below
+	// do not include.
+	usualConfirmationAge = 200 * time.Millisecond
 )
 
 // NoteDirectoryRead records that the list of workers in use comes from a read of the directory that began at the given
@@ -30,10 +33,10 @@
 // CauseNone otherwise.
 //
 // It guards against a holder that is overloaded: the store confirms it, but its reads of the directory fail or come
-// late, so it starts tasks on workers that announced seconds ago that they drain. Ages are measured up to the store's
-// last confirmation, so that starts continue while no process reaches the store.
-func (c *Core) StaleCause() UnsentCause {
-	directory, intent := c.readAges()
+// late, so it starts tasks on workers that announced seconds ago that they drain. While peers confirm that no process
+// reaches the store, ages are measured up to the store's last confirmation, so that starts continue.
+func (c *Core) StaleCause(now time.Time) UnsentCause {
+	directory, intent := c.readAges(now)
 	switch {
 	case directory > drainStartLimit-orderMargin:
 		return CauseStaleDirectory
@@ -43,21 +46,24 @@
 	return CauseNone
 }
 
-// readAges returns how much older the reads of the directory and of the intent are than the store's last
-// confirmation of this holder.
-func (c *Core) readAges() (directory, intent time.Duration) {
-	return c.readAge(c.directoryReadAt), c.readAge(c.intentReadAt)
+// readAges returns the ages of the reads of the directory and of the intent.
+func (c *Core) readAges(now time.Time) (directory, intent time.Duration) {
+	return c.readAge(now, c.directoryReadAt), c.readAge(now, c.intentReadAt)
 }
 
-// readAge returns the same for one read. It returns 0 if no read has been recorded.
-func (c *Core) readAge(at time.Time) time.Duration {
+// readAge returns the age of a read, or 0 if none has been recorded.
+func (c *Core) readAge(now, at time.Time) time.Duration {
 	if at.IsZero() {
 		return 0
 	}
-	return max(0, elapsedSince(c.confirmedByStore, at))
+	age := max(0, elapsedSince(c.confirmedByStore, at))
+	if c.confirmedByPeers.After(c.confirmedByStore) {
+		return age
+	}
+	return age + max(0, elapsedSince(now, c.confirmedByStore)-usualConfirmationAge)
 }
 
 // mayStart reports whether this holder may start tasks: it may act, and its reads of the store are recent enough.
 func (c *Core) mayStart(now time.Time) bool {
-	return c.mayAct(now) && c.StaleCause() == CauseNone
+	return c.mayAct(now) && c.StaleCause(now) == CauseNone
 }
--- a/internal/batch/sched/staleness_test.go
+++ b/internal/batch/sched/staleness_test.go
@@ -90,3 +90,20 @@
 		t.Error("the start is sent with a read from before the outage")
 	}
 }
+
+// Guards against DRAIN: a holder short of processor time reads both the directory and the store's answers to its renewals
+// late. The read's age counts up to the last confirmation only, so a start leaves up to 4.6 s after the read.
+func TestStartLongAfterReadAndConfirmation(t *testing.T) {
+	b := newHarness(t, 1, 1).openWorkers()
+	b.core.NoteDirectoryRead(b.now)
+	began := b.now
+	b.advance(1500 * time.Millisecond) // the store's last confirmation, not by peers
+	b.poll("w0", sched.Report{})
+	b.now = b.now.Add(1200 * time.Millisecond)
+	b.core.AddJob(b.now, oneTaskJob("j", nil))
+	for _, o := range b.core.Plan(b.now) {
+		if cause := b.core.CheckSend(b.now, o); cause == sched.CauseNone {
+			t.Errorf("a start is sent %v after the read of the directory; no start may come over %v after a worker drains", b.now.Sub(began), drainLimit)
+		}
+	}
+}
--- a/internal/batch/sched/stats.go
+++ b/internal/batch/sched/stats.go
@@ -35,7 +35,7 @@
 func (c *Core) Stats(now time.Time) Stats {
 	s := Stats{ConfirmationAge: c.confirmationAge(now), OpenStarts: len(c.startLimiter.inFlight), StartWindow: c.startLimiter.window}
 	s.HeldTasks, s.StartDrainTime = c.startBacklog.held, c.startBacklog.drainTime(now)
-	s.DirectoryAge, s.IntentAge = c.readAges()
+	s.DirectoryAge, s.IntentAge = c.readAges(now)
 	for _, w := range c.workersByID {
 		switch w.contact {
 		case ContactGood:
