batch/sched: an end beside a start in flight waits for that start's outcome, and a failed one always counts

An end read while the task's next start was checked but still on its way was passed over and acknowledged; if that start then turned out not to have been made, the task ran again though its success had been listed (TWICE). A failed end that came after the next start wasn't counted, so a task got one run more than its attempts (BUDGET); failures are counted by run number, so counting one late can't count it twice.

Such an end is now left unacknowledged until the start's outcome is known, and a success is remembered at the task: if the start didn't begin, the task is done. Only ends listed in the first report after a lease expiry are concerned.

TestLateDoneEndBesideUnsentStart and TestLateFailedEndAfterNewStart fail before ("starts ... of a task whose only run has ended done"; "starts ... after two failed runs, both listed and acknowledged") and pass now, with the tests of sched.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -141,6 +141,8 @@
 	lastRunNumber int64  // number of its newest run of this term; 0: none
 	soleRunSeen   bool   // its only run was seen alive in this term, so no run that a former holder started can be elsewhere
 	avoidWorker   string // id of the worker on which it failed or from which it was moved; empty: none
+	// heldSuccess is the worker that has reported a success while a newer start was in flight; nil: none.
+	heldSuccess *worker
 }
 
 func (t *task) id() TaskID {
@@ -461,8 +463,9 @@
 	return ids
 }
 
-// HasUnackedEnds reports whether a worker has reported ends of runs that aren't stored, and so not acknowledged, yet.
+// HasUnackedEnds reports whether a worker has reported ends of runs that aren't handled or stored, and so not
+// acknowledged, yet.
 func (c *Core) HasUnackedEnds(id string) bool {
 	w := c.workers[id]
-	return w != nil && w.handledSeq > w.ackedSeq
+	return w != nil && (w.handledSeq > w.ackedSeq || w.heldEnds)
 }
--- a/internal/batch/sched/lateend_test.go
+++ b/internal/batch/sched/lateend_test.go
@@ -186,3 +186,56 @@
 	b.poll("w0", rep)
 	b.checkDoneOnce("w0", "j", 1)
 }
+
+// Guards against BUDGET: a failed end that arrives after its task was started again isn't counted, though it is
+// acknowledged, so the task gets one run more than its attempts.
+func TestLateFailedEndAfterNewStart(t *testing.T) {
+	b := newHarness(t, 1, 2).openWorkers()
+	b.core.AddJob(b.now, oneTaskJob("j", nil)) // two attempts
+	o := b.planOrders(sched.VerbStart)[0]
+	rep := b.loseContact(o.Incarnation.ID, finishedRun(1, o, sched.EndFailed))
+	again := b.core.Plan(b.now)
+	if len(again) != 1 {
+		t.Fatalf("orders %v, want a start", again)
+	}
+	b.core.NoteDirectoryRead(b.now)
+	b.core.NoteIntentRead(b.now)
+	if cause := b.core.CheckSend(b.now, again[0]); cause != sched.CauseNone {
+		t.Fatal(cause)
+	}
+	b.core.HandleOutcome(b.now, again[0], sched.OutcomeDone)
+	b.poll(o.Incarnation.ID, rep)
+	b.poll(again[0].Incarnation.ID, sched.Report{Finished: []sched.FinishedRun{finishedRun(1, again[0], sched.EndFailed)}})
+	b.core.NoteDirectoryRead(b.now)
+	b.core.NoteIntentRead(b.now)
+	if got := b.planOrders(sched.VerbStart); len(got) != 0 {
+		t.Errorf("starts %v after two failed runs, both listed and acknowledged", got)
+	}
+}
+
+// Guards against TWICE: the end of a run arrives while the task's next start is on its way to an agent, is passed over and
+// acknowledged, and then the start turns out not to have been made: the task runs again though a worker listed its success.
+func TestLateDoneEndBesideUnsentStart(t *testing.T) {
+	b := newHarness(t, 1, 2).openWorkers()
+	b.core.AddJob(b.now, oneTaskJob("j", nil))
+	o := b.planOrders(sched.VerbStart)[0]
+	rep := b.loseContact(o.Incarnation.ID, finishedRun(1, o, sched.EndDone))
+	again := b.core.Plan(b.now)
+	if len(again) != 1 {
+		t.Fatalf("orders %v, want a start", again)
+	}
+	b.core.NoteDirectoryRead(b.now)
+	b.core.NoteIntentRead(b.now)
+	if cause := b.core.CheckSend(b.now, again[0]); cause != sched.CauseNone {
+		t.Fatal(cause)
+	}
+	b.poll(o.Incarnation.ID, rep)
+	b.core.HandleOutcome(b.now, again[0], sched.OutcomeUnsent) // the agent got it too late
+	b.storeChanges()
+	req, _ := b.core.NextPoll(b.now, o.Incarnation.ID)
+	b.core.NoteDirectoryRead(b.now)
+	b.core.NoteIntentRead(b.now)
+	if got := b.planOrders(sched.VerbStart); len(got) > 0 {
+		t.Errorf("starts %v of a task whose only run has ended done; ends up to %d are acknowledged", got, req.AckedSeq)
+	}
+}
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -103,7 +103,7 @@
 	c.noteOrderDue(w)
 	w.leaseExpiry = now
 	w.restarted, w.inventoryComplete = true, false
-	w.ackedSeq, w.handledSeq, w.pendingAcks = 0, 0, nil
+	w.ackedSeq, w.handledSeq, w.releasedSeq, w.pendingAcks = 0, 0, 0, nil
 	w.contact = ContactNone
 	w.tracked = false
 	c.setExpired(w, false)
--- a/internal/batch/sched/outcome.go
+++ b/internal/batch/sched/outcome.go
@@ -92,12 +92,24 @@
 		r.confirmedAt = now
 	case OutcomeNoResources:
 		w.breaker.TripUntil(now.Add(noResourcesCooldown))
-		c.releaseRun(r)
+		c.releaseUnstarted(now, r)
 	case OutcomeUnavailable:
 		w.breaker.TripUntil(now.Add(unavailableCooldown))
-		c.releaseRun(r)
+		c.releaseUnstarted(now, r)
 	default:
-		c.releaseRun(r)
+		c.releaseUnstarted(now, r)
+	}
+}
+
+// releaseUnstarted releases a run that did not begin.
+func (c *Core) releaseUnstarted(now time.Time, r *run) {
+	c.releaseRun(r)
+	t := r.task
+	if t == nil {
+		return
+	}
+	if w := t.heldSuccess; w != nil && t.run == nil && !t.done {
+		c.completeTask(now, w, t, nil)
 	}
 }
 
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -188,14 +188,25 @@
 	w.contact = ContactGood
 	w.clock = w.clock.update(sent, now, rep.Clock)
 	var newEnds []FinishedRun
+	if n := len(rep.Finished); w.expired && n > 0 {
+		w.releasedSeq = rep.Finished[n-1].Seq
+	}
+	w.heldEnds = false
 	for _, f := range rep.Finished {
 		if f.Seq <= w.handledSeq {
 			continue
 		}
+		restart := c.restartOf(w, f)
+		if restart != nil && restart.state == RunSent {
+			// Whether the end counts depends on the outcome of the start.
+			w.heldEnds = true
+			if f.End == EndDone {
+				restart.task.heldSuccess = w
+			}
+			break
+		}
 		newEnds = append(newEnds, f)
-		// After a lease expiry the tasks were released. Counting the end of one that has been started again since would
-		// count two runs of it.
-		if !w.expired || !c.startedAgain(f) {
+		if restart == nil || f.End == EndFailed {
 			c.handleRunEnd(now, w, f)
 			w.holdAck(f.Seq, c.jobOfTask(f.Task))
 		}
@@ -212,24 +223,31 @@
 	return newEnds
 }
 
-// startedAgain reports whether a start of the task, or of its gang, was sent after the run that ended. A start that is
-// planned but not sent doesn't count: if the task is done, CheckSend rejects it.
-func (c *Core) startedAgain(f FinishedRun) bool {
+// restartOf returns the run by which the task of an end, or its gang, was started again after a lease expiry had released
+// the run that ended, or nil. Counting the success of the former run would then count two runs of the task. A start that
+// is planned but not sent doesn't count: if the task is done, CheckSend rejects it.
+func (c *Core) restartOf(w *worker, f FinishedRun) *run {
+	if f.Seq > w.releasedSeq {
+		return nil
+	}
 	id, err := ParseTaskID(f.Task)
 	if err != nil {
-		return false
+		return nil
 	}
 	t := c.findTask(id)
 	if t == nil {
-		return false
+		return nil
 	}
 	tasks := []*task{t}
 	if t.step.spec.Gang {
 		tasks = t.step.tasks
 	}
-	return slices.ContainsFunc(tasks, func(t *task) bool {
-		return t.run != nil && t.run.run > f.Run && (t.run.sent || t.run.state != RunSent)
-	})
+	for _, t := range tasks {
+		if r := t.run; r != nil && r.run > f.Run && (r.sent || r.state != RunSent) {
+			return r
+		}
+	}
+	return nil
 }
 
 // maxReportedEnds is the maximum number of ends in a report. If a report is full, a run that it does not list may have
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -102,6 +102,8 @@
 	leaseExpiry       time.Time     // time by which all of its runs have ended unless the lease is renewed
 	ackedSeq          int64         // ends up to this number are stored and may be acknowledged
 	handledSeq        int64         // ends up to this number have been handled
+	releasedSeq       int64         // ends up to this number may be of runs that a lease expiry has released
+	heldEnds          bool          // the newest report has ends that can't be handled yet
 	pendingAcks       []pendingAck  // handled ends whose jobs have to be stored before the acknowledgement, in sequence order
 
 	runs          map[runKey]*run // runs that are or may be on the worker
