batch/sched: a gang whose start didn't begin is stopped

Found by review: if one start of a gang wasn't sent, or its worker had no room, the others ran on until they ended "alone" after 3 s, and nothing was started meanwhile (GANG; resources held in vain). The fault is older, but starts over agents that come too late make it likelier. The others are stopped now, and the gang is placed anew.

TestGangWithUnsentStart fails before ("for 3 s neither the missing task is started nor the other one stopped") and passes now.

--- a/internal/batch/sched/outcome.go
+++ b/internal/batch/sched/outcome.go
@@ -101,13 +101,20 @@
 	}
 }
 
-// releaseUnstarted releases a run that did not begin.
+// releaseUnstarted releases a run that did not begin. The others of its gang are stopped, as they would only wait for it.
 func (c *Core) releaseUnstarted(now time.Time, r *run) {
 	c.releaseRun(r)
 	t := r.task
 	if t == nil {
 		return
 	}
+	if t.step.spec.Gang {
+		for _, other := range t.step.tasks {
+			if other.run != nil && other.run.run == r.run {
+				c.stopRun(other.run)
+			}
+		}
+	}
 	if w := t.heldSuccess; w != nil && t.run == nil && !t.done {
 		c.completeTask(now, w, t, nil)
 	}
