batch/drive: a worker that is forgotten and listed again is tracked again

Found by review, as a further place where "the list is the same" was taken for "nothing to do": a worker whose lease has expired is forgotten when it leaves the directory. If it is listed again before the next commit collects the list of tracked workers, that list equals the stored one, nothing is stored, and the new entry is never marked tracked: the worker gets no task until the list changes for another reason (LOST). The workers of an unchanged list are marked now: the stored record names them.

TestRelistedWorkerIsTracked fails before ("1 starts, want one on each worker") and passes now.

--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -141,7 +141,11 @@
 	}
 	h.trackedVersion = version
 	tracked := h.core.TrackedWorkers()
-	return tracked, !sameMembers(tracked, h.trackedWorkers)
+	if sameMembers(tracked, h.trackedWorkers) {
+		h.core.MarkTracked(tracked) // a worker that was forgotten and listed again isn't marked yet
+		return tracked, false
+	}
+	return tracked, true
 }
 
 // sameMembers reports whether two lists name the same incarnations at the same addresses, in the same order.
