batch/agent: lost workers are tried directly every 5 s at most

Once a direct poll has failed, it is left to the agent for 5 s.

TestWorkerOutOfEveryReach now wants one direct poll of 20 within 5 s, where it allowed every other, for both outcomes; five runs of five of the package pass under the race detector.

--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -50,6 +50,7 @@
 	agents   []*remote            // sorted by rank
 	excluded map[string]time.Time // until when agents aren't chosen, by address
 	bypassed map[string]time.Time // until when workers are called directly, by id
+	lost     map[string]time.Time // until when workers aren't, as that failed too, by id
 }
 
 // NewClient returns a client whose sessions with agents end with ctx. It makes no call before the first Update, or
@@ -60,7 +61,7 @@
 	}
 	c := &Client{
 		opts: opts, ctx: ctx, dial: dialLink, directCalls: calls("direct"), agentCalls: calls("agent"),
-		ready: make(chan struct{}), excluded: map[string]time.Time{}, bypassed: map[string]time.Time{},
+		ready: make(chan struct{}), excluded: map[string]time.Time{}, bypassed: map[string]time.Time{}, lost: map[string]time.Time{},
 	}
 	t := time.AfterFunc(maxFirstWait, c.setReady)
 	context.AfterFunc(ctx, func() {
@@ -123,6 +124,7 @@
 	c.mu.Lock()
 	deletePassed(c.excluded, now)
 	deletePassed(c.bypassed, now)
+	deletePassed(c.lost, now)
 	c.wanted = agentCount(c.wanted, workers, capacity)
 	chosen := c.choose(addrs)
 	var kept, removed []*remote
@@ -254,15 +256,26 @@
 	return preferred(c.agents, worker)
 }
 
-// setBypass sets whether the next calls to a worker are made directly.
-func (c *Client) setBypass(worker string, bypass bool) {
+// bypass makes the next calls to a worker direct, and reports true, unless that has failed recently.
+func (c *Client) bypass(worker string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !bypass {
+	now := time.Now()
+	if now.Before(c.lost[worker]) {
+		return false
+	}
+	c.bypassed[worker] = now.Add(bypassTime)
+	return true
+}
+
+// endBypass records that a worker can't be called directly either.
+func (c *Client) endBypass(worker string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, bypassed := c.bypassed[worker]; bypassed {
 		delete(c.bypassed, worker)
-		return
+		c.lost[worker] = time.Now().Add(bypassTime)
 	}
-	c.bypassed[worker] = time.Now().Add(bypassTime)
 }
 
 // Poll implements drive.WorkerClient. A poll that a lost agent may have made, or that wasn't made in time, is made another
@@ -280,10 +293,12 @@
 		case ctx.Err() != nil:
 			return sched.Report{}, sched.OutcomeUnknown
 		case err == nil && a.Outcome == sched.OutcomeUnknown:
-			c.setBypass(req.ID, true)
+			c.bypass(req.ID)
 			return sched.Report{}, sched.OutcomeUnknown
 		case err == nil && a.Outcome == sched.OutcomeUnsent && !a.Expired:
-			c.setBypass(req.ID, true)
+			if !c.bypass(req.ID) {
+				return sched.Report{}, sched.OutcomeUnsent
+			}
 		case err == nil && !a.Expired:
 			return a.Report, a.Outcome
 		}
@@ -292,7 +307,7 @@
 	c.directCalls.Inc(1)
 	report, outcome := c.opts.Direct.Poll(ctx, req, fence)
 	if outcome == sched.OutcomeUnknown || outcome == sched.OutcomeUnsent {
-		c.setBypass(req.ID, false) // it isn't the agent that doesn't reach it
+		c.endBypass(req.ID)
 	}
 	return report, outcome
 }
--- a/internal/batch/agent/client_test.go
+++ b/internal/batch/agent/client_test.go
@@ -218,17 +218,27 @@
 
 // Guards against a holder that calls all lost workers directly: one that it doesn't reach either is left to the agent.
 func TestWorkerOutOfEveryReach(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		direct, far := &recorder{out: sched.OutcomeUnknown}, &recorder{out: sched.OutcomeUnknown}
-		c := openTestClient(t, direct, newTestAgent("a", far))
-		for range 10 {
+	for _, lost := range []sched.Outcome{sched.OutcomeUnknown, sched.OutcomeUnsent} {
+		synctest.Test(t, func(t *testing.T) {
+			direct, far := &recorder{out: lost}, &recorder{out: lost}
+			c := openTestClient(t, direct, newTestAgent("a", far))
+			for range 20 {
+				if _, out := c.Poll(t.Context(), testPoll("w"), 1); out != lost {
+					t.Errorf("poll: %s", out)
+				}
+			}
+			if polls, _ := direct.counts(); polls != 1 {
+				t.Errorf("%d polls made directly, want one", polls)
+			}
+			time.Sleep(bypassTime)
 			c.Poll(t.Context(), testPoll("w"), 1)
-		}
-		if polls, _ := direct.counts(); polls != 5 {
-			t.Errorf("%d of 10 polls made directly, want every other", polls)
-		}
-		c.stop()
-	})
+			c.Poll(t.Context(), testPoll("w"), 1)
+			if polls, _ := direct.counts(); polls != 2 {
+				t.Errorf("%d polls made directly, want another one %s later", polls, bypassTime)
+			}
+			c.stop()
+		})
+	}
 }
 
 // Guards against a holder that waits for agents though there is no follower, or though it needs none.
