--- a/internal/batch/drive/recovery_test.go
+++ b/internal/batch/drive/recovery_test.go
@@ -167,9 +167,12 @@
 // for a second, or the holder is lost, and the same load goes on.
 func TestLoadIsServedAgain(t *testing.T) {
 	const (
-		workers = 1000
-		turn    = 330 * time.Microsecond // the load takes some 0.9 of the processor
-		window  = 5 * time.Second        // time over which is counted what is served
+		workers = 250
+		window  = 3 * time.Second // time over which is counted what is served
+
+		// Turns with which the processor suffices for the load, with callers that ask for the state of their jobs and without.
+		turn          = 920 * time.Microsecond
+		turnNotAsking = 1260 * time.Microsecond
 	)
 	silence := func(c *testCluster) {
 		for _, silent := range []bool{true, false} {
@@ -182,12 +185,13 @@
 	for _, tt := range []struct {
 		name    string
 		ask     time.Duration // how often a caller asks for the state of a job; 0: never
+		turn    time.Duration // of the processor
 		trigger func(*testCluster)
 	}{
-		{"no trigger", time.Second, func(*testCluster) {}},
-		{"silence", time.Second, silence},
-		{"silence, callers don't ask", 0, silence},
-		{"holder lost", time.Second, func(c *testCluster) {
+		{"no trigger", time.Second, turn, func(*testCluster) {}},
+		{"silence", time.Second, turn, silence},
+		{"silence, callers don't ask", 0, turnNotAsking, silence},
+		{"holder lost", time.Second, turn, func(c *testCluster) {
 			h := c.holder()
 			h.kill()
 			h.start()
@@ -204,11 +208,11 @@
 				c.wrapWorkers = func(client drive.WorkerClient) drive.WorkerClient {
 					return &loadCounter{&reconnectingWorkers{slowWorkers: client.(*slowWorkers), lost: map[string]bool{}}, &l.totals}
 				}
-				c.addHosts(2, turn, 2*workers)
+				c.addHosts(2, tt.turn, 2*workers)
 				time.Sleep(10 * time.Second)
 				ctx, cancel := context.WithCancel(context.Background())
 				var wg sync.WaitGroup
-				wg.Go(func() { l.run(ctx, 12500*time.Microsecond, 4) })
+				wg.Go(func() { l.run(ctx, 12500*time.Microsecond, 1) })
 				time.Sleep(window)
 				start := l.counts()
 				time.Sleep(window)
