sched: promptness of starts counts from the shortest recent answers

What callers would see: where answers come over a hop that batches calls, 20 to 50 ms each way, the window of starts stays at 64 however much processor time there is, as no answer comes within 50 ms.

Cause: 50 and 150 ms were taken from the sending of the start. Now they count from the shortest time of an answer in the last 30 to 60 s, 50 ms at most of it: beyond that, delay is taken for a lack of processor time, as before. So with answers that never take less than 100 ms the window still doesn't grow.

--- a/internal/batch/sched/burst_test.go
+++ b/internal/batch/sched/burst_test.go
@@ -96,3 +96,21 @@
 		t.Errorf("%d starts at once 10 s later, want %d", n, window)
 	}
 }
+
+// Guards against a window that never grows because each answer comes over a hop that takes longer than a prompt answer.
+func TestWindowGrowsOverSlowHop(t *testing.T) {
+	const window = 64 // starts that are sent before any answer
+	b := newWaitingHarness(t)
+	n := 0
+	for range 4 {
+		orders := b.sendStarts()
+		n = len(orders)
+		b.advance(60 * time.Millisecond)
+		for _, o := range orders {
+			b.core.HandleOutcome(b.now, o, sched.OutcomeDone)
+		}
+	}
+	if n < 4*window {
+		t.Errorf("%d starts in the last of 4 plans, want at least %d", n, 4*window)
+	}
+}
--- a/internal/batch/sched/limiter.go
+++ b/internal/batch/sched/limiter.go
@@ -26,16 +26,22 @@
 	intervalStart time.Time // since when answers are counted
 	promptAnswers int       // prompt answers since then
 	lateAnswers   int       // late answers, and starts without one, since then
+	baseline      baseline  // shortest time of recent answers
 }
 
 const (
 	initialWindow = 64
 	minWindow     = 8
 	maxWindow     = 1024
-	// promptAnswer is the longest time that the answer to a start takes when nothing delays it. An answer that takes
-	// lateAnswer or longer was delayed.
+	// promptAnswer is the longest time that the answer to a start takes beyond the baseline when nothing delays it. An
+	// answer that takes lateAnswer or longer beyond it was delayed.
 	promptAnswer = 50 * time.Millisecond
 	lateAnswer   = 150 * time.Millisecond
+	// maxBaseline bounds what counts as the way to the workers and back. Beyond it, the delay is taken for a lack of
+	// processor time.
+	maxBaseline = 50 * time.Millisecond
+	// baselinePeriod is the least time for which an answer counts in the baseline.
+	baselinePeriod = 30 * time.Second
 	// shrinkInterval is the least time between two reductions of the window.
 	shrinkInterval = 200 * time.Millisecond
 	// idleWindowLifetime is how long the window is kept while it limits no start. What the processor could do then tells
@@ -94,12 +100,17 @@
 
 // recordAnswer adapts the window to the outcome of a start and the time that its answer took.
 func (l *startLimiter) recordAnswer(now time.Time, took time.Duration, out Outcome) {
-	switch {
-	case out == OutcomeUnsent:
+	if out == OutcomeUnsent {
 		return
-	case out == OutcomeUnknown || took >= lateAnswer:
+	}
+	if out != OutcomeUnknown {
+		l.baseline.add(now, took)
+	}
+	delay := took - l.baseline.value()
+	switch {
+	case out == OutcomeUnknown || delay >= lateAnswer:
 		l.lateAnswers++
-	case took < promptAnswer:
+	case delay < promptAnswer:
 		l.promptAnswers++
 		l.newestPrompt = latest(l.newestPrompt, now.Add(-took))
 		if l.limited {
@@ -115,6 +126,29 @@
 	l.intervalStart, l.promptAnswers, l.lateAnswers = now, 0, 0
 }
 
+// baseline is the shortest time of recent answers: what an answer takes that nothing delays.
+type baseline struct {
+	since            time.Time     // start of the current period
+	current, earlier time.Duration // shortest time in the current period and in the one before
+}
+
+// add counts an answer that took a time.
+func (b *baseline) add(now time.Time, took time.Duration) {
+	switch {
+	case b.since.IsZero():
+		b.since, b.current, b.earlier = now, took, took
+	case now.Sub(b.since) >= baselinePeriod:
+		b.since, b.current, b.earlier = now, took, b.current
+	default:
+		b.current = min(b.current, took)
+	}
+}
+
+// value returns the baseline, maxBaseline at most.
+func (b *baseline) value() time.Duration {
+	return min(b.current, b.earlier, maxBaseline)
+}
+
 // StartsLimited reports whether the newest plan left out tasks because the window of starts in flight was full.
 func (c *Core) StartsLimited() bool {
 	return c.startLimiter.limited
