batch/rack: an answer that is read late doesn't resolve a start

What callers saw: the same task could run on two workers. A worker answers a renewal, a delayed start arrives there before its deadline, and the holder, short of processor time, reads the answer over 0.5 s after the deadline: it returns the placement, which its bucket gives out again, while the task runs. Cause: resolveUnknownStart took clockReadAt, the time at which an answer is handled, for the time at which the worker gave it. Why the fix works: a worker executes a fence or renewal after it was emitted. The answer to one that was emitted after the deadline therefore shows that the start is refused from then on, and its report was applied before. This holds as well after a restart of the worker, whose clock then begins at 0, so that NotAfter can't be compared with it. A start of unknown outcome is resolved up to one renewal interval (LeaseTTL/6) later than before.

--- a/internal/batch/rack/commands.go
+++ b/internal/batch/rack/commands.go
@@ -64,6 +64,7 @@
 		return
 	}
 	w.fenced = true
+	w.answeredCallAt = w.lastLeaseCall
 	w.recordReport(now, res.Report)
 	w.leaseExpiry = now.Add(c.opts.LeaseTTL + expiryMargin)
 	w.lastLeaseCall = time.Time{}
@@ -96,6 +97,7 @@
 	}
 	w.leaseCallInFlight = false
 	if res.ok() {
+		w.answeredCallAt = w.lastLeaseCall
 		w.recordReport(now, res.Report)
 		c.applyReport(w, res.Report)
 	}
--- a/internal/batch/rack/core.go
+++ b/internal/batch/rack/core.go
@@ -256,11 +256,12 @@
 	}
 }
 
-// resolveUnknownStart returns the placement of a start of unknown outcome once an answer that the worker gave
-// after the start's deadline has shown that the start was not executed.
+// resolveUnknownStart returns the placement of a start of unknown outcome once the worker has answered a renewal or
+// fence that was emitted after the start's deadline, which shows that the start was not executed. The time at which an
+// answer is handled doesn't show that: the worker may have given it before a delayed start arrived.
 func (c *Core) resolveUnknownStart(r *run) {
 	w := c.workers[r.worker]
-	if r.startUnknown && w != nil && w.clockReadAt.After(r.startDeadline.Add(expiryMargin)) {
+	if r.startUnknown && w != nil && w.answeredCallAt.After(r.startDeadline.Add(expiryMargin)) {
 		delete(c.runs, r.placement)
 		c.returnPlacement(r.placement, r.task.ResumeFrom)
 	}
--- a/internal/batch/rack/worker.go
+++ b/internal/batch/rack/worker.go
@@ -13,6 +13,7 @@
 	fenced              bool            // it has accepted this holder's epoch, and its lease has not expired since
 	leaseCallInFlight   bool            // a fence or renewal has no answer yet
 	lastLeaseCall       time.Time       // when the last fence or renewal was emitted; zero if the next one is due at once
+	answeredCallAt      time.Time       // when the last fence or renewal that it has executed was emitted
 	clockReading        wire.WorkerTime // its own time in the last answer to a command
 	clockReadAt         time.Time       // local time at which that answer arrived
 	lastAnswer          time.Time       // when it last gave a report, even one that may be out of date
