batch/rack: a refusal that is read late doesn't resolve a start

A start without an answer is repeated; the repetition is refused, the first start arrives before its deadline, and the refusal is read over 0.5 s after it. Cause: HandleStartResult took the time of handling the refusal for that of the refusal. Even "late" says nothing about the first start: the repetition may carry an earlier NotAfter, as the worker's clock seems slow when an answer with its reading was read late. Why the fix works: a start of unknown outcome is now resolved only by an answer to a later renewal or fence, or by the end of the lease.

--- a/internal/batch/rack/commands.go
+++ b/internal/batch/rack/commands.go
@@ -148,7 +148,8 @@
 // HandleStartResult handles the result of a start.
 //
 // A start without an answer may have been executed or may still arrive. Until its deadline has passed, the run
-// keeps its resources and the task is started nowhere else.
+// keeps its resources and the task is started nowhere else. A refusal of a repeated start doesn't show that the first
+// one won't arrive any more, however late it is read.
 func (c *Core) HandleStartResult(now time.Time, p jobs.Placement, res CommandResult) {
 	r := c.runs[p]
 	if r == nil {
@@ -169,9 +170,6 @@
 		}
 	case r.state == stateStarting && !r.startUnknown:
 		delete(c.runs, p) // the task is certainly not on the worker; another worker may get it
-	case r.state == stateStarting && now.After(r.startDeadline.Add(expiryMargin)):
-		delete(c.runs, p)
-		c.returnPlacement(p, r.task.ResumeFrom)
 	}
 }
 
--- a/internal/batch/rack/lateanswer_test.go
+++ b/internal/batch/rack/lateanswer_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/wire"
 )
 
 // TestLateReadAnswerDoesNotResolveStart guards against a task that runs on two workers at once: a worker answers a renewal,
@@ -47,3 +49,53 @@
 		t.Error("the placement goes back to its bucket, to be started elsewhere, while the task runs")
 	}
 }
+
+// TestLateReadRefusalDoesNotResolveStart covers a start without an answer that arrives after the refusal of its
+// repetition. The refusal, read after the deadline, must not return the placement while the task runs.
+func TestLateReadRefusalDoesNotResolveStart(t *testing.T) {
+	h := newHarness()
+	c := h.newHolder(1)
+	p := h.wantTask(c)
+	confirmed := h.now
+	deadline := confirmed.Add(testMaxConfigAge)
+	tick := func() (start *Start, renewal *Renew) {
+		for _, a := range c.Tick(h.now, ZoneStatus{Usable: true, ConfirmedAt: confirmed}) {
+			switch a := a.(type) {
+			case Start:
+				start = &a
+			case Renew:
+				renewal = &a
+			}
+		}
+		return start, renewal
+	}
+	first, _ := tick()
+	c.HandleStartResult(h.now, p, CommandResult{NoAnswer: true})
+	h.now = deadline.Add(-testMaxConfigAge / 2)
+	repeated, renewal := tick()
+	if renewal == nil || repeated == nil {
+		t.Fatal("no renewal or no repeated start")
+	}
+	c.HandleStartResult(h.now, p, CommandResult{NoAnswer: true})
+	rep, refusal := h.worker.Renew(renewal.Msg)
+	if refusal != "" {
+		t.Fatal(refusal)
+	}
+	h.now = deadline.Add(-400 * time.Millisecond)
+	c.HandleRenewResult(h.now, "w", CommandResult{Report: rep}) // read so late that the worker's clock seems slow
+	repeated, _ = tick()
+	h.now = deadline.Add(-200 * time.Millisecond)
+	_, refusal = h.worker.Start(repeated.Msg)
+	if refusal != wire.RefusalDeadlinePassed {
+		t.Fatalf("refusal %q of the repeated start", refusal)
+	}
+	if _, r := h.worker.Start(first.Msg); r != "" {
+		t.Fatal(r)
+	}
+	h.now = deadline.Add(expiryMargin + time.Millisecond)
+	c.HandleStartResult(h.now, p, CommandResult{Refusal: refusal})
+	tick()
+	if _, returned := c.BuildReport("b", false).Back[p]; returned && len(h.worker.RunningTasks()) > 0 {
+		t.Error("the placement goes back to its bucket while the task runs")
+	}
+}
