batch/rack, batch/jobs: a late reply of a bucket's former holder is ignored

What callers saw: a task could run a second time after it had finished. The call to a bucket's holder is bounded, but the application of its reply waits for the rack's lock, and a local call isn't bounded at all. So the reply of a former holder could be applied after those of the next one; the task in it that had finished, and that its worker had been told to forget, was wanted again and started. Cause: HandleReply applied whichever reply came last. Why the fix works: a reply carries the epoch of the bucket's holder, which rises with each holder, and one below the highest that the rack has seen is ignored. Replies of one holder are in order, as it has one call under way.

--- a/internal/batch/jobs/report.go
+++ b/internal/batch/jobs/report.go
@@ -32,7 +32,7 @@
 	if r.Usable {
 		c.placeTasks(r, allowed)
 	}
-	reply := RackReply{OK: true, Run: c.tasksFor(r.Rack), Ended: c.endedPlacements(r.Rack)}
+	reply := RackReply{OK: true, Ep: c.epoch, Run: c.tasksFor(r.Rack), Ended: c.endedPlacements(r.Rack)}
 	reply.Waiting, reply.Urgent = c.CountWaiting()
 	c.acknowledge(r, &reply)
 	return reply
--- a/internal/batch/rack/commands.go
+++ b/internal/batch/rack/commands.go
@@ -198,10 +198,14 @@
 
 // HandleReply handles a bucket's reply to a report. The tasks in it replace those that the bucket wanted before.
 // A task in the bucket's first reply that has no run may have been started by a former holder.
+//
+// A reply of a former holder of the bucket that arrives after one of its successor is ignored: it may want a task that
+// has ended since.
 func (c *Core) HandleReply(now time.Time, bucket string, reply jobs.RackReply) {
-	if !reply.OK {
+	if !reply.OK || reply.Ep < c.bucketEpochs[bucket] {
 		return
 	}
+	c.bucketEpochs[bucket] = reply.Ep
 	for _, p := range reply.Counts {
 		if r := c.runs[p]; r != nil && r.state == stateFinished {
 			r.mayAccept = true
--- a/internal/batch/rack/core.go
+++ b/internal/batch/rack/core.go
@@ -74,6 +74,7 @@
 	// yet has no entry.
 	wanted         map[string]map[jobs.Placement]wantedTask
 	maxPlacementNo map[string]uint64 // highest placement number received, by bucket
+	bucketEpochs   map[string]uint64 // epoch of the latest holder that has replied, by bucket
 	// possiblyStarted holds wanted placements that a former holder may have started and no worker has reported.
 	possiblyStarted map[jobs.Placement]bool
 	runs            map[jobs.Placement]*run
@@ -91,7 +92,7 @@
 
 // New returns the Core of a holder that has just got the rack.
 func New(now time.Time, opts Options) *Core {
-	return &Core{opts: opts, acquiredAt: now, tickTime: now, workers: map[string]*worker{}, wanted: map[string]map[jobs.Placement]wantedTask{}, maxPlacementNo: map[string]uint64{},
+	return &Core{opts: opts, acquiredAt: now, tickTime: now, workers: map[string]*worker{}, wanted: map[string]map[jobs.Placement]wantedTask{}, maxPlacementNo: map[string]uint64{}, bucketEpochs: map[string]uint64{},
 		possiblyStarted: map[jobs.Placement]bool{}, runs: map[jobs.Placement]*run{}, returned: map[jobs.Placement]time.Duration{},
 		released: map[jobs.Placement]bool{}}
 }
--- a/internal/batch/rack/lateanswer_test.go
+++ b/internal/batch/rack/lateanswer_test.go
@@ -1,9 +1,11 @@
 package rack
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
+	"bramleysail.example/bramleysail/internal/batch/jobs"
 	"bramleysail.example/bramleysail/internal/batch/wire"
 )
 
@@ -99,3 +101,55 @@
 		t.Error("the placement goes back to its bucket while the task runs")
 	}
 }
+
+// TestFormerBucketHolderReplyIgnored covers a reply of a bucket's former holder that is applied after those of the next
+// one. By then the task in it has finished and its worker has forgotten it, so it must not start again.
+func TestFormerBucketHolderReplyIgnored(t *testing.T) {
+	h := newHarness()
+	c := h.newHolder(1)
+	var record []byte
+	write := func(bucket *jobs.Core) {
+		value, err := bucket.BeginWrite("id")
+		if err != nil {
+			t.Fatal(err)
+		}
+		bucket.EndWrite(true)
+		record = value
+	}
+	report := func(bucket *jobs.Core) jobs.RackReply {
+		return bucket.HandleReport(h.now, c.BuildReport("b", true), func(string) bool { return true })
+	}
+	former := jobs.New(jobs.Bucket{}, 1)
+	write(former)
+	if err := former.Submit(h.now, jobs.Spec{ID: "audit", Kind: "audit", N: 1, Size: workerSize, Run: time.Second}); err != nil {
+		t.Fatal(err)
+	}
+	write(former)
+	h.deliver(c, h.tick(c))
+	report(former)
+	write(former)
+	late := report(former)
+	if len(late.Run) != 1 {
+		t.Fatalf("%d tasks placed, want 1", len(late.Run))
+	}
+	var stored jobs.Bucket
+	if err := json.Unmarshal(record, &stored); err != nil {
+		t.Fatal(err)
+	}
+	next := jobs.New(stored, 2)
+	id := late.Run[0].Place.String()
+	for range 20 {
+		write(next)
+		c.HandleReply(h.now, "b", report(next))
+		h.deliver(c, h.tick(c))
+		h.now = h.now.Add(stepInterval)
+	}
+	if n := h.worker.AcceptedResults()[id]; n != 1 {
+		t.Fatalf("the result was accepted %d times, want 1", n)
+	}
+	c.HandleReply(h.now, "b", late)
+	h.deliver(c, h.tick(c))
+	if n := h.worker.Starts(id); n != 1 {
+		t.Errorf("the task was started %d times, want 1", n)
+	}
+}
