batch/drive: failed reads of the store are followed by a pause

What callers saw: a holder whose watch had lost its history while its full reads were refused for the store's rate limit called the store without a pause, and so kept the limit exceeded by itself. Cause: prefixWatch.run starts a full read at once after a compaction, and a watch at once after a failed read. Only other errors of a watch were followed by watchRetryDelay. Why the fix works: each failed full read and each failed watch, compactions too, is now followed by watchRetryDelay. A full read after a compaction begins that much later.

--- a/internal/batch/drive/watch.go
+++ b/internal/batch/drive/watch.go
@@ -40,7 +40,8 @@
 const (
 	// watchTimeout is how long a watch waits for changes. Each watch costs a call.
 	watchTimeout = 10 * time.Second
-	// watchRetryDelay is the delay after a watch that failed because the store didn't answer.
+	// watchRetryDelay is the delay after a watch or full read that failed. Without it the calls of a holder whose reads
+	// are refused for the store's rate limit would keep the limit exceeded.
 	watchRetryDelay = 150 * time.Millisecond
 )
 
@@ -113,7 +114,7 @@
 	wait.For(ctx, w.pause)
 	start := time.Now()
 	changes, next, err := w.store.Watch(ctx, w.prefix, rev, watchTimeout)
-	if err != nil && !errors.Is(err, store.ErrCompacted) {
+	if err != nil {
 		wait.For(ctx, watchRetryDelay)
 	}
 	return watchResult{start, changes, next, err}
@@ -135,7 +136,13 @@
 	startRead := func() {
 		if !reading {
 			reading = true
-			wg.Go(func() { reads <- w.read(ctx) })
+			wg.Go(func() {
+				res := w.read(ctx)
+				if res.err != nil {
+					wait.For(ctx, watchRetryDelay)
+				}
+				reads <- res
+			})
 		}
 	}
 	startWatch()
