batch/drive: an older deletion doesn't remove a newer entry

What callers saw: a worker or record could be missing from the holder's copy for a moment. A full read of several pages may hold an entry that was added after the read's revision; a watch from that revision that ended between the deletion before and the adding removed it. Cause: prefixWatch.applyResult compared revisions for writes only. Before: --- FAIL: TestOlderDeletionKeepsEntry watch_test.go:141: the deletion at revision 7 has removed the entry of revision 8: [] Result: tests of batch/drive, plat/store and platform pass.

--- a/internal/batch/drive/watch.go
+++ b/internal/batch/drive/watch.go
@@ -189,9 +189,11 @@
 	touched := make(map[string]bool, len(res.changes)) // keys
 	for _, c := range res.changes {
 		touched[c.Key] = true
-		if c.Deleted {
+		switch {
+		case c.Rev < w.entries[c.Key].Rev: // a full read has returned a newer entry
+		case c.Deleted:
 			delete(w.entries, c.Key)
-		} else if c.Rev >= w.entries[c.Key].Rev {
+		default:
 			w.entries[c.Key] = c.Entry
 		}
 	}
--- a/internal/batch/drive/watch_test.go
+++ b/internal/batch/drive/watch_test.go
@@ -128,3 +128,20 @@
 		}
 	}
 }
+
+// Guards against an entry that is missing for a moment: a full read of several pages may hold an entry that was added
+// again after the read's revision, and the watch from that revision may end between the deletion before and the adding.
+func TestOlderDeletionKeepsEntry(t *testing.T) {
+	var copied []store.Entry
+	w := &prefixWatch{onConfirm: func(time.Time) {}, onChange: func(_ time.Time, entries []store.Entry) { copied = entries }}
+	again := store.Entry{Key: "d/a", Value: []byte("again"), Rev: 8}
+	w.applyRead(readResult{listing: store.Listing{Rev: 5, Entries: []store.Entry{again}}})
+	w.applyResult(watchResult{changes: []store.Change{{Entry: store.Entry{Key: "d/a", Rev: 7}, Deleted: true}}, rev: 7})
+	if len(copied) != 1 {
+		t.Errorf("the deletion at revision 7 has removed the entry of revision 8: %v", copied)
+	}
+	w.applyResult(watchResult{changes: []store.Change{{Entry: again}, {Entry: store.Entry{Key: "d/a", Rev: 9}, Deleted: true}}, rev: 9})
+	if len(copied) != 0 {
+		t.Errorf("after the deletion at revision 9 the copy has %v", copied)
+	}
+}
--- a/internal/plat/store/txn.go
+++ b/internal/plat/store/txn.go
@@ -37,7 +37,7 @@
 	Writes     []Write
 }
 
-// Change is one write or deletion of a key.
+// Change is one write or deletion of a key. Rev is the revision of the write or deletion.
 type Change struct {
 	Entry
 	Deleted bool
