--- a/internal/batch/rack/commands.go
+++ b/internal/batch/rack/commands.go
@@ -64,6 +64,7 @@
 		return
 	}
 	w.fenced = true
+	w.answeredCallAt = w.lastLeaseCall
 	w.recordReport(now, res.Report)
 	w.leaseExpiry = now.Add(c.opts.LeaseTTL + expiryMargin)
 	w.lastLeaseCall = time.Time{}
@@ -96,6 +97,7 @@
 	}
 	w.leaseCallInFlight = false
 	if res.ok() {
+		w.answeredCallAt = w.lastLeaseCall
 		w.recordReport(now, res.Report)
 		c.applyReport(w, res.Report)
 	}
@@ -146,7 +148,8 @@
 // HandleStartResult handles the result of a start.
 //
 // A start without an answer may have been executed or may still arrive. Until its deadline has passed, the run
-// keeps its resources and the task is started nowhere else.
+// keeps its resources and the task is started nowhere else. A refusal of a repeated start doesn't show that the first
+// one won't arrive any more, however late it is read.
 func (c *Core) HandleStartResult(now time.Time, p jobs.Placement, res CommandResult) {
 	r := c.runs[p]
 	if r == nil {
@@ -167,9 +170,6 @@
 		}
 	case r.state == stateStarting && !r.startUnknown:
 		delete(c.runs, p) // the task is certainly not on the worker; another worker may get it
-	case r.state == stateStarting && now.After(r.startDeadline.Add(expiryMargin)):
-		delete(c.runs, p)
-		c.returnPlacement(p, r.task.ResumeFrom)
 	}
 }
 
@@ -198,10 +198,14 @@
 
 // HandleReply handles a bucket's reply to a report. The tasks in it replace those that the bucket wanted before.
 // A task in the bucket's first reply that has no run may have been started by a former holder.
+//
+// A reply of a former holder of the bucket that arrives after one of its successor is ignored: it may want a task that
+// has ended since.
 func (c *Core) HandleReply(now time.Time, bucket string, reply jobs.RackReply) {
-	if !reply.OK {
+	if !reply.OK || reply.Ep < c.bucketEpochs[bucket] {
 		return
 	}
+	c.bucketEpochs[bucket] = reply.Ep
 	for _, p := range reply.Counts {
 		if r := c.runs[p]; r != nil && r.state == stateFinished {
 			r.mayAccept = true
