batch/rack: replies of a build that sends no epoch are accepted

While two builds hold buckets side by side, a bucket that went back to a process of the former build would not have been served to racks held by the new one, as replies without an epoch count as older than any. Such replies are taken as before. Tests of batch/rack, jobs and hold pass.

--- a/internal/batch/jobs/core.go
+++ b/internal/batch/jobs/core.go
@@ -59,7 +59,7 @@
 // RackReply is the reply of a bucket's holder to a RackReport.
 type RackReply struct {
 	OK       bool        // false: the report was ignored and the other fields are empty
-	Ep       uint64      // epoch of the bucket's holder
+	Ep       uint64      // epoch of the bucket's holder; 0: the holder is of a build that doesn't send it
 	Run      []Task      // all tasks that the rack is to run
 	Counts   []Placement // finished placements that count; their results may be published
 	Recorded []Placement // other reported placements that need not be reported again
--- a/internal/batch/rack/commands.go
+++ b/internal/batch/rack/commands.go
@@ -202,10 +202,10 @@
 // A reply of a former holder of the bucket that arrives after one of its successor is ignored: it may want a task that
 // has ended since.
 func (c *Core) HandleReply(now time.Time, bucket string, reply jobs.RackReply) {
-	if !reply.OK || reply.Ep < c.bucketEpochs[bucket] {
+	if !reply.OK || reply.Ep != 0 && reply.Ep < c.bucketEpochs[bucket] {
 		return
 	}
-	c.bucketEpochs[bucket] = reply.Ep
+	c.bucketEpochs[bucket] = max(c.bucketEpochs[bucket], reply.Ep)
 	for _, p := range reply.Counts {
 		if r := c.runs[p]; r != nil && r.state == stateFinished {
 			r.mayAccept = true
