batch/agent: agents that all fall silent at once are opened again

A holder that was short of processor time for a good second read no agent's replies in time, took all agents for lost and excluded them for 5 s. All polls and stops then fell to the holder, which lacks the capacity for them, so that it stayed short of processor time.

A timeout while no other agent has replied for 0.45 s (a sound one replies every 0.28 s) speaks for a delay of the holder. It now excludes nobody: the sessions are opened again at once, without waiting for the next Update, and calls wait for them, 0.4 s at most. An agent that doesn't reply the second time, or that was the only one, is demoted for 5 s: it's chosen only if there are no others, so that one that is really gone is replaced in about a second if it was the only one, and in about two if all are gone at once. One that is silent while others reply is lost as before. The state is set before the calls of the session fail, as these choose their next way by it.

--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +19,10 @@
 const (
 	// maxFirstWait is how long calls wait for the first agents of a holder.
 	maxFirstWait = 700 * time.Millisecond
+	// maxReopenWait is how long calls wait for agents that are opened again after all of them fell silent.
+	maxReopenWait = 400 * time.Millisecond
+	// maxQuiet is the longest time between two replies of an agent without delays.
+	maxQuiet = receiveTimeout + readGrace
 	// maxAttempts is how many agents a call is passed to before it is made directly.
 	maxAttempts = 3
 	// bypassTime is how long a worker that its agent doesn't reach is called directly.
@@ -45,10 +51,12 @@
 	directCalls, agentCalls tally.Counter
 
 	mu       sync.Mutex
-	ready    chan struct{}        // closed once the agents are known, or maxFirstWait has passed
+	ready    chan struct{}        // closed once the agents are open, or calls have waited long enough for them
+	addrs    []string             // as last given to Update
 	wanted   int                  // number of agents; 0: all calls are made directly
 	agents   []*remote            // sorted by rank
 	excluded map[string]time.Time // until when agents aren't chosen, by address
+	demoted  map[string]time.Time // until when agents are chosen only if there are no others, by address
 	bypassed map[string]time.Time // until when workers are called directly, by id
 }
 
@@ -60,27 +68,34 @@
 	}
 	c := &Client{
 		opts: opts, ctx: ctx, dial: dialLink, directCalls: calls("direct"), agentCalls: calls("agent"),
-		ready: make(chan struct{}), excluded: map[string]time.Time{}, bypassed: map[string]time.Time{},
+		ready: make(chan struct{}), excluded: map[string]time.Time{}, demoted: map[string]time.Time{}, bypassed: map[string]time.Time{},
 	}
-	t := time.AfterFunc(maxFirstWait, c.setReady)
-	context.AfterFunc(ctx, func() {
-		t.Stop()
-		c.setReady()
-	})
+	c.limitWait(c.ready, maxFirstWait)
 	return c
 }
 
 // Wait waits for the goroutines of the sessions, after the client's context has ended. No Update may follow.
 func (c *Client) Wait() { c.wg.Wait() }
 
-// setReady lets the calls go on that wait for agents.
-func (c *Client) setReady() {
+// limitWait closes ready, unless that has been done, after d or when the client's context ends.
+func (c *Client) limitWait(ready chan struct{}, d time.Duration) {
+	ctx, cancel := context.WithTimeout(c.ctx, d)
+	context.AfterFunc(ctx, func() {
+		cancel()
+		c.endWait(ready)
+	})
+}
+
+// endWait lets the calls go on that wait for ready, unless others wait for a later one.
+func (c *Client) endWait(ready chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closeReady()
+	if c.ready == ready {
+		c.closeReady()
+	}
 }
 
-// closeReady does the same. The caller holds c.mu.
+// closeReady lets the calls go on that wait for agents. The caller holds c.mu.
 func (c *Client) closeReady() {
 	select {
 	case <-c.ready:
@@ -121,47 +136,64 @@
 // how many of them a holder with this process's limits can call by itself; 0: not known, all calls are made directly.
 func (c *Client) Update(now time.Time, addrs []string, workers, capacity int) {
 	c.mu.Lock()
-	deletePassed(c.excluded, now)
-	deletePassed(c.bypassed, now)
+	c.addrs = addrs
 	c.wanted = agentCount(c.wanted, workers, capacity)
-	chosen := c.choose(addrs)
-	var kept, removed []*remote
-	present := map[string]bool{}
+	if c.wanted == 0 {
+		c.closeReady()
+	}
+	change := c.updateAgents(now)
+	c.mu.Unlock()
+	change.finish(c.opts.Log.WithValues("workers", workers, "carries", capacity))
+	c.updateGauge()
+}
+
+// agentChange is a change of the agents.
+type agentChange struct {
+	wanted  int
+	chosen  []string  // addresses of the agents from now on
+	started bool      // sessions have been started
+	removed []*remote // sessions to be ended
+}
+
+// updateAgents starts sessions with the agents that are to be used, and forgets the others. The caller holds c.mu, and
+// passes the change to finish when it has released it.
+func (c *Client) updateAgents(now time.Time) agentChange {
+	for _, until := range []map[string]time.Time{c.excluded, c.demoted, c.bypassed} {
+		deletePassed(until, now)
+	}
+	change := agentChange{wanted: c.wanted}
+	chosen := c.choose()
+	var kept []*remote
 	for _, r := range c.agents {
 		switch {
 		case r.currentState() >= stateDraining:
 		case !chosen[r.addr]:
-			removed = append(removed, r)
+			change.removed = append(change.removed, r)
 		default:
 			kept = append(kept, r)
-			present[r.addr] = true
+			delete(chosen, r.addr)
 		}
 	}
-	changed := len(removed) > 0
 	for addr := range chosen {
-		if !present[addr] {
-			changed = true
-			kept = append(kept, c.start(addr))
-		}
+		change.started = true
+		kept = append(kept, c.start(addr))
 	}
 	sortByRank(kept)
 	c.agents = kept
-	if c.wanted == 0 {
-		c.closeReady()
-	}
-	var names []string
 	for _, r := range kept {
-		names = append(names, r.addr)
+		change.chosen = append(change.chosen, r.addr)
 	}
-	wanted := c.wanted
-	c.mu.Unlock()
-	for _, r := range removed {
+	return change
+}
+
+// finish ends the sessions with agents that are no longer used, and logs the change if there is one.
+func (change agentChange) finish(log logr.Logger) {
+	for _, r := range change.removed {
 		r.drain()
 	}
-	if changed {
-		c.opts.Log.Info("agents", "workers", workers, "carries", capacity, "wanted", wanted, "chosen", strings.Join(names, ","))
+	if change.started || len(change.removed) > 0 {
+		log.Info("agents", "wanted", change.wanted, "chosen", strings.Join(change.chosen, ","))
 	}
-	c.updateGauge()
 }
 
 // updateGauge updates the gauge of the agents that take calls.
@@ -180,11 +212,11 @@
 	}
 }
 
-// choose returns the addresses of the agents among addrs and the present agents: a session shows more reliably than
-// heartbeats that an agent is there. The caller holds c.mu.
-func (c *Client) choose(addrs []string) map[string]bool {
+// choose returns the addresses of the agents among those last heard of and the present agents: a session shows more
+// reliably than heartbeats that an agent is there. The caller holds c.mu.
+func (c *Client) choose() map[string]bool {
 	usable := map[string]bool{}
-	for _, addr := range addrs {
+	for _, addr := range c.addrs {
 		usable[addr] = true
 	}
 	for _, r := range c.agents {
@@ -195,13 +227,26 @@
 	for addr := range c.excluded {
 		delete(usable, addr)
 	}
-	return topRanked(usable, c.wanted)
+	demoted := map[string]bool{}
+	for addr := range c.demoted {
+		if usable[addr] {
+			delete(usable, addr)
+			demoted[addr] = true
+		}
+	}
+	chosen := topRanked(usable, c.wanted)
+	maps.Copy(chosen, topRanked(demoted, c.wanted-len(chosen)))
+	return chosen
 }
 
 // start begins a session with the agent at addr. The caller holds c.mu.
 func (c *Client) start(addr string) *remote {
 	r := newRemote(c.ctx, addr, c.dial(addr), batchPause(c.wanted), c.handleChange)
-	c.wg.Go(r.run)
+	c.wg.Go(func() {
+		r.run()
+		<-r.ctx.Done() // when handleChange has returned
+		c.replaceSilent(r)
+	})
 	return r
 }
 
@@ -216,11 +261,12 @@
 	if cause != nil && lacksService(cause) {
 		name, cooldown = "refused", refusedAgentCooldown
 	}
-	chosen := false
-	for _, a := range c.agents {
-		chosen = chosen || a == r
-	}
-	if cause != nil || state == stateDraining && chosen {
+	chosen := slices.Contains(c.agents, r)
+	switch {
+	case chosen && cause == errNoReply && c.othersQuiet(r):
+		name = "silent"
+		c.handleSilence(r)
+	case cause != nil || state == stateDraining && chosen:
 		c.excluded[r.addr] = time.Now().Add(cooldown)
 	}
 	c.mu.Unlock()
@@ -236,10 +282,54 @@
 	c.updateGauge()
 }
 
-// awaitReady waits until the first agents are known, or ctx ends.
+// othersQuiet reports whether no other agent replies either, which speaks for a delay of this process rather than for the
+// loss of an agent. The caller holds c.mu.
+func (c *Client) othersQuiet(r *remote) bool {
+	for _, other := range c.agents {
+		if at := other.lastReplyAt(); other != r && !at.IsZero() && time.Since(at) <= maxQuiet {
+			return false
+		}
+	}
+	return true
+}
+
+// handleSilence prepares the replacement of a silent agent that is perhaps not lost. The caller holds c.mu.
+//
+// The exclusion of all agents would leave the calls to a holder without the capacity for them, just when it is short of
+// processor time. The same agents are used again, unless one doesn't reply the second time or is the only one: then others
+// come first.
+func (c *Client) handleSilence(r *remote) {
+	replied := !r.lastReplyAt().IsZero()
+	r.silent = true
+	if !replied || len(c.agents) == 1 {
+		c.demoted[r.addr] = time.Now().Add(lostAgentCooldown)
+	}
+	if replied && c.openCount() == 0 {
+		c.closeReady()
+		c.ready = make(chan struct{})
+		c.limitWait(c.ready, maxReopenWait)
+	}
+}
+
+// replaceSilent starts another session in place of one that has ended by handleSilence.
+func (c *Client) replaceSilent(r *remote) {
+	c.mu.Lock()
+	if !r.silent || c.ctx.Err() != nil {
+		c.mu.Unlock()
+		return
+	}
+	change := c.updateAgents(time.Now())
+	c.mu.Unlock()
+	change.finish(c.opts.Log)
+}
+
+// awaitReady waits until agents are open, calls have waited long enough for them, or ctx ends.
 func (c *Client) awaitReady(ctx context.Context) {
+	c.mu.Lock()
+	ready := c.ready
+	c.mu.Unlock()
 	select {
-	case <-c.ready:
+	case <-ready:
 	case <-ctx.Done():
 	}
 }
@@ -268,8 +358,8 @@
 // Poll implements drive.WorkerClient. A poll that a lost agent may have made, or that wasn't made in time, is made another
 // way.
 func (c *Client) Poll(ctx context.Context, req sched.PollRequest, fence int64) (sched.Report, sched.Outcome) {
-	c.awaitReady(ctx)
 	for range maxAttempts {
+		c.awaitReady(ctx)
 		r := c.route(req.ID)
 		if r == nil {
 			break
@@ -310,9 +400,9 @@
 // were sent again and its run seen to begin and to end with the worker, the late one would begin another run. Only a stop
 // is sent again; for the others it's left to sched to look what became of them.
 func (c *Client) SendOrder(ctx context.Context, o sched.Order, fence int64) sched.Outcome {
-	c.awaitReady(ctx)
 	begun := time.Now()
 	for range maxAttempts {
+		c.awaitReady(ctx)
 		r := c.route(o.Incarnation.ID)
 		if r == nil {
 			break
--- a/internal/batch/agent/remote.go
+++ b/internal/batch/agent/remote.go
@@ -57,11 +57,13 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wake      chan struct{} // wakes sendLoop
+	silent    bool          // ended by Client.handleSilence; guarded by Client.mu
 
 	mu          sync.Mutex
 	state       remoteState
 	clockOffset time.Duration // at most the agent's clock minus the time since startedAt
 	offsetAt    time.Duration // when clockOffset was last updated, since startedAt
+	repliedAt   time.Time     // when the last reply was received
 	lastID      uint64        // of the calls
 	queue       []Call        // to be sent
 	waiting     map[uint64]*waitingCall
@@ -108,6 +110,7 @@
 		return err
 	}
 	r.mu.Lock()
+	r.repliedAt = time.Now()
 	r.clockOffset, r.offsetAt = reply.Clock-time.Since(r.startedAt), time.Since(r.startedAt)
 	if r.state == stateOpening {
 		r.state = stateOpen
@@ -197,7 +200,13 @@
 func (r *remote) send(calls []Call) error {
 	ctx, cancel := r.withTimeout(agentTimeout)
 	defer cancel()
-	return r.transport.send(ctx, SendArgs{r.session, calls})
+	if err := r.transport.send(ctx, SendArgs{r.session, calls}); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.repliedAt = time.Now()
+	return nil
 }
 
 // takeQueue removes and returns the queued calls whose callers still wait. From here on the agent may make them.
@@ -276,6 +285,7 @@
 func (r *remote) deliver(reply ReceiveReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.repliedAt = time.Now()
 	r.updateClock(reply.Clock)
 	for _, a := range reply.Answers {
 		r.finish(a.ID, callResult{answer: a})
@@ -340,6 +350,9 @@
 	}
 	r.state = stateEnded
 	r.queue = nil
+	r.mu.Unlock()
+	r.onChange(r, cause) // before the calls are made another way
+	r.mu.Lock()
 	for id, w := range r.waiting {
 		err := errNotMade
 		if w.sent {
@@ -348,7 +361,6 @@
 		r.finish(id, callResult{err: err})
 	}
 	r.mu.Unlock()
-	r.onChange(r, cause)
 	r.cancel()
 	r.transport.close()
 }
@@ -359,3 +371,10 @@
 	defer r.mu.Unlock()
 	return r.state
 }
+
+// lastReplyAt returns when the last reply of the agent was received, or the zero time.
+func (r *remote) lastReplyAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.repliedAt
+}
