batch/agent: a poll made another way leaves the batch with the former one alone

Since a poll that is made another way was changed in place, while the session of its lost agent may still have been encoding the batch that points to it: a data race, by which an agent could get a poll that is neither the one nor the other. Each attempt now passes its own copy.

--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -365,7 +365,8 @@
 			break
 		}
 		c.agentCalls.Inc(1)
-		a, err := r.call(ctx, Call{Fence: fence, Poll: &req}, maxPollTransit)
+		passed := req // a lost agent's session may still read it
+		a, err := r.call(ctx, Call{Fence: fence, Poll: &passed}, maxPollTransit)
 		switch {
 		case ctx.Err() != nil:
 			return sched.Report{}, sched.OutcomeUnknown
