batch/agent: no call is passed on between silent agents

When all agents were silent, a call of the first that ended was passed on to the next silent one, up to three times; and of the sessions that ended last, some were taken for lost alone, as a session opened again had been answered by then: their agents were excluded for 5 s after all.

Sessions that have not replied since before the silence was found take no calls until they do. A session that isn't answered since then is part of the same silence.

--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -23,6 +23,8 @@
 	maxReopenWait = 400 * time.Millisecond
 	// maxQuiet is the longest time between two replies of an agent without delays.
 	maxQuiet = receiveTimeout + readGrace
+	// maxSilence is the time after which all agents that were found silent have replied or were lost.
+	maxSilence = receiveTimeout + agentTimeout + readGrace
 	// maxAttempts is how many agents a call is passed to before it is made directly.
 	maxAttempts = 3
 	// bypassTime is how long a worker that its agent doesn't reach is called directly.
@@ -55,6 +57,7 @@
 	addrs    []string             // as last given to Update
 	wanted   int                  // number of agents; 0: all calls are made directly
 	agents   []*remote            // sorted by rank
+	silentAt time.Time            // when all agents were last found silent
 	excluded map[string]time.Time // until when agents aren't chosen, by address
 	demoted  map[string]time.Time // until when agents are chosen only if there are no others, by address
 	bypassed map[string]time.Time // until when workers are called directly, by id
@@ -263,7 +266,7 @@
 	}
 	chosen := slices.Contains(c.agents, r)
 	switch {
-	case chosen && cause == errNoReply && c.othersQuiet(r):
+	case cause == errNoReply && (c.othersQuiet(r) || c.inSilence(r)):
 		name = "silent"
 		c.handleSilence(r)
 	case cause != nil || state == stateDraining && chosen:
@@ -293,6 +296,12 @@
 	return true
 }
 
+// inSilence reports whether a session hasn't been answered since all agents were last found silent, and was open then or
+// started soon after. The caller holds c.mu.
+func (c *Client) inSilence(r *remote) bool {
+	return r.lastReplyAt().Before(c.silentAt) && r.startedAt.Sub(c.silentAt) < maxSilence
+}
+
 // handleSilence prepares the replacement of a silent agent that is perhaps not lost. The caller holds c.mu.
 //
 // The exclusion of all agents would leave the calls to a holder without the capacity for them, just when it is short of
@@ -301,10 +310,12 @@
 func (c *Client) handleSilence(r *remote) {
 	replied := !r.lastReplyAt().IsZero()
 	r.silent = true
-	if !replied || len(c.agents) == 1 {
+	only := !slices.ContainsFunc(c.agents, func(other *remote) bool { return other.addr != r.addr })
+	if !replied || only {
 		c.demoted[r.addr] = time.Now().Add(lostAgentCooldown)
 	}
-	if replied && c.openCount() == 0 {
+	if now := time.Now(); replied && now.Sub(c.silentAt) > agentTimeout {
+		c.silentAt = now
 		c.closeReady()
 		c.ready = make(chan struct{})
 		c.limitWait(c.ready, maxReopenWait)
@@ -341,7 +352,22 @@
 	if until, ok := c.bypassed[worker]; ok && time.Now().Before(until) {
 		return nil
 	}
-	return preferred(c.agents, worker)
+	return preferred(c.responsive(), worker)
+}
+
+// responsive returns the agents without those that have not replied since before all of them were found silent. The caller
+// holds c.mu.
+func (c *Client) responsive() []*remote {
+	if time.Since(c.silentAt) > maxSilence {
+		return c.agents
+	}
+	var agents []*remote
+	for _, r := range c.agents {
+		if r.lastReplyAt().After(c.silentAt.Add(-maxQuiet)) {
+			agents = append(agents, r)
+		}
+	}
+	return agents
 }
 
 // setBypass sets whether the next calls to a worker are made directly.
--- a/internal/batch/agent/silence_test.go
+++ b/internal/batch/agent/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,3 +90,83 @@
 		})
 	}
 }
+
+// Guards against a holder that goes on to make calls by itself after a second without processor time, as some of the agents
+// that it has opened again count as lost or calls are passed from one silent agent to the next.
+func TestFewDirectCallsAfterSilence(t *testing.T) {
+	for _, lag := range []time.Duration{1300 * time.Millisecond, 2 * time.Second} {
+		t.Run(lag.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const workers = 60
+				direct, far := &recorder{out: sched.OutcomeDone, delay: time.Second}, &recorder{out: sched.OutcomeDone, delay: time.Second}
+				agents := []*testAgent{newTestAgent("a", far), newTestAgent("b", far), newTestAgent("c", far)}
+				c := newTestClient(direct, agents...)
+				c.update(7)
+				time.Sleep(50 * time.Millisecond)
+				var wg sync.WaitGroup
+				end := time.Now().Add(12 * time.Second)
+				for i := range workers {
+					wg.Go(func() {
+						time.Sleep(time.Duration(i) * 17 * time.Millisecond)
+						for time.Now().Before(end) {
+							begun := time.Now()
+							c.Poll(t.Context(), testPoll(fmt.Sprintf("w%d", i)), 1)
+							if took := time.Since(begun); took > 3500*time.Millisecond {
+								t.Errorf("a poll took %s", took)
+							}
+						}
+					})
+				}
+				wg.Go(func() {
+					for time.Now().Before(end) {
+						time.Sleep(300 * time.Millisecond)
+						c.update(7)
+					}
+				})
+				time.Sleep(3 * time.Second)
+				for _, a := range agents {
+					a.setDelay(lag)
+				}
+				time.Sleep(lag)
+				for _, a := range agents {
+					a.setDelay(0)
+				}
+				wg.Wait()
+				if polls, _ := direct.counts(); polls > workers {
+					t.Errorf("%d polls made directly, want one of each of %d workers at most", polls, workers)
+				}
+				if n := c.logged(`"how"="lost"`); n != 0 {
+					t.Errorf("%d agents excluded", n)
+				}
+				c.stop()
+			})
+		})
+	}
+}
+
+// Guards against tasks that end, or run twice, because a holder short of processor time reads its agents' replies late.
+func TestLeasesSurviveSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const workers, tasks = 20, 60
+		h := startHolding(t, workers, 8, time.Hour)
+		h.submit("a", tasks, true)
+		h.awaitStart()
+		for _, a := range h.client.agents {
+			a.setDelay(1300 * time.Millisecond)
+		}
+		time.Sleep(1300 * time.Millisecond)
+		for _, a := range h.client.agents {
+			a.setDelay(0)
+		}
+		h.submit("b", tasks, true)
+		time.Sleep(12 * time.Second)
+		if n := h.workers.RunningCount(); n != 2*tasks {
+			t.Errorf("%d tasks run, want %d", n, 2*tasks)
+		}
+		if n := h.client.logged(`"how"="lost"`); n != 0 {
+			t.Errorf("%d agents excluded", n)
+		}
+		h.check()
+		h.stop()
+	})
+}
