batch/agent: a grace for late replies that ends unnoticed begins anew

A holder that had no processor time during the grace after a timeout took its agent for lost though the reply had arrived: only the start of the grace was counted from when it was noticed.

TestGraceNoticedLate calls the new endGrace with given delays, as timers are never late in virtual time; it has no counterpart before this change. The package's tests pass, also five times under the race detector.

--- a/internal/batch/agent/remote.go
+++ b/internal/batch/agent/remote.go
@@ -18,6 +18,8 @@
 	// readGrace follows agentTimeout. In it, a holder that is short of processor time reads the replies that have
 	// already arrived.
 	readGrace = 200 * time.Millisecond
+	// maxGraces bounds the graces in a row, each but the last of which was noticed late to have ended.
+	maxGraces = 4
 	// maxOrderTransit is the longest time from an order to the agent's call. It is half of what sched reserves for the
 	// transit of an order and the time since the last confirmation (orderMargin).
 	maxOrderTransit = 200 * time.Millisecond
@@ -124,21 +126,33 @@
 // ends with it: a blocked write ends only when the connection is closed.
 func (r *remote) withTimeout(timeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(r.ctx)
-	expire := func() {
-		if ctx.Err() == nil {
-			r.end(errNoReply)
-		}
-	}
-	t := time.AfterFunc(timeout, func() { // the grace begins when this process has come to notice the timeout
-		grace := time.AfterFunc(readGrace, expire)
-		context.AfterFunc(ctx, func() { grace.Stop() })
-	})
+	t := time.AfterFunc(timeout, func() { r.startGrace(ctx, maxGraces) })
 	return ctx, func() {
 		cancel()
 		t.Stop()
 	}
 }
 
+// startGrace ends the session after readGrace from now, when this process has come to notice a timeout, unless ctx has
+// ended by then.
+func (r *remote) startGrace(ctx context.Context, graces int) {
+	due := time.Now().Add(readGrace)
+	t := time.AfterFunc(readGrace, func() { r.endGrace(ctx, graces-1, time.Since(due)) })
+	context.AfterFunc(ctx, func() { t.Stop() })
+}
+
+// endGrace handles the end of a grace that was noticed late by the given time. As this process may have had no processor
+// time to read replies, another grace follows if any are left.
+func (r *remote) endGrace(ctx context.Context, left int, late time.Duration) {
+	switch {
+	case ctx.Err() != nil:
+	case late > readGrace/2 && left > 0:
+		r.startGrace(ctx, left)
+	default:
+		r.end(errNoReply)
+	}
+}
+
 // call makes a call through the agent. Its answer is awaited as long as the session lives, as a worker may have carried
 // the call out. It fails with errNotMade or errLost, or if ctx ends.
 func (r *remote) call(ctx context.Context, c Call, maxTransit time.Duration) (Answer, error) {
--- a/internal/batch/agent/silence_test.go
+++ b/internal/batch/agent/silence_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -170,3 +171,39 @@
 		h.stop()
 	})
 }
+
+// Guards against agents that are taken for lost by a holder which had no processor time during the grace for their replies,
+// and against a lost agent that a slow holder never gives up.
+func TestGraceNoticedLate(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		left int
+		late time.Duration
+		want remoteState
+	}{
+		{"in time", maxGraces - 1, 0, stateEnded},
+		{"a little late", maxGraces - 1, readGrace / 2, stateEnded},
+		{"late", maxGraces - 1, readGrace, stateOpen},
+		{"late once too often", 0, readGrace, stateEnded},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := newTestAgent("a", &recorder{out: sched.OutcomeDone})
+				c := openTestClient(t, &recorder{out: sched.OutcomeDone}, a)
+				r := c.Client.agents[0]
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				r.endGrace(ctx, tt.left, tt.late)
+				if got := r.currentState(); got != tt.want {
+					t.Errorf("state %d, want %d", got, tt.want)
+				}
+				time.Sleep(readGrace)
+				synctest.Wait()
+				if got := r.currentState(); got != stateEnded {
+					t.Errorf("state %d after another grace, noticed in time; want ended", got)
+				}
+				c.stop()
+			})
+		})
+	}
+}
