batch/agent: polls beyond a session's bound don't bypass the agent

An agent with too many calls answered a poll like one that it couldn't send to the worker, so the worker was called directly for 5 s: a burst beyond the bound moved all its workers to the holder, which lacks the capacity. The answer now says that the agent didn't try the call, as it does for one that came too late; the poll is made another way, and the next one goes over the agent.

Before: TestPollOverSessionBound: 4 polls made directly, want the one beyond the bound. It passes now.

--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -399,9 +399,9 @@
 		case err == nil && a.Outcome == sched.OutcomeUnknown:
 			c.setBypass(req.ID, true)
 			return sched.Report{}, sched.OutcomeUnknown
-		case err == nil && a.Outcome == sched.OutcomeUnsent && !a.Expired:
+		case err == nil && a.Outcome == sched.OutcomeUnsent && !a.NotMade:
 			c.setBypass(req.ID, true)
-		case err == nil && !a.Expired:
+		case err == nil && !a.NotMade:
 			return a.Report, a.Outcome
 		}
 		req = withoutGrants(req)
--- a/internal/batch/agent/service.go
+++ b/internal/batch/agent/service.go
@@ -106,7 +106,7 @@
 	}
 	for _, c := range in.Calls {
 		if !ses.begin() {
-			ses.add(Answer{ID: c.ID, Outcome: sched.OutcomeUnsent})
+			ses.add(Answer{ID: c.ID, Outcome: sched.OutcomeUnsent, NotMade: true})
 			continue
 		}
 		s.wg.Go(func() { ses.finish(s.makeCall(ses.ctx, c)) })
@@ -139,9 +139,8 @@
 func (s *Service) makeCall(ctx context.Context, c Call) Answer {
 	a := Answer{ID: c.ID, Outcome: sched.OutcomeUnsent}
 	switch {
-	case ctx.Err() != nil:
-	case s.clock() > c.Deadline:
-		a.Expired = true
+	case ctx.Err() != nil || s.clock() > c.Deadline:
+		a.NotMade = true
 	case c.Poll != nil:
 		a.Report, a.Outcome = s.workers.Poll(ctx, *c.Poll, c.Fence)
 	case c.Order != nil:
--- a/internal/batch/agent/support_test.go
+++ b/internal/batch/agent/support_test.go
@@ -70,6 +70,17 @@
 	a.delay = d
 }
 
+// addCalls changes the number of calls that the agent's sessions count as in progress.
+func (a *testAgent) addCalls(n int) {
+	a.service.mu.Lock()
+	defer a.service.mu.Unlock()
+	for _, ses := range a.service.sessions {
+		ses.mu.Lock()
+		ses.calls += n
+		ses.mu.Unlock()
+	}
+}
+
 // callCount returns how many calls have come.
 func (a *testAgent) callCount() int {
 	a.mu.Lock()
--- a/internal/batch/agent/wire.go
+++ b/internal/batch/agent/wire.go
@@ -22,7 +22,7 @@
 type Answer struct {
 	ID      uint64 // Call.ID
 	Outcome sched.Outcome
-	Expired bool         // the call wasn't made, as it came after its deadline
+	NotMade bool         // the agent didn't try the call: it came too late, or the session has too many
 	Report  sched.Report // of a poll that was answered
 }
 
