batch/agent: the transit of an order includes its waits for agents

Starts and throttles that waited for the first agents of a holder, 0.7 s at most, or for agents that were opened again, were made directly or over an agent afterwards, up to 0.7 s and another 0.2 s after CheckSend. sched reserves 0.4 s for the transit and the age of the store's word: an operator may have closed the worker meanwhile.

The 200 ms now count from the call of SendOrder, and one deadline goes with the order over all agents and is checked before it is made directly; what comes later is unsent. A stop has fresh time at each attempt as before.

Before: TestOrderTransitIncludesWaits/start and /pace: outcome done, want unsent; made 700ms after it was checked, want 200ms at most. They pass now. The tests of batch/..., proc/front and platform pass.

--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -392,7 +392,7 @@
 		}
 		c.agentCalls.Inc(1)
 		passed := req // a lost agent's session may still read it
-		a, err := r.call(ctx, Call{Fence: fence, Poll: &passed}, maxPollTransit)
+		a, err := r.call(ctx, Call{Fence: fence, Poll: &passed}, time.Now().Add(maxPollTransit))
 		switch {
 		case ctx.Err() != nil:
 			return sched.Report{}, sched.OutcomeUnknown
@@ -425,30 +425,31 @@
 //
 // An order that a lost agent may have received may still be carried out, also after its worker has restarted. If a start
 // were sent again and its run seen to begin and to end with the worker, the late one would begin another run. Only a stop
-// is sent again; for the others it's left to sched to look what became of them.
+// is sent again; for the others it's left to sched to look what became of them. Nor do the others leave later than
+// maxOrderTransit: what was checked before they were passed to SendOrder may have changed.
 func (c *Client) SendOrder(ctx context.Context, o sched.Order, fence int64) sched.Outcome {
-	begun := time.Now()
+	deadline := time.Now().Add(maxOrderTransit)
 	for range maxAttempts {
 		c.awaitReady(ctx)
+		if o.Verb == sched.VerbStop {
+			deadline = time.Now().Add(maxOrderTransit)
+		}
 		r := c.route(o.Incarnation.ID)
-		if r == nil {
+		if r == nil || time.Now().After(deadline) {
 			break
 		}
 		c.agentCalls.Inc(1)
-		transit := maxOrderTransit
-		if o.Verb != sched.VerbStop {
-			transit -= time.Since(begun)
-		}
-		a, err := r.call(ctx, Call{Fence: fence, Order: &o}, transit)
+		a, err := r.call(ctx, Call{Fence: fence, Order: &o}, deadline)
 		switch {
 		case err == nil:
 			return a.Outcome
 		case ctx.Err() != nil || errors.Is(err, errLost) && o.Verb != sched.VerbStop:
 			return sched.OutcomeUnknown
-		case time.Since(begun) > maxOrderTransit && o.Verb != sched.VerbStop:
-			return sched.OutcomeUnsent // what was checked before it was sent may have changed
 		}
 	}
+	if o.Verb != sched.VerbStop && time.Now().After(deadline) {
+		return sched.OutcomeUnsent
+	}
 	c.directCalls.Inc(1)
 	return c.opts.Direct.SendOrder(ctx, o, fence)
 }
--- a/internal/batch/agent/remote.go
+++ b/internal/batch/agent/remote.go
@@ -20,10 +20,10 @@
 	readGrace = 200 * time.Millisecond
 	// maxGraces bounds the graces in a row, each but the last of which was noticed late to have ended.
 	maxGraces = 4
-	// maxOrderTransit is the longest time from an order to the agent's call. It is half of what sched reserves for the
-	// transit of an order and the time since the last confirmation (orderMargin).
+	// maxOrderTransit is the longest time from an order to the call of its worker, over however many agents it is passed.
+	// It is half of what sched reserves for the transit of an order and the time since the last confirmation (orderMargin).
 	maxOrderTransit = 200 * time.Millisecond
-	// maxPollTransit is the same for a poll.
+	// maxPollTransit is the longest time from a poll, or its repetition, to the agent's call.
 	maxPollTransit = 500 * time.Millisecond
 	// maxQueuedCalls bounds the calls that wait to be sent to one agent.
 	maxQueuedCalls = 4096
@@ -153,11 +153,11 @@
 	}
 }
 
-// call makes a call through the agent. Its answer is awaited as long as the session lives, as a worker may have carried
+// call makes a call through the agent, which doesn't begin it after the deadline. Its answer is awaited as long as the session lives, as a worker may have carried
 // the call out. It fails with errNotMade or errLost, or if ctx ends.
-func (r *remote) call(ctx context.Context, c Call, maxTransit time.Duration) (Answer, error) {
+func (r *remote) call(ctx context.Context, c Call, deadline time.Time) (Answer, error) {
 	w := &waitingCall{result: make(chan callResult, 1)}
-	if !r.enqueue(&c, w, maxTransit) {
+	if !r.enqueue(&c, w, deadline) {
 		return Answer{}, errNotMade
 	}
 	wait.Wake(r.wake)
@@ -174,7 +174,7 @@
 }
 
 // enqueue appends a call to the queue. It returns false if the session takes no more calls.
-func (r *remote) enqueue(c *Call, w *waitingCall, maxTransit time.Duration) bool {
+func (r *remote) enqueue(c *Call, w *waitingCall, deadline time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.state != stateOpen || len(r.queue) >= maxQueuedCalls {
@@ -182,7 +182,7 @@
 	}
 	r.lastID++
 	c.ID = r.lastID
-	c.Deadline = time.Since(r.startedAt) + r.clockOffset + maxTransit
+	c.Deadline = deadline.Sub(r.startedAt) + r.clockOffset
 	r.queue = append(r.queue, *c)
 	r.waiting[c.ID] = w
 	return true
