batch/agent: deadlines pass while an agent's machine is suspended

An agent took the deadlines of its calls by the monotonic clock, which stands still while the machine is suspended. On resume it made the starts that it had received before, for workers that may have been closed, or have restarted, since.

Its clock goes on by the monotonic or the wall clock, whichever has gone on by more since the last reading, as sched takes ages, and never back: the holder keeps the highest offset that it has seen. The holder checks in the same way that an order isn't overdue before it passes it on.

Before, with the monotonic clock alone: TestClock/suspended: reading 0s, want 1m0s TestStartInSuspendedAgent: 1 starts made, answers [{ID:1 Outcome:done ...}]; want it unsent They pass now; five runs of the package pass under the race detector. No machine was suspended in earnest.

--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -435,7 +435,7 @@
 			deadline = time.Now().Add(maxOrderTransit)
 		}
 		r := c.route(o.Incarnation.ID)
-		if r == nil || time.Now().After(deadline) {
+		if r == nil || isPast(deadline) {
 			break
 		}
 		c.agentCalls.Inc(1)
@@ -447,7 +447,7 @@
 			return sched.OutcomeUnknown
 		}
 	}
-	if o.Verb != sched.VerbStop && time.Now().After(deadline) {
+	if o.Verb != sched.VerbStop && isPast(deadline) {
 		return sched.OutcomeUnsent
 	}
 	c.directCalls.Inc(1)
--- a/internal/batch/agent/service.go
+++ b/internal/batch/agent/service.go
@@ -29,8 +29,8 @@
 
 // Service makes calls to workers for a holder, as a net/rpc service. It is safe for concurrent use.
 type Service struct {
-	workers   drive.WorkerClient
-	startedAt time.Time // when the agent's clock showed 0
+	workers drive.WorkerClient
+	clock   *clock
 
 	mu       sync.Mutex
 	stopping bool
@@ -40,12 +40,9 @@
 
 // NewService returns a service that makes its calls through workers.
 func NewService(workers drive.WorkerClient) *Service {
-	return &Service{workers: workers, startedAt: time.Now(), sessions: map[string]*session{}}
+	return &Service{workers: workers, clock: newClock(systemClocks()), sessions: map[string]*session{}}
 }
 
-// clock returns the time on the agent's clock.
-func (s *Service) clock() time.Duration { return time.Since(s.startedAt) }
-
 // Stop makes the service refuse further calls, so that the holder chooses another agent. Calls in progress are
 // finished, and their answers can be received.
 func (s *Service) Stop() {
@@ -79,7 +76,7 @@
 	if s.sessions[in.Session] == nil {
 		s.sessions[in.Session] = newSession(func() { s.endSession(in.Session) })
 	}
-	out.Clock = s.clock()
+	out.Clock = s.clock.now()
 	return nil
 }
 
@@ -130,7 +127,7 @@
 	out.Answers = ses.take(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out.Clock, out.Stopping = s.clock(), s.stopping
+	out.Clock, out.Stopping = s.clock.now(), s.stopping
 	return nil
 }
 
@@ -139,7 +136,7 @@
 func (s *Service) makeCall(ctx context.Context, c Call) Answer {
 	a := Answer{ID: c.ID, Outcome: sched.OutcomeUnsent}
 	switch {
-	case ctx.Err() != nil || s.clock() > c.Deadline:
+	case ctx.Err() != nil || s.clock.now() > c.Deadline:
 		a.NotMade = true
 	case c.Poll != nil:
 		a.Report, a.Outcome = s.workers.Poll(ctx, *c.Poll, c.Fence)
