--- a/internal/batch/agent/remote.go
+++ b/internal/batch/agent/remote.go
@@ -18,10 +18,12 @@
 	// readGrace follows agentTimeout. In it, a holder that is short of processor time reads the replies that have
 	// already arrived.
 	readGrace = 200 * time.Millisecond
-	// maxOrderTransit is the longest time from an order to the agent's call. It is half of what sched reserves for the
-	// transit of an order and the time since the last confirmation (orderMargin).
+	// maxGraces bounds the graces in a row, each but the last of which was noticed late to have ended.
+	maxGraces = 4
+	// maxOrderTransit is the longest time from an order to the call of its worker, over however many agents it is passed.
+	// It is half of what sched reserves for the transit of an order and the time since the last confirmation (orderMargin).
 	maxOrderTransit = 200 * time.Millisecond
-	// maxPollTransit is the same for a poll.
+	// maxPollTransit is the longest time from a poll, or its repetition, to the agent's call.
 	maxPollTransit = 500 * time.Millisecond
 	// maxQueuedCalls bounds the calls that wait to be sent to one agent.
 	maxQueuedCalls = 4096
@@ -57,11 +59,13 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wake      chan struct{} // wakes sendLoop
+	silent    bool          // ended by Client.handleSilence; guarded by Client.mu
 
 	mu          sync.Mutex
 	state       remoteState
 	clockOffset time.Duration // at most the agent's clock minus the time since startedAt
 	offsetAt    time.Duration // when clockOffset was last updated, since startedAt
+	repliedAt   time.Time     // when the last reply was received
 	lastID      uint64        // of the calls
 	queue       []Call        // to be sent
 	waiting     map[uint64]*waitingCall
@@ -108,6 +112,7 @@
 		return err
 	}
 	r.mu.Lock()
+	r.repliedAt = time.Now()
 	r.clockOffset, r.offsetAt = reply.Clock-time.Since(r.startedAt), time.Since(r.startedAt)
 	if r.state == stateOpening {
 		r.state = stateOpen
@@ -121,26 +126,38 @@
 // ends with it: a blocked write ends only when the connection is closed.
 func (r *remote) withTimeout(timeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(r.ctx)
-	expire := func() {
-		if ctx.Err() == nil {
-			r.end(errNoReply)
-		}
-	}
-	t := time.AfterFunc(timeout, func() { // the grace begins when this process has come to notice the timeout
-		grace := time.AfterFunc(readGrace, expire)
-		context.AfterFunc(ctx, func() { grace.Stop() })
-	})
+	t := time.AfterFunc(timeout, func() { r.startGrace(ctx, maxGraces) })
 	return ctx, func() {
 		cancel()
 		t.Stop()
 	}
 }
 
-// call makes a call through the agent. Its answer is awaited as long as the session lives, as a worker may have carried
+// startGrace ends the session after readGrace from now, when this process has come to notice a timeout, unless ctx has
+// ended by then.
+func (r *remote) startGrace(ctx context.Context, graces int) {
+	due := time.Now().Add(readGrace)
+	t := time.AfterFunc(readGrace, func() { r.endGrace(ctx, graces-1, time.Since(due)) })
+	context.AfterFunc(ctx, func() { t.Stop() })
+}
+
+// endGrace handles the end of a grace that was noticed late by the given time. As this process may have had no processor
+// time to read replies, another grace follows if any are left.
+func (r *remote) endGrace(ctx context.Context, left int, late time.Duration) {
+	switch {
+	case ctx.Err() != nil:
+	case late > readGrace/2 && left > 0:
+		r.startGrace(ctx, left)
+	default:
+		r.end(errNoReply)
+	}
+}
+
+// call makes a call through the agent, which doesn't begin it after the deadline. Its answer is awaited as long as the session lives, as a worker may have carried
 // the call out. It fails with errNotMade or errLost, or if ctx ends.
-func (r *remote) call(ctx context.Context, c Call, maxTransit time.Duration) (Answer, error) {
+func (r *remote) call(ctx context.Context, c Call, deadline time.Time) (Answer, error) {
 	w := &waitingCall{result: make(chan callResult, 1)}
-	if !r.enqueue(&c, w, maxTransit) {
+	if !r.enqueue(&c, w, deadline) {
 		return Answer{}, errNotMade
 	}
 	wait.Wake(r.wake)
@@ -157,7 +174,7 @@
 }
 
 // enqueue appends a call to the queue. It returns false if the session takes no more calls.
-func (r *remote) enqueue(c *Call, w *waitingCall, maxTransit time.Duration) bool {
+func (r *remote) enqueue(c *Call, w *waitingCall, deadline time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.state != stateOpen || len(r.queue) >= maxQueuedCalls {
@@ -165,7 +182,7 @@
 	}
 	r.lastID++
 	c.ID = r.lastID
-	c.Deadline = time.Since(r.startedAt) + r.clockOffset + maxTransit
+	c.Deadline = deadline.Sub(r.startedAt) + r.clockOffset
 	r.queue = append(r.queue, *c)
 	r.waiting[c.ID] = w
 	return true
@@ -197,7 +214,13 @@
 func (r *remote) send(calls []Call) error {
 	ctx, cancel := r.withTimeout(agentTimeout)
 	defer cancel()
-	return r.transport.send(ctx, SendArgs{r.session, calls})
+	if err := r.transport.send(ctx, SendArgs{r.session, calls}); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.repliedAt = time.Now()
+	return nil
 }
 
 // takeQueue removes and returns the queued calls whose callers still wait. From here on the agent may make them.
@@ -276,6 +299,7 @@
 func (r *remote) deliver(reply ReceiveReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.repliedAt = time.Now()
 	r.updateClock(reply.Clock)
 	for _, a := range reply.Answers {
 		r.finish(a.ID, callResult{answer: a})
@@ -340,6 +364,9 @@
 	}
 	r.state = stateEnded
 	r.queue = nil
+	r.mu.Unlock()
+	r.onChange(r, cause) // before the calls are made another way
+	r.mu.Lock()
 	for id, w := range r.waiting {
 		err := errNotMade
 		if w.sent {
@@ -348,7 +375,6 @@
 		r.finish(id, callResult{err: err})
 	}
 	r.mu.Unlock()
-	r.onChange(r, cause)
 	r.cancel()
 	r.transport.close()
 }
@@ -359,3 +385,10 @@
 	defer r.mu.Unlock()
 	return r.state
 }
+
+// lastReplyAt returns when the last reply of the agent was received, or the zero time.
+func (r *remote) lastReplyAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.repliedAt
+}
