batch/sched, ctrl/lead: leases last while the holder reads all answers up to 2 s late

Found by review: a holder short of processor time reads the store's answers to its renewals as late as the workers' reports.

A poll's wait is now shorter by as much as the worker's last answer took longer than its wait, so that leases are renewed as often as before, at no more polls. And three times as many renewals may be in flight at the store: with five, none was sent for 0.8 s while answers were read 2 s late.

The store's client gives a call up after 1 s (proc/tool), so a host whose answers are read later than that still loses its confirmation.

--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -90,10 +90,11 @@
 	if w.contact != ContactGood {
 		// The worker may have restarted under the same id and numbers its ends from 1 again. Acknowledging by the
 		// numbers of the former incarnation would make it forget ends that no holder has received.
+		w.pollWait = 0
 		return req, true
 	}
 	req.AckedSeq = w.ackedSeq
-	req.Wait = w.pollInterval()
+	req.Wait = max(0, w.pollInterval()-w.answerDelay)
 	for _, r := range w.runList {
 		if r.state == RunUnknown || r.state == RunStopped {
 			req.Wait = pollUnresolved
@@ -105,6 +106,7 @@
 	if c.mayAct(now) {
 		req.LeaseUntil = c.grantLease(now, w)
 	}
+	w.pollWait = req.Wait
 	return req, true
 }
 
@@ -187,6 +189,7 @@
 	c.noteOrderDue(w)
 	w.contact = ContactGood
 	w.clock = w.clock.update(sent, now, rep.Clock)
+	w.answerDelay = max(0, now.Sub(sent)-w.pollWait)
 	var newEnds []FinishedRun
 	if n := len(rep.Finished); w.expired && n > 0 {
 		w.releasedSeq = rep.Finished[n-1].Seq
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -114,6 +114,8 @@
 	longRunning   wire.Size       // declared size of long-running runs that are not best-effort
 	reserved      reservation     // resources kept free for a task that waits for others to end
 	clock         clockReading    // newest reading of the worker's clock
+	pollWait      time.Duration   // PollRequest.Wait of the newest poll
+	answerDelay   time.Duration   // how much longer than its wait the newest answered poll took
 	breaker       health.Breaker  // excludes the worker from placement after failures
 	colocation    colocation      // state of best-effort tasks beside latency-critical ones
 
--- a/internal/ctrl/lead/elector.go
+++ b/internal/ctrl/lead/elector.go
@@ -44,9 +44,11 @@
 	// outageWindow is the time from when the store answers again during which the expiry of a lease is attributed to
 	// the store's outage.
 	outageWindow = time.Second
-	// renewalsPerLease is the number of renewals that are sent within a lease's TTL. It also limits the renewals in flight
-	// and the attempts to resolve a claim.
+	// renewalsPerLease is the number of renewals that are sent within a lease's TTL. It also limits the attempts to
+	// resolve a claim.
 	renewalsPerLease = 5
+	// maxRenewalsInFlight bounds the renewals without an answer, which may come late or be read late.
+	maxRenewalsInFlight = 3 * renewalsPerLease
 )
 
 // Holder describes the holder, as it is stored. Its zero value means that there is no holder.
--- a/internal/ctrl/lead/tenure.go
+++ b/internal/ctrl/lead/tenure.go
@@ -175,7 +175,7 @@
 	expired := make(chan struct{}, 1)
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	inFlight := make(chan struct{}, renewalsPerLease)
+	inFlight := make(chan struct{}, maxRenewalsInFlight)
 	for {
 		select {
 		case <-t.ctx.Done():
@@ -189,7 +189,7 @@
 			select {
 			case inFlight <- struct{}{}:
 			default:
-				continue // renewalsPerLease renewals are already in flight
+				continue
 			}
 			wg.Go(func() {
 				defer func() { <-inFlight }()
