batch/rack: one fence or renewal at a time to a worker that is listed again

What callers saw: a task could run on two workers after its first one had left the directory and come back within one call. Its holder had two calls to the worker under way and took the late answer to the first for one to the second, emitted after a start's deadline. Cause: SetWorkers forgot a worker without runs although a call to it had no answer. Why the fix works: such a worker stays known until the answer, or its absence, is handled, so its next call begins after that and answeredCallAt is the time of the call that was answered.

--- a/internal/batch/rack/core.go
+++ b/internal/batch/rack/core.go
@@ -101,15 +101,15 @@
 func (c *Core) Zone() string { return c.opts.Zone }
 
 // SetWorkers sets the addresses of the rack's workers. A worker that is no longer listed stays known while
-// it has runs.
+// it has runs or a fence or renewal of it has no answer, so that one listed again gets no second call meanwhile.
 func (c *Core) SetWorkers(addrs []string) {
 	for _, a := range addrs {
 		if c.workers[a] == nil {
 			c.workers[a] = &worker{addr: a}
 		}
 	}
-	for a := range c.workers {
-		if !slices.Contains(addrs, a) && !c.hasRuns(a) {
+	for a, w := range c.workers {
+		if !slices.Contains(addrs, a) && !w.leaseCallInFlight && !c.hasRuns(a) {
 			delete(c.workers, a)
 		}
 	}
--- a/internal/batch/rack/lateanswer_test.go
+++ b/internal/batch/rack/lateanswer_test.go
@@ -153,3 +153,66 @@
 		t.Errorf("the task was started %d times, want 1", n)
 	}
 }
+
+// TestOneLeaseCallAfterRelisting covers a worker that is removed from the directory and listed again while a renewal has
+// no answer. With a second call beside it, the late answer to one counts as the answer to a later one, and a task that
+// runs as never started.
+func TestOneLeaseCallAfterRelisting(t *testing.T) {
+	h := newHarness()
+	c := h.newHolder(1)
+	var held []func() // deliver late answers, in order of emission
+	confirmed := h.now
+	tick := func() (starts []Start) {
+		for _, a := range c.Tick(h.now, ZoneStatus{Usable: true, ConfirmedAt: confirmed}) {
+			switch a := a.(type) {
+			case Fence:
+				rep, refusal := h.worker.Fence(a.Msg)
+				held = append(held, func() { c.HandleFenceResult(h.now, a.Addr, CommandResult{Report: rep, Refusal: refusal}) })
+			case Renew:
+				rep, refusal := h.worker.Renew(a.Msg)
+				held = append(held, func() { c.HandleRenewResult(h.now, a.Addr, CommandResult{Report: rep, Refusal: refusal}) })
+			case Start:
+				starts = append(starts, a)
+				c.HandleStartResult(h.now, a.Placement, CommandResult{NoAnswer: true})
+			}
+		}
+		return starts
+	}
+	answer := func() {
+		if len(held) > 0 {
+			first := held[0]
+			held = held[1:]
+			first()
+		}
+	}
+	h.now = h.now.Add(testLeaseTTL / 6)
+	tick()
+	c.SetWorkers(nil)
+	c.SetWorkers([]string{"w"})
+	tick()
+	if len(held) > 1 {
+		t.Errorf("%d calls without an answer, want 1", len(held))
+	}
+	answer()
+	h.now = h.now.Add(testLeaseTTL / 6)
+	tick()
+	answer()
+	confirmed = h.now
+	p := h.wantTask(c)
+	starts := tick()
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	h.now = confirmed.Add(testMaxConfigAge / 2)
+	if _, refusal := h.worker.Start(starts[0].Msg); refusal != "" {
+		t.Fatal(refusal)
+	}
+	h.now = confirmed.Add(testMaxConfigAge + expiryMargin + time.Millisecond)
+	answer()
+	tick()
+	answer()
+	tick()
+	if _, returned := c.BuildReport("b", false).Back[p]; returned && len(h.worker.RunningTasks()) > 0 {
+		t.Error("the placement goes back to its bucket while the task runs")
+	}
+}
