peer/link: a call on a connection that is being closed isn't taken for unsent

net/rpc returns ErrShutdown for a call that it didn't send, but also for those waiting for an answer when the peer's end of the connection is read just after this side has begun to close it. Link reported both as ErrUnreachable, which says that the call wasn't sent; its caller may send it again over another way.

ErrShutdown now counts as ErrUnreachable only if this side has not begun to close the connection, which net/rpc's second case requires.

--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,11 +31,23 @@
 	addr string // host:port of the peer
 
 	mu       sync.Mutex
-	client   *rpc.Client // on the open connection; nil: not connected
-	failedAt time.Time   // when the last dial failed
+	client   *client   // on the open connection; nil: not connected
+	failedAt time.Time // when the last dial failed
 	closed   bool
 }
 
+// client is a net/rpc client on one connection.
+type client struct {
+	*rpc.Client
+	closing atomic.Bool // set before Close is called
+}
+
+// close closes the connection.
+func (c *client) close() {
+	c.closing.Store(true)
+	_ = c.Close()
+}
+
 // New returns a link to the peer at addr (host:port). It doesn't dial yet.
 func New(addr string) *Link {
 	return &Link{addr: addr}
@@ -68,7 +81,8 @@
 		return out, nil
 	case errors.As(call.Error, &methodErr):
 		return out, call.Error
-	case errors.Is(call.Error, rpc.ErrShutdown):
+	case errors.Is(call.Error, rpc.ErrShutdown) && !c.closing.Load():
+		// Of a connection that this side closes, net/rpc may say the same to calls that have been sent.
 		l.dropClient(c)
 		return out, errors.Wrap(ErrUnreachable, l.addr)
 	}
@@ -77,7 +91,7 @@
 }
 
 // connect returns the client of the open connection, or dials.
-func (l *Link) connect(ctx context.Context) (*rpc.Client, error) {
+func (l *Link) connect(ctx context.Context) (*client, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.client != nil {
@@ -92,17 +106,17 @@
 		l.failedAt = time.Now()
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
-	l.client = rpc.NewClient(conn)
+	l.client = &client{Client: rpc.NewClient(conn)}
 	return l.client, nil
 }
 
 // dropClient closes the connection of c if it is still the link's connection.
-func (l *Link) dropClient(c *rpc.Client) {
+func (l *Link) dropClient(c *client) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.client == c {
 		l.client = nil
-		_ = c.Close()
+		c.close()
 	}
 }
 
@@ -126,7 +140,7 @@
 	defer l.mu.Unlock()
 	l.closed = true
 	if l.client != nil {
-		_ = l.client.Close()
+		l.client.close()
 		l.client = nil
 	}
 }
