batch/agent: a batch that didn't reach its agent counts as not made

A batch that failed with link.ErrUnreachable, as there was no connection any more, counted as perhaps made: its starts ended as unknown and their tasks waited for polls to tell, though another way was open. Its calls now fail with errNotMade, as those that the agent refuses do, and only once the session takes no more calls, so that none is queued for it again.

Before: TestBatchNotSent: start: unknown, want done. It passes now, as do five runs of the package under the race detector.

--- a/internal/batch/agent/notmade_test.go
+++ b/internal/batch/agent/notmade_test.go
@@ -6,7 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/peer/link"
 )
 
 // Guards against workers that count as out of contact, and whose polls then fall to the holder for 5 s, because an agent or
@@ -59,3 +62,33 @@
 		c.stop()
 	})
 }
+
+// Guards against starts whose outcome counts as unknown, so that their tasks wait for the next poll, though their batch can't
+// have reached the agent.
+func TestBatchNotSent(t *testing.T) {
+	for _, tt := range []struct {
+		err  error
+		want sched.Outcome
+	}{
+		{errors.Wrap(link.ErrUnreachable, "a"), sched.OutcomeDone},
+		{errors.Wrap(link.ErrAnswerLost, "a"), sched.OutcomeUnknown},
+	} {
+		t.Run(tt.err.Error(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				direct, far := &recorder{out: sched.OutcomeDone}, &recorder{out: sched.OutcomeDone}
+				a := newTestAgent("a", far)
+				c := openTestClient(t, direct, a)
+				a.mu.Lock()
+				a.refuse = tt.err
+				a.mu.Unlock()
+				if out := c.SendOrder(t.Context(), testOrder(sched.VerbStart, "w"), 1); out != tt.want {
+					t.Errorf("start: %s, want %s", out, tt.want)
+				}
+				if c.InUse() {
+					t.Error("the agent is still in use")
+				}
+				c.stop()
+			})
+		})
+	}
+}
--- a/internal/batch/agent/remote.go
+++ b/internal/batch/agent/remote.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/peer/link"
 )
 
 const (
@@ -238,22 +239,27 @@
 	return calls
 }
 
-// handleSendError handles a batch that the agent refused, or hasn't confirmed.
+// handleSendError handles a batch that didn't reach the agent, that it refused, or that it hasn't confirmed.
 func (r *remote) handleSendError(calls []Call, err error) {
-	if !isRefusal(err) {
-		r.end(err)
+	if isRefusal(err) || errors.Is(err, link.ErrUnreachable) {
+		r.markUnsent(calls)
+	}
+	if isStopping(err) {
+		r.drain()
 		return
 	}
+	r.end(err)
+}
+
+// markUnsent notes that the agent hasn't made the calls and won't make them.
+func (r *remote) markUnsent(calls []Call) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, c := range calls {
-		r.finish(c.ID, callResult{err: errNotMade})
-	}
-	r.mu.Unlock()
-	if !isStopping(err) {
-		r.end(err)
-		return
+		if w := r.waiting[c.ID]; w != nil {
+			w.sent = false
+		}
 	}
-	r.drain()
 }
 
 // isRefusal reports whether err is an answer of the agent's process.
@@ -332,6 +338,8 @@
 	if changed {
 		r.state = stateDraining
 		r.queue = nil
+	}
+	if r.state == stateDraining {
 		for id, w := range r.waiting {
 			if !w.sent {
 				r.finish(id, callResult{err: errNotMade})
--- a/internal/batch/agent/support_test.go
+++ b/internal/batch/agent/support_test.go
@@ -34,6 +34,7 @@
 	service *Service // nil: an older build
 
 	mu     sync.Mutex
+	refuse error         // what Send fails with, without reaching the agent; nil: it does
 	lost   chan struct{} // closed when the connections break; later calls fail
 	frozen chan struct{} // not nil: calls, and what they bring, wait until it is closed
 	delay  time.Duration // of each reply
@@ -156,7 +157,11 @@
 			a.starts++
 		}
 	}
+	refuse := a.refuse
 	a.mu.Unlock()
+	if refuse != nil {
+		return refuse
+	}
 	return a.do(ctx, func() error { return a.service.Send(in, new(int)) })
 }
 
