batch/agent: names and files that tell the two halves of a session apart

- remote is clientSession (the holder's half) and session is serviceSession (the agent's), in files of these names.
- Client: wanted, ready, excluded, demoted and bypassed are agentsWanted, agentsReady, excludedUntil, avoidedUntil and directUntil; agents is sessions; setBypass is callDirectly and callOverAgents.
- handleChange is split into sessionOpened, sessionDraining, sessionEnded and handleLoss, and Poll into Poll and pollOver.
What chooses agents and follows their sessions is in agents.go, what makes calls in client.go.

No change of behaviour but one: an agent that stops without calls in progress is always logged as stopping, also if its session ends before the client looks at its state. The tests of batch/..., proc/front and platform pass, and five runs of the package under the race detector.

--- a/internal/batch/agent/choose.go
+++ b/internal/batch/agent/choose.go
@@ -62,17 +62,17 @@
 }
 
 // sortByRank sorts sessions by the rank of their agents.
-func sortByRank(agents []*remote) {
-	slices.SortFunc(agents, func(a, b *remote) int { return compareRank(a.addr, b.addr) })
+func sortByRank(sessions []*clientSession) {
+	slices.SortFunc(sessions, func(a, b *clientSession) int { return compareRank(a.addr, b.addr) })
 }
 
 // preferred returns the session for a worker's calls by rendezvous hashing, or nil if no agent takes calls.
-func preferred(agents []*remote, worker string) *remote {
-	var best *remote
+func preferred(sessions []*clientSession, worker string) *clientSession {
+	var best *clientSession
 	var bestHash uint64
-	for _, r := range agents {
-		if h := hash(r.addr, worker); (best == nil || h > bestHash) && r.currentState() == stateOpen {
-			best, bestHash = r, h
+	for _, s := range sessions {
+		if h := hash(s.addr, worker); (best == nil || h > bestHash) && s.currentState() == stateOpen {
+			best, bestHash = s, h
 		}
 	}
 	return best
--- a/internal/batch/agent/choose_test.go
+++ b/internal/batch/agent/choose_test.go
@@ -41,16 +41,16 @@
 // Guards against the loss of one agent that moves the workers of others too, which then need new connections.
 func TestWorkersStayWithTheirAgents(t *testing.T) {
 	const workers = 1000
-	var agents []*remote
+	var agents []*clientSession
 	addrs := map[string]bool{}
 	for i := range 20 {
 		addrs[fmt.Sprintf("10.0.0.%d:7000", i)] = true
 	}
 	for addr := range topRanked(addrs, 5) {
-		agents = append(agents, &remote{addr: addr, state: stateOpen})
+		agents = append(agents, &clientSession{addr: addr, state: stateOpen})
 	}
 	sortByRank(agents)
-	before, load := map[string]*remote{}, map[*remote]int{}
+	before, load := map[string]*clientSession{}, map[*clientSession]int{}
 	for i := range workers {
 		w := fmt.Sprintf("w%d", i)
 		before[w] = preferred(agents, w)
--- a/internal/batch/agent/client_test.go
+++ b/internal/batch/agent/client_test.go
@@ -172,11 +172,11 @@
 			if out := c.SendOrder(t.Context(), testOrder(sched.VerbStart, "v"), 1); out != tt.far {
 				t.Errorf("start on another worker: %s, want over the agent", out)
 			}
-			time.Sleep(bypassTime)
+			time.Sleep(directTime)
 			before, _ := far.counts()
 			c.Poll(t.Context(), testPoll("w"), 1)
 			if after, _ := far.counts(); after != before+1 {
-				t.Errorf("poll %s later isn't made over the agent", bypassTime)
+				t.Errorf("poll %s later isn't made over the agent", directTime)
 			}
 			c.stop()
 		})
--- a/internal/batch/agent/remote.go
+++ b/internal/batch/agent/clientsession.go
@@ -39,31 +39,41 @@
 	errNoReply = errors.New("agent: no reply")
 )
 
-// remoteState is the state of a session with an agent.
-type remoteState int
+// sessionState is the state of a session with an agent.
+type sessionState int
 
 const (
-	stateOpening  remoteState = iota // the agent hasn't answered yet
-	stateOpen                        // takes calls
-	stateDraining                    // takes no more calls; the answers to the others are awaited
+	stateOpening  sessionState = iota // the agent hasn't answered yet
+	stateOpen                         // takes calls
+	stateDraining                     // takes no more calls; the answers to the others are awaited
 	stateEnded
 )
 
-// remote is the holder's session with one agent.
-type remote struct {
+// sessionObserver is told of the changes of a session, which holds none of its locks meanwhile.
+type sessionObserver interface {
+	// sessionOpened is called when the session takes calls.
+	sessionOpened(s *clientSession)
+	// sessionDraining is called when it takes no more calls, but waits for the answers to the others.
+	sessionDraining(s *clientSession)
+	// sessionEnded is called when the session has ended, before its calls fail. The cause is why its agent was lost, or nil.
+	sessionEnded(s *clientSession, cause error)
+}
+
+// clientSession is the holder's half of a session with one agent.
+type clientSession struct {
 	addr      string
 	transport transport
-	session   string
+	id        string        // of the session
 	pause     time.Duration // between two batches in one direction
 	startedAt time.Time
-	onChange  func(r *remote, cause error) // called when the state has changed; cause: why the agent was lost, or nil
+	observer  sessionObserver
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wake      chan struct{} // wakes sendLoop
-	silent    bool          // ended by Client.handleSilence; guarded by Client.mu
+	silent    bool          // ended as all agents were silent; guarded by Client.mu
 
 	mu          sync.Mutex
-	state       remoteState
+	state       sessionState
 	clockOffset time.Duration // at most the agent's clock minus the time since startedAt
 	offsetAt    time.Duration // when clockOffset was last updated, since startedAt
 	repliedAt   time.Time     // when the last reply was received
@@ -84,50 +94,55 @@
 	err    error // errNotMade or errLost
 }
 
-// newRemote returns a session that ends with ctx. It is run by run.
-func newRemote(ctx context.Context, addr string, t transport, pause time.Duration, onChange func(*remote, error)) *remote {
-	r := &remote{addr: addr, transport: t, session: uuid.NewString(), pause: pause, startedAt: time.Now(), onChange: onChange, wake: make(chan struct{}, 1), waiting: map[uint64]*waitingCall{}}
-	r.ctx, r.cancel = context.WithCancel(ctx)
-	return r
+// newClientSession returns a session that ends with ctx. It is run by run.
+func newClientSession(
+	ctx context.Context, addr string, t transport, pause time.Duration, observer sessionObserver,
+) *clientSession {
+	s := &clientSession{
+		addr: addr, transport: t, id: uuid.NewString(), pause: pause, startedAt: time.Now(), observer: observer,
+		wake: make(chan struct{}, 1), waiting: map[uint64]*waitingCall{},
+	}
+	s.ctx, s.cancel = context.WithCancel(ctx)
+	return s
 }
 
 // run opens the session and passes on calls and answers until it ends.
-func (r *remote) run() {
-	defer r.end(nil)
-	if err := r.open(); err != nil {
-		r.end(err)
+func (s *clientSession) run() {
+	defer s.end(nil)
+	if err := s.open(); err != nil {
+		s.end(err)
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(r.sendLoop)
-	r.receiveLoop()
+	wg.Go(s.sendLoop)
+	s.receiveLoop()
 	wg.Wait()
 }
 
 // open opens the session.
-func (r *remote) open() error {
-	ctx, cancel := r.withTimeout(agentTimeout)
+func (s *clientSession) open() error {
+	ctx, cancel := s.withTimeout(agentTimeout)
 	defer cancel()
-	reply, err := r.transport.open(ctx, OpenArgs{r.session})
+	reply, err := s.transport.open(ctx, OpenArgs{s.id})
 	if err != nil {
 		return err
 	}
-	r.mu.Lock()
-	r.repliedAt = time.Now()
-	r.clockOffset, r.offsetAt = reply.Clock-time.Since(r.startedAt), time.Since(r.startedAt)
-	if r.state == stateOpening {
-		r.state = stateOpen
+	s.mu.Lock()
+	s.repliedAt = time.Now()
+	s.clockOffset, s.offsetAt = reply.Clock-time.Since(s.startedAt), time.Since(s.startedAt)
+	if s.state == stateOpening {
+		s.state = stateOpen
 	}
-	r.mu.Unlock()
-	r.onChange(r, nil)
+	s.mu.Unlock()
+	s.observer.sessionOpened(s)
 	return nil
 }
 
 // withTimeout returns a context for one call of the agent. It ends after the timeout and readGrace, and the session
 // ends with it: a blocked write ends only when the connection is closed.
-func (r *remote) withTimeout(timeout time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(r.ctx)
-	t := time.AfterFunc(timeout, func() { r.startGrace(ctx, maxGraces) })
+func (s *clientSession) withTimeout(timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	t := time.AfterFunc(timeout, func() { s.startGrace(ctx, maxGraces) })
 	return ctx, func() {
 		cancel()
 		t.Stop()
@@ -136,127 +151,127 @@
 
 // startGrace ends the session after readGrace from now, when this process has come to notice a timeout, unless ctx has
 // ended by then.
-func (r *remote) startGrace(ctx context.Context, graces int) {
+func (s *clientSession) startGrace(ctx context.Context, graces int) {
 	due := time.Now().Add(readGrace)
-	t := time.AfterFunc(readGrace, func() { r.endGrace(ctx, graces-1, time.Since(due)) })
+	t := time.AfterFunc(readGrace, func() { s.endGrace(ctx, graces-1, time.Since(due)) })
 	context.AfterFunc(ctx, func() { t.Stop() })
 }
 
 // endGrace handles the end of a grace that was noticed late by the given time. As this process may have had no processor
 // time to read replies, another grace follows if any are left.
-func (r *remote) endGrace(ctx context.Context, left int, late time.Duration) {
+func (s *clientSession) endGrace(ctx context.Context, left int, late time.Duration) {
 	switch {
 	case ctx.Err() != nil:
 	case late > readGrace/2 && left > 0:
-		r.startGrace(ctx, left)
+		s.startGrace(ctx, left)
 	default:
-		r.end(errNoReply)
+		s.end(errNoReply)
 	}
 }
 
-// call makes a call through the agent, which doesn't begin it after the deadline. Its answer is awaited as long as the session lives, as a worker may have carried
-// the call out. It fails with errNotMade or errLost, or if ctx ends.
-func (r *remote) call(ctx context.Context, c Call, deadline time.Time) (Answer, error) {
+// call makes a call through the agent, which doesn't begin it after the deadline. Its answer is awaited as long as the
+// session lives, as a worker may have carried the call out. It fails with errNotMade or errLost, or if ctx ends.
+func (s *clientSession) call(ctx context.Context, c Call, deadline time.Time) (Answer, error) {
 	w := &waitingCall{result: make(chan callResult, 1)}
-	if !r.enqueue(&c, w, deadline) {
+	if !s.enqueue(&c, w, deadline) {
 		return Answer{}, errNotMade
 	}
-	wait.Wake(r.wake)
+	wait.Wake(s.wake)
 	select {
 	case res := <-w.result:
 		return res.answer, res.err
 	case <-ctx.Done():
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.waiting, c.ID)
-		r.endIfDrained()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.waiting, c.ID)
+		s.endIfDrained()
 		return Answer{}, errors.Wrap(ctx.Err(), "agent")
 	}
 }
 
 // enqueue appends a call to the queue. It returns false if the session takes no more calls.
-func (r *remote) enqueue(c *Call, w *waitingCall, deadline time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.state != stateOpen || len(r.queue) >= maxQueuedCalls {
+func (s *clientSession) enqueue(c *Call, w *waitingCall, deadline time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != stateOpen || len(s.queue) >= maxQueuedCalls {
 		return false
 	}
-	r.lastID++
-	c.ID = r.lastID
-	c.Deadline = deadline.Sub(r.startedAt) + r.clockOffset
-	r.queue = append(r.queue, *c)
-	r.waiting[c.ID] = w
+	s.lastID++
+	c.ID = s.lastID
+	c.Deadline = deadline.Sub(s.startedAt) + s.clockOffset
+	s.queue = append(s.queue, *c)
+	s.waiting[c.ID] = w
 	return true
 }
 
 // sendLoop sends the queued calls in batches until the session ends or takes no more calls.
-func (r *remote) sendLoop() {
+func (s *clientSession) sendLoop() {
 	for {
 		select {
-		case <-r.ctx.Done():
+		case <-s.ctx.Done():
 			return
-		case <-r.wake:
+		case <-s.wake:
 		}
-		calls := r.takeQueue()
+		calls := s.takeQueue()
 		if len(calls) == 0 {
 			continue
 		}
-		if err := r.send(calls); err != nil {
-			r.handleSendError(calls, err)
+		if err := s.send(calls); err != nil {
+			s.handleSendError(calls, err)
 			return
 		}
-		if !wait.For(r.ctx, r.pause) {
+		if !wait.For(s.ctx, s.pause) {
 			return
 		}
 	}
 }
 
 // send sends a batch.
-func (r *remote) send(calls []Call) error {
-	ctx, cancel := r.withTimeout(agentTimeout)
+func (s *clientSession) send(calls []Call) error {
+	ctx, cancel := s.withTimeout(agentTimeout)
 	defer cancel()
-	if err := r.transport.send(ctx, SendArgs{r.session, calls}); err != nil {
+	if err := s.transport.send(ctx, SendArgs{s.id, calls}); err != nil {
 		return err
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.repliedAt = time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repliedAt = time.Now()
 	return nil
 }
 
 // takeQueue removes and returns the queued calls whose callers still wait. From here on the agent may make them.
-func (r *remote) takeQueue() []Call {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (s *clientSession) takeQueue() []Call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var calls []Call
-	for _, c := range r.queue {
-		if w := r.waiting[c.ID]; w != nil {
+	for _, c := range s.queue {
+		if w := s.waiting[c.ID]; w != nil {
 			w.sent = true
 			calls = append(calls, c)
 		}
 	}
-	r.queue = nil
+	s.queue = nil
 	return calls
 }
 
 // handleSendError handles a batch that didn't reach the agent, that it refused, or that it hasn't confirmed.
-func (r *remote) handleSendError(calls []Call, err error) {
+func (s *clientSession) handleSendError(calls []Call, err error) {
 	if isRefusal(err) || errors.Is(err, link.ErrUnreachable) {
-		r.markUnsent(calls)
+		s.markUnsent(calls)
 	}
 	if isStopping(err) {
-		r.drain()
+		s.drain()
 		return
 	}
-	r.end(err)
+	s.end(err)
 }
 
 // markUnsent notes that the agent hasn't made the calls and won't make them.
-func (r *remote) markUnsent(calls []Call) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (s *clientSession) markUnsent(calls []Call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, c := range calls {
-		if w := r.waiting[c.ID]; w != nil {
+		if w := s.waiting[c.ID]; w != nil {
 			w.sent = false
 		}
 	}
@@ -277,126 +292,126 @@
 }
 
 // receiveLoop passes on the answers until the session ends.
-func (r *remote) receiveLoop() {
-	for r.ctx.Err() == nil {
-		reply, err := r.receive()
+func (s *clientSession) receiveLoop() {
+	for s.ctx.Err() == nil {
+		reply, err := s.receive()
 		if err != nil {
-			r.end(err)
+			s.end(err)
 			return
 		}
-		r.deliver(reply)
+		s.deliver(reply)
 		if reply.Stopping {
-			r.drain()
+			s.drain()
 		}
-		if !wait.For(r.ctx, r.pause) {
+		if !wait.For(s.ctx, s.pause) {
 			return
 		}
 	}
 }
 
 // receive waits for answers.
-func (r *remote) receive() (ReceiveReply, error) {
-	ctx, cancel := r.withTimeout(receiveTimeout + agentTimeout)
+func (s *clientSession) receive() (ReceiveReply, error) {
+	ctx, cancel := s.withTimeout(receiveTimeout + agentTimeout)
 	defer cancel()
-	return r.transport.receive(ctx, ReceiveArgs{r.session})
+	return s.transport.receive(ctx, ReceiveArgs{s.id})
 }
 
 // deliver passes answers to the callers that wait for them.
-func (r *remote) deliver(reply ReceiveReply) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.repliedAt = time.Now()
-	r.updateClock(reply.Clock)
+func (s *clientSession) deliver(reply ReceiveReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repliedAt = time.Now()
+	s.updateClock(reply.Clock)
 	for _, a := range reply.Answers {
-		r.finish(a.ID, callResult{answer: a})
+		s.finish(a.ID, callResult{answer: a})
 	}
-	r.endIfDrained()
+	s.endIfDrained()
 }
 
 // maxClockDrift is how much faster this process's clock may run than the agent's.
 const maxClockDrift = 0.001
 
-// updateClock takes a reading of the agent's clock into account, which may be received late. The caller holds r.mu.
-func (r *remote) updateClock(reading time.Duration) {
-	now := time.Since(r.startedAt)
-	drift := time.Duration(maxClockDrift * float64(now-r.offsetAt))
-	r.clockOffset, r.offsetAt = max(r.clockOffset-drift, reading-now), now
+// updateClock takes a reading of the agent's clock into account, which may be received late. The caller holds s.mu.
+func (s *clientSession) updateClock(reading time.Duration) {
+	now := time.Since(s.startedAt)
+	drift := time.Duration(maxClockDrift * float64(now-s.offsetAt))
+	s.clockOffset, s.offsetAt = max(s.clockOffset-drift, reading-now), now
 }
 
-// finish passes a result to the caller that waits for it, if any. The caller holds r.mu.
-func (r *remote) finish(id uint64, res callResult) {
-	if w := r.waiting[id]; w != nil {
-		delete(r.waiting, id)
+// finish passes a result to the caller that waits for it, if any. The caller holds s.mu.
+func (s *clientSession) finish(id uint64, res callResult) {
+	if w := s.waiting[id]; w != nil {
+		delete(s.waiting, id)
 		w.result <- res
 	}
 }
 
 // drain ends the session once all calls that have been sent are answered. The others go another way at once.
-func (r *remote) drain() {
-	r.mu.Lock()
-	changed := r.state < stateDraining
+func (s *clientSession) drain() {
+	s.mu.Lock()
+	changed := s.state < stateDraining
 	if changed {
-		r.state = stateDraining
-		r.queue = nil
+		s.state = stateDraining
+		s.queue = nil
 	}
-	if r.state == stateDraining {
-		for id, w := range r.waiting {
+	if s.state == stateDraining {
+		for id, w := range s.waiting {
 			if !w.sent {
-				r.finish(id, callResult{err: errNotMade})
+				s.finish(id, callResult{err: errNotMade})
 			}
 		}
-		r.endIfDrained()
+		s.endIfDrained()
 	}
-	r.mu.Unlock()
+	s.mu.Unlock()
 	if changed {
-		r.onChange(r, nil)
+		s.observer.sessionDraining(s)
 	}
 }
 
-// endIfDrained ends a draining session without calls. The caller holds r.mu.
-func (r *remote) endIfDrained() {
-	if r.state == stateDraining && len(r.waiting) == 0 {
-		r.cancel()
+// endIfDrained ends a draining session without calls. The caller holds s.mu.
+func (s *clientSession) endIfDrained() {
+	if s.state == stateDraining && len(s.waiting) == 0 {
+		s.cancel()
 	}
 }
 
 // end ends the session and fails its calls. The cause is nil if the agent wasn't lost.
-func (r *remote) end(cause error) {
-	r.mu.Lock()
-	if r.state == stateEnded {
-		r.mu.Unlock()
+func (s *clientSession) end(cause error) {
+	s.mu.Lock()
+	if s.state == stateEnded {
+		s.mu.Unlock()
 		return
 	}
-	if r.ctx.Err() != nil {
+	if s.ctx.Err() != nil {
 		cause = nil // the tenure is over, or the session is drained
 	}
-	r.state = stateEnded
-	r.queue = nil
-	r.mu.Unlock()
-	r.onChange(r, cause) // before the calls are made another way
-	r.mu.Lock()
-	for id, w := range r.waiting {
+	s.state = stateEnded
+	s.queue = nil
+	s.mu.Unlock()
+	s.observer.sessionEnded(s, cause)
+	s.mu.Lock()
+	for id, w := range s.waiting {
 		err := errNotMade
 		if w.sent {
 			err = errLost
 		}
-		r.finish(id, callResult{err: err})
+		s.finish(id, callResult{err: err})
 	}
-	r.mu.Unlock()
-	r.cancel()
-	r.transport.close()
+	s.mu.Unlock()
+	s.cancel()
+	s.transport.close()
 }
 
 // currentState returns the state of the session.
-func (r *remote) currentState() remoteState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state
+func (s *clientSession) currentState() sessionState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state
 }
 
 // lastReplyAt returns when the last reply of the agent was received, or the zero time.
-func (r *remote) lastReplyAt() time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.repliedAt
+func (s *clientSession) lastReplyAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.repliedAt
 }
--- a/internal/batch/agent/link_test.go
+++ b/internal/batch/agent/link_test.go
@@ -75,7 +75,10 @@
 	defer cancel()
 	c.Update(time.Now(), []string{addr, oldAddr}, 5, 1)
 	awaitAgents(t, c, true)
-	order := sched.Order{Verb: sched.VerbStart, Incarnation: sched.Incarnation{ID: "w", StartedAt: 5}, Addr: "x:1", Run: 7, Spec: "s", LeaseUntil: time.Second, Checkpoint: "c"}
+	order := sched.Order{
+		Verb: sched.VerbStart, Incarnation: sched.Incarnation{ID: "w", StartedAt: 5}, Addr: "x:1", Run: 7, Spec: "s",
+		LeaseUntil: time.Second, Checkpoint: "c",
+	}
 	if out := c.SendOrder(ctx, order, 3); out != sched.OutcomeNoResources {
 		t.Errorf("order over the agent: %s", out)
 	}
--- a/internal/batch/agent/service.go
+++ b/internal/batch/agent/service.go
@@ -34,13 +34,13 @@
 
 	mu       sync.Mutex
 	stopping bool
-	sessions map[string]*session // by id
-	wg       sync.WaitGroup      // of the calls in progress
+	sessions map[string]*serviceSession // by id
+	wg       sync.WaitGroup             // of the calls in progress
 }
 
 // NewService returns a service that makes its calls through workers.
 func NewService(workers drive.WorkerClient) *Service {
-	return &Service{workers: workers, clock: newClock(systemClocks()), sessions: map[string]*session{}}
+	return &Service{workers: workers, clock: newClock(systemClocks()), sessions: map[string]*serviceSession{}}
 }
 
 // Stop makes the service refuse further calls, so that the holder chooses another agent. Calls in progress are
@@ -74,7 +74,7 @@
 		return errStopping
 	}
 	if s.sessions[in.Session] == nil {
-		s.sessions[in.Session] = newSession(func() { s.endSession(in.Session) })
+		s.sessions[in.Session] = newServiceSession(func() { s.endSession(in.Session) })
 	}
 	out.Clock = s.clock.now()
 	return nil
--- a/internal/batch/agent/silence_test.go
+++ b/internal/batch/agent/silence_test.go
@@ -179,7 +179,7 @@
 		name string
 		left int
 		late time.Duration
-		want remoteState
+		want sessionState
 	}{
 		{"in time", maxGraces - 1, 0, stateEnded},
 		{"a little late", maxGraces - 1, readGrace / 2, stateEnded},
@@ -190,7 +190,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				a := newTestAgent("a", &recorder{out: sched.OutcomeDone})
 				c := openTestClient(t, &recorder{out: sched.OutcomeDone}, a)
-				r := c.Client.agents[0]
+				r := c.sessions[0]
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				r.endGrace(ctx, tt.left, tt.late)
--- a/internal/batch/agent/support_test.go
+++ b/internal/batch/agent/support_test.go
@@ -214,7 +214,7 @@
 	c.Client.mu.Lock()
 	defer c.Client.mu.Unlock()
 	var used []*testAgent
-	for _, r := range c.Client.agents {
+	for _, r := range c.sessions {
 		used = append(used, c.agents[r.addr])
 	}
 	return used
@@ -314,9 +314,12 @@
 // startHolding starts a holder of n workers, whose tasks run for d, with agents a0 and so on.
 func startHolding(t *testing.T, n, agents int, d time.Duration) *holding {
 	t.Helper()
-	h := &holding{t: t, workers: fleet.New(n, wire.Size{CPU: 16000, Mem: 64000}, rand.New(rand.NewPCG(1, 1)), func(string) (time.Duration, sched.End) { return d, sched.EndDone })}
+	run := func(string) (time.Duration, sched.End) { return d, sched.EndDone }
+	h := &holding{t: t, workers: fleet.New(n, wire.Size{CPU: 16000, Mem: 64000}, rand.New(rand.NewPCG(1, 1)), run)}
 	store := &txkv.Service{}
-	config := sched.Config{Version: 1, Queues: []sched.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Tries: 3, Stretch: 2, Aim: time.Second}}}
+	config := sched.Config{Version: 1, Queues: []sched.Queue{
+		{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Tries: 3, Stretch: 2, Aim: time.Second},
+	}}
 	if err := errors.Join(codec.WriteConfig(store, config), codec.WriteMembers(store, h.workers.Members())); err != nil {
 		t.Fatal(err)
 	}
@@ -338,7 +341,8 @@
 		elector.Run(ctx, func(tenure *lead.Tenure) {
 			if err := drive.Run(drive.Options{
 				Store: store.Client(nil), Workers: h.client, Codec: codec.New(), Tenure: tenure, Log: h.client.logger(), Scope: tally.NoopScope,
-				WorkerLease: drive.WorkerLease(fleet.MaxLease), MaxWorkerLease: fleet.MaxLease, MaxUnconfirmed: drive.MaxUnconfirmed, MaxStopTime: fleet.MaxStopTime, JobRetention: time.Hour,
+				WorkerLease: drive.WorkerLease(fleet.MaxLease), MaxWorkerLease: fleet.MaxLease,
+				MaxUnconfirmed: drive.MaxUnconfirmed, MaxStopTime: fleet.MaxStopTime, JobRetention: time.Hour,
 			}, func(d *drive.Holder) { ready <- d }); err != nil {
 				t.Error(err)
 			}
@@ -363,7 +367,8 @@
 func (h *holding) submit(id string, n int, longRunning bool) {
 	h.t.Helper()
 	data := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"size":{"CPU":1000,"Mem":1000},"est":1000000000,"lasting":%t}]}`, n, longRunning)
-	if r := h.holder.Handle(context.Background(), drive.Request{Verb: drive.VerbSubmit, Host: "h", Path: "/q/" + id, Job: []byte(data)}); r.Result != drive.ResultDone {
+	req := drive.Request{Verb: drive.VerbSubmit, Host: "h", Path: "/q/" + id, Job: []byte(data)}
+	if r := h.holder.Handle(context.Background(), req); r.Result != drive.ResultDone {
 		h.t.Fatalf("submit %s: %+v", id, r)
 	}
 }
--- a/internal/batch/agent/transit_test.go
+++ b/internal/batch/agent/transit_test.go
@@ -35,7 +35,7 @@
 		if len(c.used()) != 2 {
 			t.Fatal("not both agents are used")
 		}
-		first := c.agents[preferred(c.Client.agents, "w").addr]
+		first := c.agents[preferred(c.sessions, "w").addr]
 		other := map[*testAgent]*testAgent{a: b, b: a}[first]
 		first.service.mu.Lock()
 		first.service.stopping = true // told to stop; its answer to the start is the first that the holder hears of it
