batch/agent: calls wait for a reply although silent sessions count as open

While all agents are silent, calls wait up to 0.4 s for one that replies. The wait ended early when any session changed its state before the first one was started anew, as the other silent ones still counted as taking calls; the calls were then made directly. Only sessions that calls are passed to count now.

Before: TestSilentSessionsTakeNoCalls: calls no longer wait, though no session is answered. It passes now, as do five runs of the package under the race detector.

--- a/internal/batch/agent/agents.go
+++ b/internal/batch/agent/agents.go
@@ -201,7 +201,7 @@
 
 // checkReady lets calls go on if agents take them and no other agent is about to. The caller holds c.mu.
 func (c *Client) checkReady() {
-	if openCount(c.sessions) > 0 && !c.opening() {
+	if openCount(c.responsive()) > 0 && !c.opening() {
 		c.closeReady()
 	}
 }
--- a/internal/batch/agent/silence_test.go
+++ b/internal/batch/agent/silence_test.go
@@ -207,3 +207,25 @@
 		})
 	}
 }
+
+// Guards against calls that are made directly although an agent is about to be opened again: another session that is
+// silent too changes its state meanwhile, and counts as one that takes calls.
+func TestSilentSessionsTakeNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTestAgent("a", &recorder{out: sched.OutcomeDone})
+		c := openTestClient(t, &recorder{out: sched.OutcomeDone}, a)
+		a.freeze()
+		time.Sleep(agentTimeout)
+		c.Client.mu.Lock()
+		c.handleSilence(c.sessions[0])
+		c.checkReady()
+		select {
+		case <-c.agentsReady:
+			t.Error("calls no longer wait, though no session is answered")
+		default:
+		}
+		c.Client.mu.Unlock()
+		a.thaw()
+		c.stop()
+	})
+}
