--- a/internal/batch/agent/support_test.go
+++ b/internal/batch/agent/support_test.go
@@ -34,6 +34,7 @@
 	service *Service // nil: an older build
 
 	mu     sync.Mutex
+	refuse error         // what Send fails with, without reaching the agent; nil: it does
 	lost   chan struct{} // closed when the connections break; later calls fail
 	frozen chan struct{} // not nil: calls, and what they bring, wait until it is closed
 	delay  time.Duration // of each reply
@@ -156,7 +157,11 @@
 			a.starts++
 		}
 	}
+	refuse := a.refuse
 	a.mu.Unlock()
+	if refuse != nil {
+		return refuse
+	}
 	return a.do(ctx, func() error { return a.service.Send(in, new(int)) })
 }
 
@@ -209,7 +214,7 @@
 	c.Client.mu.Lock()
 	defer c.Client.mu.Unlock()
 	var used []*testAgent
-	for _, r := range c.Client.agents {
+	for _, r := range c.sessions {
 		used = append(used, c.agents[r.addr])
 	}
 	return used
@@ -309,9 +314,12 @@
 // startHolding starts a holder of n workers, whose tasks run for d, with agents a0 and so on.
 func startHolding(t *testing.T, n, agents int, d time.Duration) *holding {
 	t.Helper()
-	h := &holding{t: t, workers: fleet.New(n, wire.Size{CPU: 16000, Mem: 64000}, rand.New(rand.NewPCG(1, 1)), func(string) (time.Duration, sched.End) { return d, sched.EndDone })}
+	run := func(string) (time.Duration, sched.End) { return d, sched.EndDone }
+	h := &holding{t: t, workers: fleet.New(n, wire.Size{CPU: 16000, Mem: 64000}, rand.New(rand.NewPCG(1, 1)), run)}
 	store := &txkv.Service{}
-	config := sched.Config{Version: 1, Queues: []sched.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Tries: 3, Stretch: 2, Aim: time.Second}}}
+	config := sched.Config{Version: 1, Queues: []sched.Queue{
+		{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Tries: 3, Stretch: 2, Aim: time.Second},
+	}}
 	if err := errors.Join(codec.WriteConfig(store, config), codec.WriteMembers(store, h.workers.Members())); err != nil {
 		t.Fatal(err)
 	}
@@ -333,7 +341,8 @@
 		elector.Run(ctx, func(tenure *lead.Tenure) {
 			if err := drive.Run(drive.Options{
 				Store: store.Client(nil), Workers: h.client, Codec: codec.New(), Tenure: tenure, Log: h.client.logger(), Scope: tally.NoopScope,
-				WorkerLease: drive.WorkerLease(fleet.MaxLease), MaxWorkerLease: fleet.MaxLease, MaxUnconfirmed: drive.MaxUnconfirmed, MaxStopTime: fleet.MaxStopTime, JobRetention: time.Hour,
+				WorkerLease: drive.WorkerLease(fleet.MaxLease), MaxWorkerLease: fleet.MaxLease,
+				MaxUnconfirmed: drive.MaxUnconfirmed, MaxStopTime: fleet.MaxStopTime, JobRetention: time.Hour,
 			}, func(d *drive.Holder) { ready <- d }); err != nil {
 				t.Error(err)
 			}
@@ -358,7 +367,8 @@
 func (h *holding) submit(id string, n int, longRunning bool) {
 	h.t.Helper()
 	data := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"size":{"CPU":1000,"Mem":1000},"est":1000000000,"lasting":%t}]}`, n, longRunning)
-	if r := h.holder.Handle(context.Background(), drive.Request{Verb: drive.VerbSubmit, Host: "h", Path: "/q/" + id, Job: []byte(data)}); r.Result != drive.ResultDone {
+	req := drive.Request{Verb: drive.VerbSubmit, Host: "h", Path: "/q/" + id, Job: []byte(data)}
+	if r := h.holder.Handle(context.Background(), req); r.Result != drive.ResultDone {
 		h.t.Fatalf("submit %s: %+v", id, r)
 	}
 }
