--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -189,7 +189,10 @@
 	c.noteOrderDue(w)
 	w.contact = ContactGood
 	w.clock = w.clock.update(sent, now, rep.Clock)
-	w.answerDelay = max(0, now.Sub(sent)-w.pollWait)
+	w.answerDelay = 0
+	if delay := now.Sub(sent) - w.pollWait; delay > contactSlack {
+		w.answerDelay = delay
+	}
 	var newEnds []FinishedRun
 	if n := len(rep.Finished); w.expired && n > 0 {
 		w.releasedSeq = rep.Finished[n-1].Seq
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -115,7 +115,7 @@
 	reserved      reservation     // resources kept free for a task that waits for others to end
 	clock         clockReading    // newest reading of the worker's clock
 	pollWait      time.Duration   // PollRequest.Wait of the newest poll
-	answerDelay   time.Duration   // how much longer than its wait the newest answered poll took
+	answerDelay   time.Duration   // how much longer than its wait the newest answered poll took, if that is more than contactSlack
 	breaker       health.Breaker  // excludes the worker from placement after failures
 	colocation    colocation      // state of best-effort tasks beside latency-critical ones
 
