--- a/internal/batch/agent/wire.go
+++ b/internal/batch/agent/wire.go
@@ -11,11 +11,11 @@
 
 // Call is a call to a worker: a poll or an order.
 type Call struct {
-	ID       uint64        // identifies the call within its session
-	Fence    int64         // fencing token: the term of the holder
-	Deadline time.Duration // on the agent's clock; the call isn't made after it
-	Poll     *sched.PollRequest
-	Order    *sched.Order
+	ID       uint64             // identifies the call within its session
+	Fence    int64              // fencing token: the term of the holder
+	Deadline time.Duration      // on the agent's clock; the call isn't made after it
+	Poll     *sched.PollRequest // nil: the call is an order
+	Order    *sched.Order       // nil: the call is a poll
 }
 
 // Answer is the outcome of a Call.
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -239,7 +239,10 @@
 	h.mu.Unlock()
 	watches := []*prefixWatch{
 		{store: h.opt.Store, prefix: h.opt.Codec.IntentPrefix, readInterval: intentReadInterval, onChange: h.applyIntent, onConfirm: h.noteIntentRead},
-		{store: h.opt.Store, prefix: h.opt.Codec.DirectoryPrefix, readInterval: directoryReadInterval, pause: directoryWatchPause, onChange: h.applyDirectory, onUpdate: h.updateDirectory, onConfirm: h.noteDirectoryRead},
+		{
+			store: h.opt.Store, prefix: h.opt.Codec.DirectoryPrefix, readInterval: directoryReadInterval, pause: directoryWatchPause,
+			onChange: h.applyDirectory, onUpdate: h.updateDirectory, onConfirm: h.noteDirectoryRead,
+		},
 	}
 	for _, w := range watches {
 		if err := w.readAll(h.ctx); err != nil {
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -299,7 +299,8 @@
 	w.finished = unacked
 }
 
-// noteListed lets the successes that a worker's answer lists count as acknowledged after listedGrace while calm. They don't if the lease expires, the worker is lost or the caller ends before.
+// noteListed lets the successes that a worker's answer lists count as acknowledged after listedGrace while calm. They
+// don't if the lease expires, the worker is lost or the caller ends before.
 func (f *Fleet) noteListed(ctx context.Context, w *worker) {
 	startedAt, listed := w.StartedAt, append([]sched.FinishedRun(nil), w.finished...)
 	if len(listed) == 0 || !f.calm {
