batch/sched: a run whose end stands in the report isn't missing; releases are logged

A report's ends are handled in order, and one whose task is just being started again is held with all behind it. Runs whose ends stood behind it were neither active nor ended for dropMissing, which released them; their tasks ran again, and the ends were handled by the next report.

A line msg=released says which runs of a worker were given up and why. Neither logs nor metrics showed it; the trace needed an instrumented build.

--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -1,6 +1,8 @@
 package drive
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"bramleysail.example/bramleysail/internal/base/wait"
@@ -53,7 +55,7 @@
 	pause := planPause(time.Since(now))
 	staleCause := h.core.StaleCause(now)
 	unplaced := h.core.TakeUnplacedSteps()
-	placed, ended := h.core.TakeEvents()
+	events := h.core.TakeEvents()
 	var stats sched.Stats
 	var memory memoryGuard
 	var startsRefusedAt time.Time
@@ -72,7 +74,7 @@
 		reporter.logRefusing(h, now, startsRefusedAt, stats)
 	}
 	h.logUnplaced(unplaced)
-	h.logEvents(placed, ended)
+	h.logEvents(events)
 	return pause
 }
 
@@ -111,15 +113,32 @@
 	}
 }
 
-// logEvents logs the steps whose tasks have all been placed and the jobs that have ended.
-func (h *Holder) logEvents(placed []sched.StepPlaced, ended []sched.JobEnded) {
-	for _, p := range placed {
+// logEvents logs the steps whose tasks have all been placed, the jobs that have ended and the runs that were given up.
+func (h *Holder) logEvents(events sched.Events) {
+	for _, p := range events.Placed {
 		h.log.Info("placed", "job", p.Job, "queue", p.Queue, "round", p.Occurrence, "step", p.Step, "tasks", p.Tasks,
 			"lasting", p.LongRunning, "waited", p.Waited, "lacked", p.Unplaced, "expect", p.ExpectedTime)
 	}
-	for _, e := range ended {
+	for _, e := range events.Ended {
 		h.log.Info("finished", "job", e.Job, "queue", e.Queue, "state", e.State, "took", e.Took, "aim", e.RelativeDeadline)
 	}
+	h.logReleased(events.Released)
+}
+
+// logReleased logs the runs that were given up, one line for those of a worker and cause in a row.
+func (h *Holder) logReleased(released []sched.RunReleased) {
+	for len(released) > 0 {
+		first, n := released[0], 1
+		for n < len(released) && released[n].Worker == first.Worker && released[n].Cause == first.Cause {
+			n++
+		}
+		var runs []string
+		for _, r := range released[:n] {
+			runs = append(runs, fmt.Sprintf("%s:%d", r.Task, r.Run))
+		}
+		h.log.Info("released", "worker", first.Worker, "cause", first.Cause, "runs", strings.Join(runs, ","))
+		released = released[n:]
+	}
 }
 
 // updateConfirmation tells the core when the store and the peers last confirmed this holder. The caller holds h.mu.
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -56,6 +56,7 @@
 	unreportedUnplaced []UnplacedStep                      // for the next call of TakeUnplacedSteps
 	unreportedPlaced   []StepPlaced                        // for the next call of TakeEvents
 	unreportedEndings  []JobEnded                          // for the next call of TakeEvents
+	unreportedReleases []RunReleased                       // for the next call of TakeEvents
 }
 
 // New returns a Core for a term that begins at now. It starts no tasks and grants no leases before its first confirmation.
@@ -429,6 +430,12 @@
 	c.enqueueStep(t.step)
 }
 
+// releaseLost releases a run that is certainly not active any more and records why.
+func (c *Core) releaseLost(r *run, cause ReleaseCause) {
+	c.recordReleased(r, cause)
+	c.releaseRun(r)
+}
+
 // findTask returns the task of an id, or nil.
 func (c *Core) findTask(id TaskID) *task {
 	j := c.jobs[id.Job]
--- a/internal/batch/sched/events.go
+++ b/internal/batch/sched/events.go
@@ -24,14 +24,48 @@
 	RelativeDeadline time.Duration // time within which it is on time; 0: the job is recurring
 }
 
+// ReleaseCause is why a run whose end wasn't reported is known not to be active.
+type ReleaseCause string
+
+// The causes of a release.
+const (
+	ReleasedMissing ReleaseCause = "missing" // its worker lists it neither as active nor as ended
+	ReleasedLease   ReleaseCause = "lease"   // the lease of its worker has expired
+	ReleasedRestart ReleaseCause = "restart" // its worker has restarted
+	ReleasedGone    ReleaseCause = "gone"    // another incarnation answers at its worker's address
+)
+
+// RunReleased is the event that the current run of an unfinished task was given up, so that the task waits for another.
+type RunReleased struct {
+	Task   TaskID       // of the run
+	Run    int64        // number of the run
+	Worker string       // id of its worker
+	Cause  ReleaseCause // why it is known not to be active
+}
+
 // maxEvents bounds the events of each type that are kept until TakeEvents. Further ones are dropped.
 const maxEvents = 10_000
 
+// Events are what has happened since they were last taken, each type in the order of the events.
+type Events struct {
+	Placed   []StepPlaced
+	Ended    []JobEnded
+	Released []RunReleased
+}
+
 // TakeEvents returns the events since its last call.
-func (c *Core) TakeEvents() ([]StepPlaced, []JobEnded) {
-	placed, endings := c.unreportedPlaced, c.unreportedEndings
-	c.unreportedPlaced, c.unreportedEndings = nil, nil
-	return placed, endings
+func (c *Core) TakeEvents() Events {
+	e := Events{c.unreportedPlaced, c.unreportedEndings, c.unreportedReleases}
+	c.unreportedPlaced, c.unreportedEndings, c.unreportedReleases = nil, nil, nil
+	return e
+}
+
+// recordReleased records the event that a run was given up, if its task waits for another.
+func (c *Core) recordReleased(r *run, cause ReleaseCause) {
+	if r.task == nil || r.task.run != r || r.task.done || len(c.unreportedReleases) >= maxEvents {
+		return
+	}
+	c.unreportedReleases = append(c.unreportedReleases, RunReleased{r.runKey.task, r.run, r.worker.ID, cause})
 }
 
 // recordPlaced records the event that no task of a step waits any more, the first time only. Jobs that were taken over
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -93,7 +93,7 @@
 	for _, r := range w.cloneRuns() {
 		switch {
 		case r.reported:
-			c.releaseRun(r)
+			c.releaseLost(r, ReleasedRestart)
 		case r.state == RunStopped:
 			r.state = RunStopping // the new incarnation has not received the stop
 		}
@@ -134,7 +134,7 @@
 		return
 	}
 	for _, r := range w.cloneRuns() {
-		c.releaseRun(r)
+		c.releaseLost(r, ReleasedGone)
 	}
 	w.contact = ContactLost
 	w.leaseExpiry = now
@@ -181,7 +181,7 @@
 			kept = true
 			continue
 		}
-		c.releaseRun(r)
+		c.releaseLost(r, ReleasedLease)
 	}
 	c.setExpired(w, !mayBeLonger && (!w.restarted || now.Sub(w.leaseExpiry) >= c.lateOrderWait()))
 	return kept
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -197,6 +197,7 @@
 	c.setExpired(w, false)
 	w.restarted = false
 	listed := c.recordRunning(sent, now, w, rep)
+	w.addUnhandledEnds(listed, rep.Finished)
 	if len(rep.Finished) < maxReportedEnds {
 		w.inventoryComplete = true
 		c.dropMissing(sent, w, listed)
@@ -299,7 +300,20 @@
 	return listed
 }
 
-// dropMissing releases the runs that a report would list if they were active, and does not list.
+// addUnhandledEnds adds to listed the runs whose ends are in a report behind one that can't be handled yet. They aren't
+// active, but whether their tasks are done is only known once their ends are handled.
+func (w *worker) addUnhandledEnds(listed map[runKey]bool, ends []FinishedRun) {
+	for _, f := range ends {
+		if f.Seq <= w.handledSeq {
+			continue
+		}
+		if id, err := ParseTaskID(f.Task); err == nil {
+			listed[runKey{id, f.Run}] = true
+		}
+	}
+}
+
+// dropMissing releases the runs that a report would list if they were active or had ended, and does not list.
 func (c *Core) dropMissing(sent time.Time, w *worker, listed map[runKey]bool) {
 	for _, r := range w.cloneRuns() {
 		// A poll that was sent before the run was confirmed may have overtaken its start.
@@ -311,7 +325,7 @@
 		}
 		if r.state == RunLive || r.state == RunStopped {
 			// The run ended and its end was reported and forgotten, or it never began and never will.
-			c.releaseRun(r)
+			c.releaseLost(r, ReleasedMissing)
 		}
 	}
 }
