batch/agent, front: agents are provided by the starts asked for and by each host's limits

All starts queued behind it, the start limiter kept its window at 95 to 200, and "starts behind" refused 6,600 submissions with workers free.

Followers now announce their processor, link and connections with their heartbeats (Peer.Announce; Peer.Follow stays for older builds). The holder measures the starts asked for, sent or held back by the limiter, with slowly decaying peaks, and takes the hosts with the highest limits first, as many as carry that at 0.4 of their limits. Workers are spread by weighted rendezvous hashing, so that few move as that changes.

TestStartRateOverNarrowLinks plays 3,000 starts a second over links that carry 1,000; with the demand for starts left out of Update: of 80 jobs 47 were refused and 26 completed; now none refused, all completed. TestWorkersStayWithTheirAgents has the cases of weights in addition.

--- a/internal/batch/agent/agents.go
+++ b/internal/batch/agent/agents.go
@@ -24,18 +24,17 @@
 	refusedAgentCooldown = time.Minute
 )
 
-// Update chooses the agents among the entry processes at the given addresses. workers is the number of workers, capacity
-// how many of them a holder with this process's limits can call by itself; 0: not known, all calls are made directly.
-func (c *Client) Update(now time.Time, addrs []string, workers, capacity int) {
+// Update chooses the agents among the candidates, as many as the demand needs. If this process has the capacity for it, or
+// its capacity isn't known, all calls are made directly.
+func (c *Client) Update(now time.Time, candidates []Candidate, d Demand) {
 	c.mu.Lock()
-	c.heardOf = addrs
-	c.agentsWanted = agentCount(c.agentsWanted, workers, capacity)
-	if c.agentsWanted == 0 {
+	c.heardOf, c.demand = candidates, d
+	change := c.updateAgents(now)
+	if change.wanted == 0 {
 		c.closeReady()
 	}
-	change := c.updateAgents(now)
 	c.mu.Unlock()
-	change.finish(c.opts.Log.WithValues("workers", workers, "carries", capacity))
+	change.finish(c.opts.Log.WithValues("workers", d.Workers, "carries", d.Capacity, "starts", int(d.Starts)))
 	c.updateGauge()
 }
 
@@ -53,26 +52,31 @@
 	for _, until := range []map[string]time.Time{c.excludedUntil, c.avoidedUntil, c.directUntil, c.agentsUntil} {
 		deletePassed(until, now)
 	}
-	change := agentChange{wanted: c.agentsWanted}
 	chosen := c.choose()
+	change := agentChange{wanted: c.agentsWanted}
 	var kept []*clientSession
 	for _, s := range c.sessions {
 		switch {
 		case s.currentState() >= stateDraining:
-		case !chosen[s.addr]:
+		case !slices.ContainsFunc(chosen, s.isWith):
 			change.removed = append(change.removed, s)
 		default:
 			kept = append(kept, s)
-			delete(chosen, s.addr)
 		}
 	}
-	for addr := range chosen {
+	var sessions []*clientSession
+	for _, candidate := range chosen {
+		i := slices.IndexFunc(kept, func(s *clientSession) bool { return s.isWith(candidate) })
+		if i >= 0 {
+			sessions = append(sessions, kept[i])
+			continue
+		}
 		change.started = true
-		kept = append(kept, c.start(addr))
+		sessions = append(sessions, c.start(candidate))
 	}
-	sortByRank(kept)
-	c.sessions = kept
-	for _, s := range kept {
+	c.sessions = sessions
+	for _, s := range sessions {
+		s.pause.Store(int64(batchPause(len(sessions))))
 		change.chosen = append(change.chosen, s.addr)
 	}
 	return change
@@ -104,36 +108,43 @@
 	}
 }
 
-// choose returns the addresses of the agents among those last heard of and the present agents: a session shows more
+// choose returns the agents among those last heard of and the present ones, the highest rank first: a session shows more
 // reliably than heartbeats that an agent is there. The caller holds c.mu.
-func (c *Client) choose() map[string]bool {
-	usable := map[string]bool{}
-	for _, addr := range c.heardOf {
-		usable[addr] = true
-	}
+func (c *Client) choose() []Candidate {
+	byAddr := map[string]Candidate{}
 	for _, s := range c.sessions {
 		if s.currentState() < stateDraining {
-			usable[s.addr] = true
+			byAddr[s.addr] = s.candidate()
 		}
 	}
+	for _, candidate := range c.heardOf {
+		byAddr[candidate.Addr] = candidate
+	}
 	for addr := range c.excludedUntil {
-		delete(usable, addr)
+		delete(byAddr, addr)
 	}
-	avoided := map[string]bool{}
-	for addr := range c.avoidedUntil {
-		if usable[addr] {
-			delete(usable, addr)
-			avoided[addr] = true
-		}
+	candidates := slices.Collect(maps.Values(byAddr))
+	sortByRank(candidates)
+	avoided := func(candidate Candidate) bool {
+		_, ok := c.avoidedUntil[candidate.Addr]
+		return ok
 	}
-	chosen := topRanked(usable, c.agentsWanted)
-	maps.Copy(chosen, topRanked(avoided, c.agentsWanted-len(chosen)))
-	return chosen
+	slices.SortStableFunc(candidates, func(a, b Candidate) int {
+		switch {
+		case !avoided(a) && avoided(b):
+			return -1
+		case avoided(a) && !avoided(b):
+			return 1
+		}
+		return 0
+	})
+	c.agentsWanted = agentCount(c.agentsWanted, candidates, c.demand)
+	return candidates[:min(c.agentsWanted, len(candidates))]
 }
 
-// start begins a session with the agent at addr. The caller holds c.mu.
-func (c *Client) start(addr string) *clientSession {
-	s := newClientSession(c.ctx, addr, c.dial(addr), batchPause(c.agentsWanted), c)
+// start begins a session with an agent. The caller holds c.mu.
+func (c *Client) start(candidate Candidate) *clientSession {
+	s := newClientSession(c.ctx, candidate, c.dial(candidate.Addr), c)
 	c.wg.Go(func() {
 		s.run()
 		<-s.ctx.Done() // when sessionEnded has returned
--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -41,7 +41,8 @@
 
 	mu            sync.Mutex
 	agentsReady   chan struct{}        // closed once agents take calls, or calls have waited long enough for them
-	heardOf       []string             // addresses of possible agents, as last given to Update
+	heardOf       []Candidate          // possible agents, as last given to Update
+	demand        Demand               // as last given to Update
 	agentsWanted  int                  // number of agents; 0: all calls are made directly
 	sessions      []*clientSession     // with the agents; sorted by rank
 	silentAt      time.Time            // when all agents were last found silent
--- a/internal/batch/agent/client_test.go
+++ b/internal/batch/agent/client_test.go
@@ -257,7 +257,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newTestClient(&recorder{out: sched.OutcomeDone})
 				begun := time.Now()
-				c.Update(begun, nil, tt.workers, tt.capacity)
+				c.Update(begun, nil, Demand{Workers: tt.workers, Capacity: tt.capacity})
 				if _, out := c.Poll(t.Context(), testPoll("w"), 1); out != sched.OutcomeDone {
 					t.Errorf("poll: %s", out)
 				}
--- a/internal/batch/agent/clientsession.go
+++ b/internal/batch/agent/clientsession.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -62,9 +63,11 @@
 // clientSession is the holder's half of a session with one agent.
 type clientSession struct {
 	addr      string
+	limits    Limits  // of the agent
+	weight    float64 // of its share of the workers
 	transport transport
-	id        string        // of the session
-	pause     time.Duration // between two batches in one direction
+	id        string       // of the session
+	pause     atomic.Int64 // between two batches in one direction, in nanoseconds
 	startedAt time.Time
 	observer  sessionObserver
 	ctx       context.Context
@@ -96,16 +99,22 @@
 
 // newClientSession returns a session that ends with ctx. It is run by run.
 func newClientSession(
-	ctx context.Context, addr string, t transport, pause time.Duration, observer sessionObserver,
+	ctx context.Context, c Candidate, t transport, observer sessionObserver,
 ) *clientSession {
 	s := &clientSession{
-		addr: addr, transport: t, id: uuid.NewString(), pause: pause, startedAt: time.Now(), observer: observer,
+		addr: c.Addr, limits: c.Limits, weight: c.Limits.weight(), transport: t, id: uuid.NewString(), startedAt: time.Now(), observer: observer,
 		wake: make(chan struct{}, 1), waiting: map[uint64]*waitingCall{},
 	}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	return s
 }
 
+// candidate returns the agent as a candidate.
+func (s *clientSession) candidate() Candidate { return Candidate{s.addr, s.limits} }
+
+// isWith reports whether the session's agent is the candidate.
+func (s *clientSession) isWith(c Candidate) bool { return s.addr == c.Addr }
+
 // run opens the session and passes on calls and answers until it ends.
 func (s *clientSession) run() {
 	defer s.end(nil)
@@ -220,7 +229,7 @@
 			s.handleSendError(calls, err)
 			return
 		}
-		if !wait.For(s.ctx, s.pause) {
+		if !wait.For(s.ctx, time.Duration(s.pause.Load())) {
 			return
 		}
 	}
@@ -303,7 +312,7 @@
 		if reply.Stopping {
 			s.drain()
 		}
-		if !wait.For(s.ctx, s.pause) {
+		if !wait.For(s.ctx, time.Duration(s.pause.Load())) {
 			return
 		}
 	}
--- a/internal/batch/agent/link_test.go
+++ b/internal/batch/agent/link_test.go
@@ -73,7 +73,7 @@
 	c := NewClient(ctx, Options{Direct: direct, Log: logr.Discard(), Scope: tally.NoopScope})
 	defer c.Wait()
 	defer cancel()
-	c.Update(time.Now(), []string{addr, oldAddr}, 5, 1)
+	c.Update(time.Now(), withoutLimits([]string{addr, oldAddr}), Demand{Workers: 5, Capacity: 1})
 	awaitAgents(t, c, true)
 	order := sched.Order{
 		Verb: sched.VerbStart, Incarnation: sched.Incarnation{ID: "w", StartedAt: 5}, Addr: "x:1", Run: 7, Spec: "s",
--- a/internal/batch/agent/support_test.go
+++ b/internal/batch/agent/support_test.go
@@ -38,6 +38,8 @@
 	lost   chan struct{} // closed when the connections break; later calls fail
 	frozen chan struct{} // not nil: calls, and what they bring, wait until it is closed
 	delay  time.Duration // of each reply
+	rate   float64       // starts a second that its link carries; 0: any number
+	freeAt time.Time     // when its link has carried all starts so far
 	calls  int           // that have come
 	starts int           // starts in them
 }
@@ -152,19 +154,38 @@
 
 func (a *testAgent) send(ctx context.Context, in SendArgs) error {
 	a.mu.Lock()
+	starts := 0
 	for _, c := range in.Calls {
 		if c.Order != nil && c.Order.Verb == sched.VerbStart {
-			a.starts++
+			starts++
 		}
 	}
+	a.starts += starts
 	refuse := a.refuse
+	arrival := a.carry(starts)
 	a.mu.Unlock()
 	if refuse != nil {
 		return refuse
 	}
+	if !wait.For(ctx, time.Until(arrival)) {
+		return link.ErrAnswerLost
+	}
 	return a.do(ctx, func() error { return a.service.Send(in, new(int)) })
 }
 
+// carry returns when the link has carried further starts. The caller holds a.mu.
+func (a *testAgent) carry(starts int) time.Time {
+	now := time.Now()
+	if a.rate > 0 {
+		if a.freeAt.Before(now) {
+			a.freeAt = now
+		}
+		a.freeAt = a.freeAt.Add(time.Duration(float64(starts) / a.rate * float64(time.Second)))
+		return a.freeAt
+	}
+	return now
+}
+
 func (a *testAgent) receive(ctx context.Context, in ReceiveArgs) (ReceiveReply, error) {
 	var out ReceiveReply
 	err := a.do(ctx, func() error { return a.service.Receive(in, &out) })
@@ -182,6 +203,7 @@
 	cancel context.CancelFunc
 	agents map[string]*testAgent
 	addrs  []string
+	limits Limits // of each agent
 
 	mu  sync.Mutex
 	log []string
@@ -234,7 +256,25 @@
 }
 
 // update chooses agents for the given number of workers; each agent suffices for agentGain times the capacity of one.
-func (c *testClient) update(workers int) { c.Update(time.Now(), c.addrs, workers, 1) }
+func (c *testClient) update(workers int) { c.updateFor(workers, sched.StartDemand{}) }
+
+// updateFor does the same for a demand for starts.
+func (c *testClient) updateFor(workers int, starts sched.StartDemand) {
+	candidates := withoutLimits(c.addrs)
+	for i := range candidates {
+		candidates[i].Limits = c.limits
+	}
+	c.Update(time.Now(), candidates, Demand{Workers: workers, Capacity: 1, Starts: starts.Rate, SpecBytes: starts.SpecBytes})
+}
+
+// withoutLimits returns candidates whose limits aren't known.
+func withoutLimits(addrs []string) []Candidate {
+	var candidates []Candidate
+	for _, addr := range addrs {
+		candidates = append(candidates, Candidate{Addr: addr})
+	}
+	return candidates
+}
 
 // stop ends the client and its agents.
 func (c *testClient) stop() {
@@ -313,6 +353,12 @@
 
 // startHolding starts a holder of n workers, whose tasks run for d, with agents a0 and so on.
 func startHolding(t *testing.T, n, agents int, d time.Duration) *holding {
+	t.Helper()
+	return startLimitedHolding(t, n, agents, d, Limits{})
+}
+
+// startLimitedHolding does the same with agents that have the given limits, and whose links carry no more starts.
+func startLimitedHolding(t *testing.T, n, agents int, d time.Duration, limits Limits) *holding {
 	t.Helper()
 	run := func(string) (time.Duration, sched.End) { return d, sched.EndDone }
 	h := &holding{t: t, workers: fleet.New(n, wire.Size{CPU: 16000, Mem: 64000}, rand.New(rand.NewPCG(1, 1)), run)}
@@ -326,11 +372,14 @@
 	client := h.workers.Client(func(sched.Member) bool { return false })
 	var all []*testAgent
 	for i := range agents {
-		all = append(all, newTestAgent(fmt.Sprintf("a%d", i), client))
+		a := newTestAgent(fmt.Sprintf("a%d", i), client)
+		a.rate = limits.LinkMbps / mbitPerStart
+		all = append(all, a)
 	}
 	h.client = newTestClient(client, all...)
+	h.client.limits = limits
 	h.client.update(n)
-	ready := make(chan *drive.Holder, 1)
+	ready, holds := make(chan *drive.Holder, 1), make(chan struct{})
 	elector := lead.New(lead.Options{
 		Store: store.Client(nil), Name: "holder", Addr: "holder", LeaseTTL: drive.HolderLease, Log: logr.Discard(),
 		HolderAlive: func(context.Context, lead.Holder) bool { return false }, Capacity: func() int { return 0 },
@@ -349,11 +398,13 @@
 		})
 	})
 	wg.Go(func() {
+		h.holder = <-ready
+		close(holds)
 		for wait.For(ctx, 300*time.Millisecond) {
-			h.client.update(n)
+			h.client.updateFor(n, h.holder.StartDemand())
 		}
 	})
-	h.holder = <-ready
+	<-holds
 	h.stop = func() {
 		cancel()
 		wg.Wait()
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -195,6 +195,13 @@
 	return h.trackedCount
 }
 
+// StartDemand returns how many starts are asked for.
+func (h *Holder) StartDemand() sched.StartDemand {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.StartDemand(time.Now())
+}
+
 // HasWithheldTasks reports whether tasks are withheld because a worker out of contact may still run them.
 func (h *Holder) HasWithheldTasks() bool {
 	h.mu.Lock()
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -46,6 +46,7 @@
 	evacuatedZones     map[string]bool                     // failure domains that operators have taken out
 	startLimiter       startLimiter                        // bounds the starts in flight
 	startBacklog       startBacklog                        // tasks that wait although workers have room
+	startDemand        startDemand                         // starts a second that are asked for
 	planNumber         int                                 // number of the newest plan
 	onTimeUnplaced     map[string]int                      // by service: newest plan with an on-time best-effort step unplaced
 	starvedRuns        int                                 // runs that were started for starved jobs
--- a/internal/batch/sched/sendcheck.go
+++ b/internal/batch/sched/sendcheck.go
@@ -55,6 +55,7 @@
 		// The time for which a later incarnation of the worker may carry out the start counts from here; see orphaned.
 		r.startedAt = now
 		r.sent = true
+		c.startDemand.recordSent(len(o.Spec))
 	}
 	return CauseNone
 }
--- a/internal/ctrl/lead/elector.go
+++ b/internal/ctrl/lead/elector.go
@@ -441,7 +441,7 @@
 		return nil, err
 	}
 	tctx, cancel := context.WithCancel(ctx)
-	return &Tenure{elector: e, claim: h, leaseID: lease, claimRev: rev, lastWriteRev: rev, ctx: tctx, cancel: cancel, confirmedAt: sent, claimLoad: stored.load, keyDeleted: make(chan struct{}, 1), writeSlot: make(chan struct{}, 1)}, nil
+	return &Tenure{elector: e, claim: h, leaseID: lease, claimRev: rev, lastWriteRev: rev, ctx: tctx, cancel: cancel, confirmedAt: sent, claimLoad: stored.load, claimedAt: sent, keyDeleted: make(chan struct{}, 1), writeSlot: make(chan struct{}, 1)}, nil
 }
 
 // resolveClaim finds out whether a claim whose call got no answer took effect, and returns its revision if it did.
--- a/internal/ctrl/lead/tenure.go
+++ b/internal/ctrl/lead/tenure.go
@@ -43,6 +43,7 @@
 	claim      Holder          // as written to the store
 	claimRev   uint64          // revision of the claim
 	claimLoad  int             // load stored at the time of the claim; 0: not known
+	claimedAt  time.Time       // when the claim was sent
 	keyDeleted chan struct{}   // signals that the holder's key was deleted
 	ctx        context.Context // ends with the tenure
 	cancel     context.CancelFunc
@@ -65,6 +66,9 @@
 // Load returns the load of the former holder as stored at the time of the claim, or 0 if it isn't known.
 func (t *Tenure) Load() int { return t.claimLoad }
 
+// ClaimedAt returns when this process claimed to be the holder.
+func (t *Tenure) ClaimedAt() time.Time { return t.claimedAt }
+
 // LoadWrite returns the write that stores the holder's load, as a number of workers. Processes that may claim later
 // compare it with their capacity.
 func LoadWrite(load int) store.Write {
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,12 @@
 	return l.addr
 }
 
+// LacksMethod reports whether err is the answer of a peer that doesn't offer the method, as one of an older build.
+func LacksMethod(err error) bool {
+	var methodErr rpc.ServerError
+	return errors.As(err, &methodErr) && strings.HasPrefix(err.Error(), "rpc: can't find ")
+}
+
 // Call calls a method of the peer with the argument in and returns its answer. The error is
 // ErrUnreachable, ErrAnswerLost (also if ctx ends before the answer) or the error that the
 // peer's method returned.
--- a/internal/proc/front/agents.go
+++ b/internal/proc/front/agents.go
@@ -16,33 +16,36 @@
 	agentCheckInterval = 300 * time.Millisecond
 	// agentHeardWithin is how long ago the last heartbeat of a new agent may be.
 	agentHeardWithin = 3 * heartbeatInterval
+	// firstStartRate is the number of starts a second for each worker that a holder expects in its firstStartPeriod.
+	firstStartRate   = 1
+	firstStartPeriod = 30 * time.Second
 )
 
 // chooseAgents keeps the holder's agents up to date until the tenure ends, and waits for the end of the sessions.
 func (p *Process) chooseAgents(t *lead.Tenure, c *agent.Client) {
 	defer c.Wait()
 	delay := firstAgentChoice
-	if !needsAgents(t.Load(), p.agentCapacity()) {
+	if !p.agentDemand(t).AgentsNeeded() {
 		delay = 0
 	}
 	for wait.For(t.Context(), delay) {
 		delay = agentCheckInterval
 		now := time.Now()
-		c.Update(now, p.monitor.heardSince(now.Add(-agentHeardWithin)), p.workerCount(t), p.agentCapacity())
+		c.Update(now, p.monitor.heardSince(now.Add(-agentHeardWithin)), p.agentDemand(t))
 	}
 }
 
-// needsAgents reports whether there are more workers than the capacity, if that is known.
-func needsAgents(workers, capacity int) bool { return capacity > 0 && workers > capacity }
-
-// agentCapacity returns how many workers a holder with this process's limits can call by itself. A slowdown of the
-// machine, which passes, doesn't change the agents.
-func (p *Process) agentCapacity() int { return workerCapacity(p.settings.Limit, 1) }
-
-// workerCount returns the number of workers, as the former holder has stored it until this one has read the directory.
-func (p *Process) workerCount(t *lead.Tenure) int {
-	if h := p.forwarder.localHolder(); h != nil {
-		return max(h.TrackedWorkerCount(), 0)
+// agentDemand returns the load of the calls to workers. The number of workers is that which the former holder has stored
+// until this one has read the directory. A slowdown of the machine, which passes, doesn't change the agents.
+func (p *Process) agentDemand(t *lead.Tenure) agent.Demand {
+	d := agent.Demand{Workers: t.Load(), Capacity: workerCapacity(p.settings.Limit, 1), Own: agentLimits(p.settings.Limit)}
+	h := p.forwarder.localHolder()
+	if h != nil {
+		starts := h.StartDemand()
+		d.Workers, d.Starts, d.SpecBytes = max(h.TrackedWorkerCount(), 0), starts.Rate, starts.SpecBytes
+	}
+	if d.Workers > d.Capacity && time.Since(t.ClaimedAt()) < firstStartPeriod {
+		d.Starts = max(d.Starts, firstStartRate*float64(d.Workers))
 	}
-	return t.Load()
+	return d
 }
--- a/internal/proc/front/agents_test.go
+++ b/internal/proc/front/agents_test.go
@@ -363,7 +363,7 @@
 	if err := p.Follow("a", new(int)); err == nil {
 		t.Error("a process that isn't the holder answered as the holder")
 	}
-	if got := m.heardSince(begun.Add(-time.Second)); len(got) != 1 || got[0] != "a" {
+	if got := m.heardSince(begun.Add(-time.Second)); len(got) != 1 || got[0].Addr != "a" {
 		t.Errorf("followers %v", got)
 	}
 	if got := m.heardSince(time.Now()); len(got) != 0 {
--- a/internal/proc/front/capacity.go
+++ b/internal/proc/front/capacity.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"bramleysail.example/bramleysail/internal/base/conf"
+	"bramleysail.example/bramleysail/internal/batch/agent"
 )
 
 // Resources that the holder needs for each worker.
@@ -31,6 +32,11 @@
 	return max(1, int((1-reservedFilesShare)*l.MaxFiles-baseFiles))
 }
 
+// agentLimits returns what a process within the limits may use for calls to workers.
+func agentLimits(l conf.HostLimit) agent.Limits {
+	return agent.Limits{Cores: l.CPUShare * l.CoreSpeed, LinkMbps: l.LinkMbps, Conns: MaxWorkerConns(l)}
+}
+
 // workerCapacity returns how many workers a process can handle as the holder within its limits, or 0 if no limit is
 // known. slowdown is how many times slower the machine is than at its full speed.
 func workerCapacity(l conf.HostLimit, slowdown float64) int {
--- a/internal/proc/front/forward.go
+++ b/internal/proc/front/forward.go
@@ -10,6 +10,7 @@
 	tally "github.com/uber-go/tally/v4"
 
 	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/batch/agent"
 	"bramleysail.example/bramleysail/internal/batch/drive"
 	"bramleysail.example/bramleysail/internal/ctrl/lead"
 	"bramleysail.example/bramleysail/internal/peer/link"
@@ -216,10 +217,15 @@
 	return nil
 }
 
-// Follow records a heartbeat of the follower whose peer interface is at addr. It returns an error if this process isn't
-// the holder, or not yet: a new holder may choose agents before it has read the jobs.
-func (p *Peer) Follow(addr string, _ *int) error {
-	p.monitor.recordFollower(addr, time.Now())
+// Follow records a heartbeat of a follower of an older build, whose limits aren't known, like Announce.
+func (p *Peer) Follow(addr string, out *int) error {
+	return p.Announce(agent.Candidate{Addr: addr}, out)
+}
+
+// Announce records a heartbeat of a follower. It returns an error if this process isn't the holder, or not yet: a new holder
+// may choose agents before it has read the jobs.
+func (p *Peer) Announce(f agent.Candidate, _ *int) error {
+	p.monitor.recordFollower(f, time.Now())
 	if p.forwarder.localHolder() == nil {
 		return errNoHolder
 	}
--- a/internal/proc/front/peers.go
+++ b/internal/proc/front/peers.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"bramleysail.example/bramleysail/internal/base/wait"
+	"bramleysail.example/bramleysail/internal/batch/agent"
 	"bramleysail.example/bramleysail/internal/ctrl/lead"
 	"bramleysail.example/bramleysail/internal/peer/link"
 )
@@ -47,23 +48,30 @@
 	elector  *lead.Elector // knows who the holder is
 	links    *link.Set     // connections to other entry processes
 	capacity func() int    // returns how many workers this process would handle as the holder; 0: not known, or none
+	limits   agent.Limits  // of this process as an agent
 
 	mu               sync.Mutex
-	heardAt          map[string]time.Time // last heartbeat of each follower, by the address of its peer interface
+	heard            map[string]heartbeat // last heartbeat of each follower, by the address of its peer interface
 	confirmedAt      time.Time            // when the followers last confirmed this process as the holder
 	holderAnsweredAt time.Time            // when the holder last answered this process
 	isolatedCh       chan struct{}        // closed while isolated is set; nil stands for an open channel
 	isolated         bool                 // neither the holder nor the store answers this process
 }
 
-// recordFollower records a heartbeat of the follower with a peer interface at addr.
-func (m *peerMonitor) recordFollower(addr string, now time.Time) {
+// heartbeat is a received heartbeat.
+type heartbeat struct {
+	at     time.Time    // when it was received
+	limits agent.Limits // of its sender
+}
+
+// recordFollower records a heartbeat of a follower.
+func (m *peerMonitor) recordFollower(f agent.Candidate, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.heardAt == nil {
-		m.heardAt = map[string]time.Time{}
+	if m.heard == nil {
+		m.heard = map[string]heartbeat{}
 	}
-	m.heardAt[addr] = now
+	m.heard[f.Addr] = heartbeat{now, f.Limits}
 }
 
 // followers returns the addresses of the followers whose last heartbeat was received at most followerTTL before the
@@ -76,9 +84,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var addrs []string
-	for addr, heardAt := range m.heardAt {
-		if at.Sub(heardAt) > followerTTL {
-			delete(m.heardAt, addr)
+	for addr, last := range m.heard {
+		if at.Sub(last.at) > followerTTL {
+			delete(m.heard, addr)
 			continue
 		}
 		addrs = append(addrs, addr)
@@ -86,17 +94,17 @@
 	return addrs
 }
 
-// heardSince returns the addresses of the followers with a heartbeat since the given time.
-func (m *peerMonitor) heardSince(at time.Time) []string {
+// heardSince returns the followers with a heartbeat since the given time, as candidates for agents.
+func (m *peerMonitor) heardSince(at time.Time) []agent.Candidate {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var addrs []string
-	for addr, heardAt := range m.heardAt {
-		if heardAt.After(at) {
-			addrs = append(addrs, addr)
+	var candidates []agent.Candidate
+	for addr, last := range m.heard {
+		if last.at.After(at) {
+			candidates = append(candidates, agent.Candidate{Addr: addr, Limits: last.limits})
 		}
 	}
-	return addrs
+	return candidates
 }
 
 // lastConfirmed returns when the followers last confirmed this process as the holder.
@@ -124,7 +132,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 		l := m.links.Get(h.Addr)
-		_, err := link.Call[string, int](callCtx, l, "Peer.Follow", selfAddr)
+		err := m.sendHeartbeat(callCtx, l, selfAddr)
 		cancel()
 		if err == nil {
 			misses = 0
@@ -142,6 +150,15 @@
 	}
 }
 
+// sendHeartbeat sends one heartbeat with this process's limits. A holder of an older build takes only the address.
+func (m *peerMonitor) sendHeartbeat(ctx context.Context, l *link.Link, selfAddr string) error {
+	_, err := link.Call[agent.Candidate, int](ctx, l, "Peer.Announce", agent.Candidate{Addr: selfAddr, Limits: m.limits})
+	if link.LacksMethod(err) {
+		_, err = link.Call[string, int](ctx, l, "Peer.Follow", selfAddr)
+	}
+	return err
+}
+
 // awaitHeartbeat waits for the interval or until changed is closed, and reports whether ctx has not ended.
 func awaitHeartbeat(ctx context.Context, changed <-chan struct{}, interval time.Duration) bool {
 	t := time.NewTimer(interval)
--- a/internal/proc/front/peers_test.go
+++ b/internal/proc/front/peers_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/agent"
 )
 
 // The store answers only one follower, which becomes the holder. The former holder and most of its followers are cut
@@ -39,10 +41,10 @@
 	m := &peerMonitor{}
 	confirmedAt := time.Now()
 	for _, addr := range []string{"a", "b", "c", "d", "e"} {
-		m.recordFollower(addr, confirmedAt.Add(-time.Second))
+		m.recordFollower(agent.Candidate{Addr: addr}, confirmedAt.Add(-time.Second))
 	}
-	m.recordFollower("gone", confirmedAt.Add(-2*followerTTL))
-	m.recordFollower("a", confirmedAt.Add(2*followerTTL))
+	m.recordFollower(agent.Candidate{Addr: "gone"}, confirmedAt.Add(-2*followerTTL))
+	m.recordFollower(agent.Candidate{Addr: "a"}, confirmedAt.Add(2*followerTTL))
 	if got := m.followers(confirmedAt); len(got) != 5 {
 		t.Errorf("%d followers, want the 5 at the time of the store's last confirmation", len(got))
 	}
--- a/internal/proc/front/process.go
+++ b/internal/proc/front/process.go
@@ -101,7 +101,7 @@
 		Capacity: p.capacity,
 	})
 	p.forwarder.elector = p.elector
-	p.monitor = &peerMonitor{elector: p.elector, links: &p.forwarder.links, capacity: p.offeredCapacity}
+	p.monitor = &peerMonitor{elector: p.elector, links: &p.forwarder.links, capacity: p.offeredCapacity, limits: agentLimits(settings.Limit)}
 	p.forwarder.monitor = p.monitor
 	var err error
 	if p.peerServer, err = link.NewServer("Peer", &Peer{p.forwarder, p.monitor}); err != nil {
