base/meter: bytes sent and received by purpose; a line where a link is busy

Nothing told what filled a link. Connections count their bytes by what they are for (callers, polls, orders, store, peers, agents; of the store's the configuration and the directory), as counters, and in a line a second at most above 0.8 of the link's bandwidth.

--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	Direct drive.WorkerClient // makes the holder's own calls
 	Log    logr.Logger
 	Scope  tally.Scope // for metrics
+	// WrapConn is applied to each connection to an agent; nil: none.
+	WrapConn func(net.Conn) net.Conn
 }
 
 // Client makes the holder's calls to workers: by itself as long as it has capacity for all workers, and over agents
@@ -59,7 +62,7 @@
 		return opts.Scope.Tagged(map[string]string{"way": way}).Counter("worker_calls")
 	}
 	c := &Client{
-		opts: opts, ctx: ctx, dial: dialLink, directCalls: calls("direct"), agentCalls: calls("agent"),
+		opts: opts, ctx: ctx, dial: dialLink(opts.WrapConn), directCalls: calls("direct"), agentCalls: calls("agent"),
 		agentsReady: make(chan struct{}), excludedUntil: map[string]time.Time{}, avoidedUntil: map[string]time.Time{},
 		directUntil: map[string]time.Time{}, agentsUntil: map[string]time.Time{},
 	}
--- a/internal/batch/agent/transport.go
+++ b/internal/batch/agent/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"bramleysail.example/bramleysail/internal/peer/link"
 )
@@ -21,8 +22,11 @@
 	link *link.Link
 }
 
-// dialLink returns a transport to the agent with a peer interface at addr.
-func dialLink(addr string) transport { return linkTransport{link.New(addr)} }
+// dialLink returns a function that returns a transport to the agent with a peer interface at an address. It applies wrap to
+// each connection unless it is nil.
+func dialLink(wrap func(net.Conn) net.Conn) func(addr string) transport {
+	return func(addr string) transport { return linkTransport{link.New(addr, wrap)} }
+}
 
 func (t linkTransport) open(ctx context.Context, in OpenArgs) (OpenReply, error) {
 	return link.Call[OpenArgs, OpenReply](ctx, t.link, ServiceName+".Open", in)
--- a/internal/peer/link/bench_test.go
+++ b/internal/peer/link/bench_test.go
@@ -65,7 +65,7 @@
 	}
 	go srv.Serve(lis)
 	defer srv.Close()
-	l := New(lis.Addr().String())
+	l := New(lis.Addr().String(), nil)
 	defer l.Close()
 	for _, items := range []int{1, 10, 50} {
 		var polls []benchPoll
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -29,7 +29,8 @@
 // Link is a connection to one peer. It is dialed by the first call and dialed again by the next
 // call after it is lost. A Link is safe for concurrent use.
 type Link struct {
-	addr string // host:port of the peer
+	addr string                  // host:port of the peer
+	wrap func(net.Conn) net.Conn // applied to each connection; nil: none
 
 	mu       sync.Mutex
 	client   *client   // on the open connection; nil: not connected
@@ -49,9 +50,10 @@
 	_ = c.Close()
 }
 
-// New returns a link to the peer at addr (host:port). It doesn't dial yet.
-func New(addr string) *Link {
-	return &Link{addr: addr}
+// New returns a link to the peer at addr (host:port), which applies wrap to each connection unless it is nil. It doesn't dial
+// yet.
+func New(addr string, wrap func(net.Conn) net.Conn) *Link {
+	return &Link{addr: addr, wrap: wrap}
 }
 
 // Addr returns the peer's address.
@@ -113,6 +115,9 @@
 		l.failedAt = time.Now()
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
+	if l.wrap != nil {
+		conn = l.wrap(conn)
+	}
 	l.client = &client{Client: rpc.NewClient(conn)}
 	return l.client, nil
 }
@@ -154,6 +159,8 @@
 
 // Set holds one link for each address. It is safe for concurrent use; the zero value is empty.
 type Set struct {
+	WrapConn func(net.Conn) net.Conn // applied to each connection; nil: none
+
 	mu    sync.Mutex
 	links map[string]*Link // by address
 }
@@ -167,7 +174,7 @@
 	}
 	l := s.links[addr]
 	if l == nil {
-		l = New(addr)
+		l = New(addr, s.WrapConn)
 		s.links[addr] = l
 	}
 	return l
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -44,7 +44,7 @@
 		s.Serve(lis)
 	}()
 	defer s.Close()
-	l := New(lis.Addr().String())
+	l := New(lis.Addr().String(), nil)
 	defer l.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	if _, err := Call[int, int](ctx, l, "Echo.Same", 7); !errors.Is(err, ErrAnswerLost) {
@@ -90,7 +90,7 @@
 		defer close(served)
 		s.Serve(&failingListener{lis, 3})
 	}()
-	l := New(lis.Addr().String())
+	l := New(lis.Addr().String(), nil)
 	defer l.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -131,7 +131,7 @@
 	wg.Go(func() { s.Serve(lis) })
 	defer wg.Wait()
 	defer s.Close()
-	l := New(lis.Addr().String())
+	l := New(lis.Addr().String(), nil)
 	defer l.Close()
 	ctx := context.Background()
 	if got, err := Call[int, int](ctx, l, "Echo.Same", 7); err != nil || got != 7 {
--- a/internal/peer/link/sent_test.go
+++ b/internal/peer/link/sent_test.go
@@ -34,7 +34,7 @@
 // side did, and counts as not sent.
 func TestSentCallIsNotUnreachable(t *testing.T) {
 	conn := &endingConn{written: make(chan struct{}), closed: make(chan struct{})}
-	l := New("x")
+	l := New("x", nil)
 	l.client = &client{Client: rpc.NewClient(conn)}
 	done := make(chan error, 1)
 	go func() {
--- a/internal/proc/front/process.go
+++ b/internal/proc/front/process.go
@@ -14,6 +14,7 @@
 	tally "github.com/uber-go/tally/v4"
 
 	"bramleysail.example/bramleysail/internal/base/conf"
+	"bramleysail.example/bramleysail/internal/base/meter"
 	"bramleysail.example/bramleysail/internal/base/telem"
 	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/batch/agent"
@@ -35,6 +36,8 @@
 	TimeComputation func() time.Duration
 	// ReadMemory returns the memory that this process uses. If it is nil, the memory isn't watched.
 	ReadMemory func() drive.MemoryUsage
+	// Meter counts the bytes that this process sends and receives. If it is nil, they aren't counted.
+	Meter *meter.Meter
 }
 
 // Process is one entry process. It is created by Start and ended by Stop.
@@ -94,7 +97,7 @@
 	p.callerAddr = listeners[1].Addr().String()
 	var scope tally.Scope
 	scope, p.metricsHandler, p.metricsCloser = telem.NewMetrics()
-	p.forwarder = &Forwarder{log: log, name: settings.Name, scope: scope}
+	p.forwarder = &Forwarder{log: log, name: settings.Name, scope: scope, links: link.Set{WrapConn: adapters.Meter.Wrap(meter.Peers)}}
 	p.elector = lead.New(lead.Options{
 		Store: adapters.Store, Name: settings.Name, Addr: listeners[0].Addr().String(),
 		LeaseTTL: max(drive.HolderLease, conf.Milliseconds(settings.Store.MinLeaseMillis)), Log: log, HolderAlive: p.holderAlive,
@@ -111,8 +114,8 @@
 	if err := p.peerServer.Register(agent.ServiceName, p.agent); err != nil {
 		return nil, err
 	}
-	p.wg.Go(func() { p.peerServer.Serve(listeners[0]) })
-	p.serveListener(listeners[1], p.closeUnlessReady(adapters.CallerHandler(p.forwarder)))
+	p.wg.Go(func() { p.peerServer.Serve(adapters.Meter.Listen(listeners[0], meter.Peers)) })
+	p.serveListener(adapters.Meter.Listen(listeners[1], meter.Callers), p.closeUnlessReady(adapters.CallerHandler(p.forwarder)))
 	p.serveListener(listeners[2], adapters.ReadinessHandler(p.Ready))
 	p.serveListener(listeners[3], p.metricsHandler)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -120,6 +123,7 @@
 	p.wg.Go(func() { p.elector.Run(ctx, p.runTenure) })
 	p.wg.Go(func() { p.monitor.sendHeartbeats(ctx, listeners[0].Addr().String(), settings.Name, heartbeatInterval) })
 	p.wg.Go(func() { p.speed.run(ctx) })
+	p.wg.Go(func() { adapters.Meter.Run(ctx, settings.Limit.LinkMbps, log, scope) })
 	log.Info("start", "zone", settings.Zone, "carries", p.capacity(), "caller", listeners[1].Addr(), "peer", listeners[0].Addr())
 	return p, nil
 }
@@ -182,7 +186,9 @@
 	defer p.tenure.CompareAndSwap(t, nil)
 	defer p.forwarder.setLocalHolder(nil)
 	p.wg.Go(func() { p.monitor.confirmWithPeers(t) })
-	client := agent.NewClient(t.Context(), agent.Options{Direct: p.adapters.WorkerClient, Log: p.log, Scope: p.forwarder.scope})
+	client := agent.NewClient(t.Context(), agent.Options{
+		Direct: p.adapters.WorkerClient, Log: p.log, Scope: p.forwarder.scope, WrapConn: p.adapters.Meter.Wrap(meter.Agents),
+	})
 	p.wg.Go(func() { p.chooseAgents(t, client) })
 	p.wg.Go(func() { p.handOverIfOverloaded(t, client) })
 	err := drive.Run(drive.Options{
--- a/internal/proc/tool/host.go
+++ b/internal/proc/tool/host.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"bramleysail.example/bramleysail/internal/base/conf"
+	"bramleysail.example/bramleysail/internal/base/meter"
 	"bramleysail.example/bramleysail/internal/base/telem"
 	"bramleysail.example/bramleysail/internal/proc/front"
 	"bramleysail.example/bramleysail/platform"
@@ -53,13 +54,15 @@
 	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	counts := &meter.Meter{}
 	process, err := front.Start(settings, front.Adapters{
-		Store:            platform.NewStoreClient(settings.Store.Addr, storeTimeout),
-		WorkerClient:     platform.NewWorkerClient(front.MaxWorkerConns(settings.Limit)),
+		Store:            platform.NewStoreClient(settings.Store.Addr, storeTimeout, counts),
+		WorkerClient:     platform.NewWorkerClient(front.MaxWorkerConns(settings.Limit), counts),
 		Codec:            platform.NewCodec(),
 		CallerHandler:    func(d *front.Forwarder) http.Handler { return platform.NewCallerHandler(d) },
 		ReadinessHandler: platform.NewReadinessHandler,
 		ReadMemory:       front.ReadMemory,
+		Meter:            counts,
 	}, log)
 	if err != nil {
 		return err
