batch/drive: a takeover keeps what it has read, renews leases meanwhile; no superseded configurations

A new holder loaded the state in one piece and began anew after any failed call, and polled no worker before the end: over a narrow link leases lapsed. Each part is now retried by itself; the tracked workers come first and are polled, so that their leases are renewed, while jobs, intent and directory are read. What they report is handled once the jobs are known (sched.BeginRestore).

A watch delivers every change. Over a link that takes longer to carry a value than it takes to change, the copy fell behind ever more. After large changes the watch gives way to full reads until one shows that the link is fast or that nothing has changed; a large entry is received only if it has changed, and an unchanged copy isn't decoded again.

--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/pkg/errors"
 	tally "github.com/uber-go/tally/v4"
 
 	"bramleysail.example/bramleysail/internal/base/wait"
@@ -93,7 +91,6 @@
 	// commitDelay is how long ended runs wait to be stored with others. Under high load some 100 runs end
 	// each second, and a call to the store costs as much as a tenth of a second of a task.
 	commitDelay          = 20 * time.Millisecond
-	loadRetryDelay       = 100 * time.Millisecond // after a failed attempt to load the state
 	pollRetryDelay       = 150 * time.Millisecond // after a poll without an answer
 	forgetInterval       = 10 * time.Second       // between removals of jobs past their retention
 	learnedModelInterval = 3 * time.Second        // between two writes of the learned model
@@ -117,8 +114,10 @@
 	pollLimiter pollLimiter
 	directory   directoryDecoder // used by the directory's watch only
 
+	loaded chan struct{} // closed when the state is loaded
+
 	mu                   sync.Mutex                 // guards the fields below
-	core                 *sched.Core                // nil until loaded
+	core                 *sched.Core                // nil until the tracked workers are loaded
 	hasConfig            bool                       // the core has a configuration
 	polling              map[string]bool            // ids of the workers that have a polling goroutine
 	submissions          []*submission              // not part of a write yet, oldest first
@@ -159,6 +158,7 @@
 		loggedMaintenance: map[string]bool{},
 		trackedCount:      opt.Tenure.Load(),
 
+		loaded:      make(chan struct{}),
 		pollLimiter: newPollLimiter(),
 		directory:   directoryDecoder{decode: opt.Codec.DecodeMember},
 	}
@@ -172,6 +172,7 @@
 	h.planLag.started = start
 	watches, err := h.loadState(start)
 	if err != nil {
+		h.wg.Wait()
 		return err
 	}
 	h.log.Info("took over", "jobs", len(h.core.JobIDs()), "workers", len(h.core.Workers()), "took", time.Since(start))
@@ -209,120 +210,6 @@
 	return h.core.Stats(time.Now()).WithheldTasks > 0
 }
 
-// loadState loads the core from the store, with retries until it succeeds or the tenure is over. It returns the
-// watches of the intent and the directory; start is when the tenure's work began.
-func (h *Holder) loadState(start time.Time) ([]*prefixWatch, error) {
-	for {
-		watches, err := h.tryLoadState(start)
-		if err == nil {
-			return watches, nil
-		}
-		h.log.Info("loading the state from the store failed; retrying", "cause", err.Error())
-		if !wait.For(h.ctx, loadRetryDelay) {
-			return nil, errors.Wrap(err, "drive")
-		}
-	}
-}
-
-// tryLoadState makes one attempt of loadState.
-func (h *Holder) tryLoadState(start time.Time) ([]*prefixWatch, error) {
-	core := sched.New(sched.Options{
-		WorkerLease: h.opt.WorkerLease, MaxWorkerLease: h.opt.MaxWorkerLease, MaxStopTime: h.opt.MaxStopTime, MaxUnconfirmed: h.opt.MaxUnconfirmed, Term: h.opt.Tenure.Term(),
-	}, start)
-	tracked, err := h.readTrackedWorkers()
-	if err != nil {
-		return nil, err
-	}
-	if err := h.readJobs(core, start); err != nil {
-		return nil, err
-	}
-	if err := h.readLearnedModel(core); err != nil {
-		return nil, err
-	}
-	core.InheritWorkers(start, tracked)
-	h.mu.Lock()
-	h.core = core
-	h.trackedWorkers = tracked
-	h.mu.Unlock()
-	watches := []*prefixWatch{
-		{store: h.opt.Store, prefix: h.opt.Codec.IntentPrefix, readInterval: intentReadInterval, onChange: h.applyIntent, onConfirm: h.noteIntentRead},
-		{
-			store: h.opt.Store, prefix: h.opt.Codec.DirectoryPrefix, readInterval: directoryReadInterval, pause: directoryWatchPause,
-			onChange: h.applyDirectory, onUpdate: h.updateDirectory, onConfirm: h.noteDirectoryRead,
-		},
-	}
-	for _, w := range watches {
-		if err := w.readAll(h.ctx); err != nil {
-			return nil, err
-		}
-	}
-	return watches, nil
-}
-
-// readTrackedWorkers reads the workers that may hold runs, as the former holder stored them.
-func (h *Holder) readTrackedWorkers() ([]sched.Member, error) {
-	e, err := h.opt.Store.Get(h.ctx, keyTrackedWorkers)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	var tracked []sched.Member
-	err = json.Unmarshal(e.Value, &tracked)
-	return tracked, errors.Wrap(err, "drive: crew")
-}
-
-// readLearnedModel restores the learned model. One that can't be decoded is logged and ignored.
-func (h *Holder) readLearnedModel(core *sched.Core) error {
-	e, err := h.opt.Store.Get(h.ctx, keyLearnedModel)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	if err := core.RestoreModel(e.Value); err != nil {
-		h.log.Error(err, "stored model not decoded; learning starts from scratch")
-	}
-	return nil
-}
-
-// readJobs restores all jobs. A job that ended between the two reads would be restored with outdated progress
-// and without its spec. None ends in between, because the tenure's claim makes later writes of the former
-// holder fail.
-func (h *Holder) readJobs(core *sched.Core, now time.Time) error {
-	records, err := h.opt.Store.Range(h.ctx, progressPrefix)
-	if err != nil {
-		return err
-	}
-	jobs, err := h.opt.Store.Range(h.ctx, jobPrefix)
-	if err != nil {
-		return err
-	}
-	progress := make(map[string][]byte, len(records.Entries))
-	for _, e := range records.Entries {
-		progress[e.Key[len(progressPrefix):]] = e.Value
-	}
-	for _, e := range jobs.Entries {
-		id := e.Key[len(jobPrefix):]
-		spec := &sched.Job{}
-		if err := json.Unmarshal(e.Value, spec); err != nil {
-			return errors.Wrapf(err, "drive: job %s", id)
-		}
-		if err := core.RestoreJob(now, id, spec, progress[id]); err != nil {
-			return err
-		}
-		delete(progress, id)
-	}
-	for id, data := range progress {
-		if err := core.RestoreJob(now, id, nil, data); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // applyIntent passes the operators' intent to the core.
 func (h *Holder) applyIntent(_ time.Time, entries []store.Entry) {
 	intent, err := h.opt.Codec.DecodeIntent(entries)
--- a/internal/batch/drive/watch.go
+++ b/internal/batch/drive/watch.go
@@ -35,6 +35,8 @@
 	entries   map[string]store.Entry // the copy, by key
 	rev       uint64                 // revision of the store that the copy reflects
 	freshAsOf time.Time              // start of the latest read that the copy is no older than
+	readsOnly bool                   // the link carries the changes too slowly for a watch; see applyResult
+	carried   int                    // size of the largest changes that the link has carried fast, in bytes
 }
 
 const (
@@ -43,25 +45,69 @@
 	// watchRetryDelay is the delay after a watch or full read that failed. Without it the calls of a holder whose reads
 	// are refused for the store's rate limit would keep the limit exceeded.
 	watchRetryDelay = 150 * time.Millisecond
+	// largeSize is the size of values in bytes from which on the time to receive them matters.
+	largeSize = 64 << 10
+	// slowRead is the duration of a full read from which on the link is too slow for a watch of such values.
+	slowRead = 300 * time.Millisecond
 )
 
 // readResult is the result of one full read.
 type readResult struct {
-	start   time.Time // when it began
-	listing store.Listing
-	err     error
+	start    time.Time // when it began
+	listing  store.Listing
+	received int // size of the received values in bytes
+	err      error
 }
 
-// read makes a full read.
-func (w *prefixWatch) read(ctx context.Context) readResult {
+// read makes a full read. If first, the entry of the copy with the lowest key, is large, it is received only if it has
+// changed.
+func (w *prefixWatch) read(ctx context.Context, first store.Entry) readResult {
 	start := time.Now()
+	if len(first.Value) >= largeSize {
+		if listing, received, ok := w.readChanged(ctx, first); ok {
+			return readResult{start, listing, received, nil}
+		}
+	}
 	listing, err := w.store.Range(ctx, w.prefix)
-	return readResult{start, listing, err}
+	return readResult{start, listing, size(listing.Entries), err}
+}
+
+// readChanged reads the entries, the first one only if it has changed, and returns the size of what it has received. It
+// reports false if a call fails or the first entry is gone.
+//
+// The revision of the listing may cover a change of the first entry after it was read. The next read shows that change.
+func (w *prefixWatch) readChanged(ctx context.Context, first store.Entry) (store.Listing, int, bool) {
+	e, changed, err := w.store.GetIfChanged(ctx, first.Key, first.Rev)
+	if err != nil {
+		return store.Listing{}, 0, false
+	}
+	listing, err := w.store.RangeAfter(ctx, w.prefix, first.Key)
+	if err != nil {
+		return store.Listing{}, 0, false
+	}
+	received := size(listing.Entries)
+	if changed {
+		first = e
+		received += len(e.Value)
+	}
+	listing.Entries = append([]store.Entry{first}, listing.Entries...)
+	return listing, received, true
+}
+
+// firstEntry returns the entry of the copy with the lowest key, or the zero Entry.
+func (w *prefixWatch) firstEntry() store.Entry {
+	var first store.Entry
+	for _, e := range w.entries {
+		if first.Key == "" || e.Key < first.Key {
+			first = e
+		}
+	}
+	return first
 }
 
 // readAll replaces the copy by a full read.
 func (w *prefixWatch) readAll(ctx context.Context) error {
-	res := w.read(ctx)
+	res := w.read(ctx, store.Entry{})
 	w.applyRead(res)
 	return res.err
 }
@@ -72,17 +118,44 @@
 	if res.err != nil {
 		return
 	}
+	fast := time.Since(res.start) < slowRead
+	if fast {
+		w.carried = max(w.carried, res.received)
+	}
+	changed := w.entries == nil || w.changedBy(res.listing)
+	w.readsOnly = w.readsOnly && !fast && changed
 	if res.listing.Rev >= w.rev {
 		w.rev = res.listing.Rev
 		w.entries = make(map[string]store.Entry, len(res.listing.Entries))
 		for _, e := range res.listing.Entries {
 			w.entries[e.Key] = e
 		}
-		w.notifyChange(res.start)
+		if changed {
+			w.notifyChange(res.start)
+		}
 	}
 	w.confirmFresh(res.start)
 }
 
+// size returns the size of the entries' values in bytes.
+func size(entries []store.Entry) int {
+	n := 0
+	for _, e := range entries {
+		n += len(e.Value)
+	}
+	return n
+}
+
+// changedBy reports whether a listing shows a change of the copy.
+func (w *prefixWatch) changedBy(listing store.Listing) bool {
+	for _, e := range listing.Entries {
+		if e.Rev > w.entries[e.Key].Rev {
+			return true
+		}
+	}
+	return len(listing.Entries) < len(w.entries)
+}
+
 // confirmFresh records that the copy is no older than a read that began at start.
 func (w *prefixWatch) confirmFresh(start time.Time) {
 	if start.After(w.freshAsOf) {
@@ -136,8 +209,9 @@
 	startRead := func() {
 		if !reading {
 			reading = true
+			first := w.firstEntry()
 			wg.Go(func() {
-				res := w.read(ctx)
+				res := w.read(ctx, first)
 				if res.err != nil {
 					wait.For(ctx, watchRetryDelay)
 				}
@@ -161,16 +235,20 @@
 		case res := <-reads:
 			reading = false
 			w.applyRead(res)
-			if !watching {
+			switch {
+			case watching:
+			case w.readsOnly:
+				startRead()
+			default:
 				startWatch()
 			}
 		case res := <-results:
 			watching = false
 			w.applyResult(res)
-			if res.err != nil {
+			if res.err != nil || w.readsOnly {
 				startRead()
 			}
-			if !errors.Is(res.err, store.ErrCompacted) {
+			if !errors.Is(res.err, store.ErrCompacted) && !w.readsOnly {
 				startWatch() // after a compaction, only a full read gives a revision to watch from
 			}
 		}
@@ -178,10 +256,19 @@
 }
 
 // applyResult applies the result of a watch to the copy.
+//
+// A watch delivers each change, also those that newer ones have superseded. Over a link that takes longer to receive a value
+// than it takes to change, the copy would fall behind ever more. After large changes, full reads therefore follow instead of
+// watches until one shows that the link is fast enough, or that nothing has changed.
 func (w *prefixWatch) applyResult(res watchResult) {
 	if res.err != nil || res.rev < w.rev {
 		return
 	}
+	received := 0
+	for _, c := range res.changes {
+		received += len(c.Value)
+	}
+	w.readsOnly = received >= largeSize && received > w.carried
 	w.rev = res.rev
 	if len(res.changes) == 0 {
 		return
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -25,6 +25,7 @@
 	confirmedByPeers time.Time // when its peers last did
 	// When the reads of the directory and of the operators' intent that are in use began; zero: not known.
 	directoryReadAt, intentReadAt time.Time
+	restoring                     bool // see BeginRestore
 
 	jobs               map[string]*job                     // by id, without those in endedJobs
 	endedJobs          map[string]endedJob                 // jobs of which only the final state is kept, by id
@@ -151,6 +152,14 @@
 	return TaskID{t.step.job.ID, t.step.occurrence, t.step.index, t.index}
 }
 
+// BeginRestore begins the time in which the state that a former holder has stored is restored. Until EndRestore, polls renew
+// the leases of inherited workers, and what workers report isn't handled: their runs and ends belong to jobs that aren't
+// known yet.
+func (c *Core) BeginRestore() { c.restoring = true }
+
+// EndRestore ends it.
+func (c *Core) EndRestore() { c.restoring = false }
+
 // ConfirmHolder records that the store confirmed this process as the holder at a time.
 func (c *Core) ConfirmHolder(at time.Time) {
 	if at.After(c.confirmedByStore) {
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -193,6 +193,9 @@
 	if delay := now.Sub(sent) - w.pollWait; delay > contactSlack {
 		w.answerDelay = delay
 	}
+	if c.restoring {
+		return nil
+	}
 	newEnds := c.handleEnds(now, w, rep.Finished)
 	c.setExpired(w, false)
 	w.restarted = false
