--- a/internal/batch/agent/link_test.go
+++ b/internal/batch/agent/link_test.go
@@ -25,7 +25,7 @@
 }
 
 // startServer serves the service, or none if it is nil, on loopback and returns its address and a function that stops it.
-func startServer(t *testing.T, s *Service) (string, func()) {
+func startServer(t testing.TB, s *Service) (string, func()) {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
