batch/drive, proc/joblog: starts and successful ends share a line for each step and 0.1 s

Starts that were carried out and runs that succeeded are now entries of one line for their step and interval; orders with another outcome, failed, stopped and expired runs and starts of starved jobs keep a line each. joblog reads the entries as the lines that they stand for, so explain and report show the same, also for older logs.

--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -111,6 +111,7 @@
 	planLag      planLag
 	wg           sync.WaitGroup
 
+	runLog      *runLog
 	pollLimiter pollLimiter
 	directory   directoryDecoder // used by the directory's watch only
 
@@ -165,6 +166,7 @@
 	if h.opt.Scope == nil {
 		h.opt.Scope = tally.NoopScope
 	}
+	h.runLog = newRunLog(h.log)
 	h.admission = newAdmission(h.opt)
 	h.countOrder = newOutcomeCounter(h.opt.Scope, "orders")
 	h.countEnd = newOutcomeCounter(h.opt.Scope, "ends")
@@ -186,6 +188,7 @@
 	wait.Wake(h.commitWake)
 	h.planLoop()
 	h.wg.Wait()
+	h.runLog.flush(time.Now(), true)
 	return nil
 }
 
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -75,6 +75,7 @@
 	}
 	h.logUnplaced(unplaced)
 	h.logEvents(events)
+	h.runLog.flush(time.Now(), false)
 	return pause
 }
 
@@ -150,12 +151,15 @@
 }
 
 // executeOrder sends an order and passes the outcome to the core, also when the tenure is over. A worker that
-// has been fenced by a newer holder ends the tenure instead. Each order is logged, except a throttle to a CPU limit
-// above 0 that was carried out.
+// has been fenced by a newer holder ends the tenure instead. Each order is logged, starts that were carried out by the run
+// log, except a throttle to a CPU limit above 0 that was carried out.
 func (h *Holder) executeOrder(o sched.Order) {
 	start := time.Now()
 	outcome, cause := h.sendOrder(o)
-	if o.Verb == sched.VerbStart || outcome != sched.OutcomeDone || o.CPULimit == 0 {
+	switch {
+	case o.Verb == sched.VerbStart && outcome == sched.OutcomeDone && !o.Starved:
+		h.runLog.addStart(time.Now(), o, time.Since(start))
+	case o.Verb == sched.VerbStart || outcome != sched.OutcomeDone || o.CPULimit == 0:
 		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Incarnation.ID, "pace", o.CPULimit, "starved", o.Starved, "outcome", outcome, "cause", cause,
 			"took", time.Since(start))
 	}
@@ -349,11 +353,15 @@
 	}
 }
 
-// logEnds logs and counts ended runs that were not reported before. A worker repeats an ended run in each report
-// until it is acknowledged.
+// logEnds logs and counts ended runs that were not reported before, those that succeeded by the run log. A worker repeats an
+// ended run in each report until it is acknowledged.
 func (h *Holder) logEnds(worker string, newEnds []sched.FinishedRun) {
 	for _, f := range newEnds {
 		h.countEnd("end", string(f.End))
+		if f.End == sched.EndDone {
+			h.runLog.addEnd(time.Now(), worker, f)
+			continue
+		}
 		h.log.Info("end", "task", f.Task, "run", f.Run, "how", f.End, "worker", worker, "seq", f.Seq)
 	}
 }
--- a/internal/proc/joblog/history.go
+++ b/internal/proc/joblog/history.go
@@ -43,7 +43,7 @@
 			unreadable++
 			continue
 		}
-		lines = append(lines, l)
+		lines = append(lines, l.expand()...)
 	}
 	return lines, unreadable, nil
 }
