batch/agent: an agent isn't taken for lost while the holder's own link is full

Over 2 Mbit/s a configuration of 256 kB takes 1.4 s, and all replies wait behind it. A grace in which this process has received 0.6 of its link's bandwidth is now followed by another, six at most.

TestRepliesBehindLargeValue: without it one agent lost over both links; now none over the narrow one. TestGraceNoticedLate has two cases more.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -134,6 +134,18 @@
 	return u
 }
 
+// Received returns how many bytes all connections have received so far.
+func (m *Meter) Received() int64 {
+	if m == nil {
+		return 0
+	}
+	var sum int64
+	for i := range connPurposes {
+		sum += m.counts[i].in.Load()
+	}
+	return sum
+}
+
 // since returns the usage since an earlier one.
 func (u Usage) since(earlier Usage) Usage {
 	d := Usage{map[Purpose]int64{}, map[Purpose]int64{}}
--- a/internal/batch/agent/agents.go
+++ b/internal/batch/agent/agents.go
@@ -144,7 +144,7 @@
 
 // start begins a session with an agent. The caller holds c.mu.
 func (c *Client) start(candidate Candidate) *clientSession {
-	s := newClientSession(c.ctx, candidate, c.dial(candidate.Addr), c)
+	s := newClientSession(c.ctx, candidate, c.dial(candidate.Addr), ownLink{c.opts.LinkMbps, c.opts.ReceivedBytes}, c)
 	c.wg.Go(func() {
 		s.run()
 		<-s.ctx.Done() // when sessionEnded has returned
--- a/internal/batch/agent/bench_test.go
+++ b/internal/batch/agent/bench_test.go
@@ -86,7 +86,7 @@
 	time.Sleep(2 * time.Second)
 	b.StopTimer()
 	runs := float64((b.N/tasks + 1) * tasks)
-	b.ReportMetric(float64((cpuTime() - before).Microseconds())/runs, "cpu-us/run")
+	b.ReportMetric(float64((cpuTime()-before).Microseconds())/runs, "cpu-us/run")
 	b.ReportMetric(float64(refused), "refused")
 	cancel()
 	wg.Wait()
--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -30,6 +30,10 @@
 	Scope  tally.Scope // for metrics
 	// WrapConn is applied to each connection to an agent; nil: none.
 	WrapConn func(net.Conn) net.Conn
+	// LinkMbps is the bandwidth of this process's link in Mbit/s, 0 if it isn't known; ReceivedBytes returns how many bytes it
+	// has received. While its link is full, an agent isn't taken for lost.
+	LinkMbps      float64
+	ReceivedBytes func() int64
 }
 
 // Client makes the holder's calls to workers: by itself as long as it has capacity for all workers, and over agents
@@ -80,6 +84,17 @@
 	return openCount(c.sessions) > 0
 }
 
+// Addrs returns the addresses of the agents.
+func (c *Client) Addrs() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var addrs []string
+	for _, s := range c.sessions {
+		addrs = append(addrs, s.addr)
+	}
+	return addrs
+}
+
 // awaitReady waits until agents are open, calls have waited long enough for them, or ctx ends.
 func (c *Client) awaitReady(ctx context.Context) {
 	c.mu.Lock()
--- a/internal/batch/agent/clientsession.go
+++ b/internal/batch/agent/clientsession.go
@@ -22,6 +22,8 @@
 	readGrace = 200 * time.Millisecond
 	// maxGraces bounds the graces in a row, each but the last of which was noticed late to have ended.
 	maxGraces = 4
+	// maxFullGraces bounds the further graces in which the link is full.
+	maxFullGraces = 6
 	// maxOrderTransit is the longest time from an order to the call of its worker, over however many agents it is passed.
 	// It is half of what sched reserves for the transit of an order and the time since the last confirmation (orderMargin).
 	maxOrderTransit = 200 * time.Millisecond
@@ -65,6 +67,7 @@
 	addr      string
 	limits    Limits  // of the agent
 	weight    float64 // of its share of the workers
+	ownLink   ownLink // of this process
 	transport transport
 	id        string       // of the session
 	pause     atomic.Int64 // between two batches in one direction, in nanoseconds
@@ -99,10 +102,10 @@
 
 // newClientSession returns a session that ends with ctx. It is run by run.
 func newClientSession(
-	ctx context.Context, c Candidate, t transport, observer sessionObserver,
+	ctx context.Context, c Candidate, t transport, l ownLink, observer sessionObserver,
 ) *clientSession {
 	s := &clientSession{
-		addr: c.Addr, limits: c.Limits, weight: c.Limits.weight(), transport: t, id: uuid.NewString(), startedAt: time.Now(), observer: observer,
+		addr: c.Addr, limits: c.Limits, weight: c.Limits.weight(), ownLink: l, transport: t, id: uuid.NewString(), startedAt: time.Now(), observer: observer,
 		wake: make(chan struct{}, 1), waiting: map[uint64]*waitingCall{},
 	}
 	s.ctx, s.cancel = context.WithCancel(ctx)
@@ -161,17 +164,21 @@
 // startGrace ends the session after readGrace from now, when this process has come to notice a timeout, unless ctx has
 // ended by then.
 func (s *clientSession) startGrace(ctx context.Context, graces int) {
-	due := time.Now().Add(readGrace)
-	t := time.AfterFunc(readGrace, func() { s.endGrace(ctx, graces-1, time.Since(due)) })
+	begun := time.Now()
+	due, received := begun.Add(readGrace), s.ownLink.received()
+	t := time.AfterFunc(readGrace, func() {
+		s.endGrace(ctx, graces-1, time.Since(due), s.ownLink.full(s.ownLink.received()-received, time.Since(begun)))
+	})
 	context.AfterFunc(ctx, func() { t.Stop() })
 }
 
-// endGrace handles the end of a grace that was noticed late by the given time. As this process may have had no processor
-// time to read replies, another grace follows if any are left.
-func (s *clientSession) endGrace(ctx context.Context, left int, late time.Duration) {
+// endGrace handles the end of a grace that was noticed late by the given time, or in which this process's link was full. As
+// this process may have had no processor time to read replies, or they may wait behind what else it receives, another grace
+// follows if any are left.
+func (s *clientSession) endGrace(ctx context.Context, left int, late time.Duration, linkFull bool) {
 	switch {
 	case ctx.Err() != nil:
-	case late > readGrace/2 && left > 0:
+	case linkFull && left > -maxFullGraces, late > readGrace/2 && left > 0:
 		s.startGrace(ctx, left)
 	default:
 		s.end(errNoReply)
--- a/internal/batch/agent/silence_test.go
+++ b/internal/batch/agent/silence_test.go
@@ -179,12 +179,15 @@
 		name string
 		left int
 		late time.Duration
+		full bool
 		want sessionState
 	}{
-		{"in time", maxGraces - 1, 0, stateEnded},
-		{"a little late", maxGraces - 1, readGrace / 2, stateEnded},
-		{"late", maxGraces - 1, readGrace, stateOpen},
-		{"late once too often", 0, readGrace, stateEnded},
+		{"in time", maxGraces - 1, 0, false, stateEnded},
+		{"a little late", maxGraces - 1, readGrace / 2, false, stateEnded},
+		{"late", maxGraces - 1, readGrace, false, stateOpen},
+		{"late once too often", 0, readGrace, false, stateEnded},
+		{"link full", 0, 0, true, stateOpen},
+		{"link full once too often", -maxFullGraces, 0, true, stateEnded},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -193,7 +196,7 @@
 				r := c.sessions[0]
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				r.endGrace(ctx, tt.left, tt.late)
+				r.endGrace(ctx, tt.left, tt.late, tt.full)
 				if got := r.currentState(); got != tt.want {
 					t.Errorf("state %d, want %d", got, tt.want)
 				}
@@ -208,6 +211,35 @@
 	}
 }
 
+// Guards against agents that are all taken for lost, and replaced, because their replies wait behind a large value that the
+// holder receives over its narrow link.
+func TestRepliesBehindLargeValue(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		mbps float64
+		lost int
+	}{{"narrow link", 2, 0}, {"wide link", 200, 1}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := newTestAgent("a", &recorder{out: sched.OutcomeDone})
+				c := newTestClient(&recorder{out: sched.OutcomeDone}, a)
+				begun := time.Now()
+				c.opts.LinkMbps, c.opts.ReceivedBytes = tt.mbps, func() int64 { return int64(time.Since(begun).Seconds() * 2e6 / 8) }
+				c.update(2)
+				time.Sleep(50 * time.Millisecond)
+				a.setDelay(1600 * time.Millisecond)
+				time.Sleep(300 * time.Millisecond)
+				a.setDelay(0)
+				time.Sleep(1900 * time.Millisecond)
+				if n := c.logged("agent lost"); n < tt.lost || n > 0 && tt.lost == 0 {
+					t.Errorf("%d agents lost, want %d", n, tt.lost)
+				}
+				c.stop()
+			})
+		})
+	}
+}
+
 // Guards against calls that are made directly although an agent is about to be opened again: another session that is
 // silent too changes its state meanwhile, and counts as one that takes calls.
 func TestSilentSessionsTakeNoCalls(t *testing.T) {
