batch/drive, proc/front: a holder behind a narrow link reads the intent over followers

The first large configuration reached the holder of the small twin over its own watch, the next ones over full reads beside it: 3 s without any other answer, in which it lost its key and the workers their leases. Where the link has less than 10 Mbit/s, the holder now has no watch of the intent. Each 0.7 s a follower, one after the other and agents last, reads it, the large entry only if it has changed, and sends it compressed.

TestConfigStormOverNarrowLink/relayed: no long answer over the holder's own link.

--- a/internal/batch/drive/cluster_test.go
+++ b/internal/batch/drive/cluster_test.go
@@ -33,6 +33,8 @@
 
 	wrapStore func(store.TxnStore) store.TxnStore // wraps each host's client of the store; nil: no wrapper
 
+	relay drive.RelayReader // drive.Options.Relay of each host; nil: none
+
 	peersConfirmedAt func() time.Time         // drive.Options.PeersConfirmedAt of each host; nil: none
 	memoryLimit      uint64                   // of each host in bytes
 	readMemory       func() drive.MemoryUsage // returns the memory that each host uses; nil: it isn't watched
@@ -139,6 +141,7 @@
 				Store: client, Workers: workers, Codec: codec.New(), Tenure: tenure, Log: logr.Discard(),
 				WorkerLease: drive.WorkerLease(fleet.MaxLease), MaxWorkerLease: fleet.MaxLease, MaxUnconfirmed: drive.MaxUnconfirmed, MaxStopTime: fleet.MaxStopTime, JobRetention: time.Hour,
 				PeersConfirmedAt: h.cluster.peersConfirmedAt,
+				Relay:            h.cluster.relay,
 				MemoryLimit:      h.cluster.memoryLimit, ReadMemory: h.cluster.readMemory,
 			}, func(holder *drive.Holder) { h.setHolder(holder, tenure.Term()) })
 			h.setHolder(nil, 0)
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -40,6 +40,14 @@
 	DecodeMember func(store.Entry) (sched.Member, bool)
 }
 
+// RelayReader reads from the store over another process, which sends what it has read compressed. A read is as fresh as one
+// that begins with the call.
+type RelayReader interface {
+	// ReadChanged reads the entries below prefix that follow key, and that of key itself if its revision isn't rev, as the
+	// first one; it reports whether it isn't. An empty key precedes all.
+	ReadChanged(ctx context.Context, prefix, key string, rev uint64) (listing store.Listing, changed bool, err error)
+}
+
 // Options configures a Holder.
 type Options struct {
 	Store          store.TxnStore // holds the jobs, their progress, the intent and the directory
@@ -57,6 +65,8 @@
 	// that it uses; nil: the memory isn't watched.
 	MemoryLimit uint64
 	ReadMemory  func() MemoryUsage
+	// Relay reads large values, as this process's link is too narrow for them; nil: they are read directly.
+	Relay RelayReader
 	// PeersConfirmedAt returns when most peers of this process last confirmed that they reach the store
 	// no better than it does. If it is nil, peers never confirm the holder.
 	PeersConfirmedAt func() time.Time
--- a/internal/batch/drive/load.go
+++ b/internal/batch/drive/load.go
@@ -74,7 +74,10 @@
 // newWatches returns the watches of the intent and the directory.
 func (h *Holder) newWatches() []*prefixWatch {
 	return []*prefixWatch{
-		{store: h.opt.Store, prefix: h.opt.Codec.IntentPrefix, readInterval: intentReadInterval, onChange: h.applyIntent, onConfirm: h.noteIntentRead},
+		{
+			store: h.opt.Store, relay: h.opt.Relay, prefix: h.opt.Codec.IntentPrefix, readInterval: intentReadInterval,
+			onChange: h.applyIntent, onConfirm: h.noteIntentRead,
+		},
 		{
 			store: h.opt.Store, prefix: h.opt.Codec.DirectoryPrefix, readInterval: directoryReadInterval, pause: directoryWatchPause,
 			onChange: h.applyDirectory, onUpdate: h.updateDirectory, onConfirm: h.noteDirectoryRead,
--- a/internal/batch/drive/narrowlink_test.go
+++ b/internal/batch/drive/narrowlink_test.go
@@ -30,6 +30,7 @@
 
 	mu     sync.Mutex
 	freeAt time.Time // when the link has carried all long answers so far
+	long   int       // long answers
 }
 
 // carry waits until the link has carried an answer with the given values.
@@ -42,6 +43,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.long++
 	if now := time.Now(); s.freeAt.Before(now) {
 		s.freeAt = now
 	}
@@ -145,32 +147,73 @@
 	})
 }
 
-// Guards against a holder that falls behind a configuration that changes faster than its link carries it, as it receives
-// each change.
-func TestConfigStormOverNarrowLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newNarrowCluster(t, 1, 3)
-		ctx, cancel := context.WithTimeout(t.Context(), 12*time.Second)
-		defer cancel()
-		var wg sync.WaitGroup
-		var written map[int64]time.Time
-		wg.Go(func() { written = c.configStorm(ctx) })
-		seen := map[time.Time]int64{}
-		for ctx.Err() == nil {
-			time.Sleep(100 * time.Millisecond)
-			sent := time.Now()
-			seen[sent] = c.state("unknown").Version
+// follower is the relay of a host with a narrow link: another host whose link is as narrow.
+type follower struct {
+	store store.TxnStore
+}
+
+// ReadChanged implements drive.RelayReader.
+func (f *follower) ReadChanged(ctx context.Context, prefix, key string, rev uint64) (store.Listing, bool, error) {
+	var first []store.Entry
+	if key != "" {
+		e, changed, err := f.store.GetIfChanged(ctx, key, rev)
+		if err != nil {
+			return store.Listing{}, false, err
 		}
-		wg.Wait()
-		worst := time.Duration(0)
-		for at, version := range seen {
-			if next, ok := written[version+1]; ok {
-				worst = max(worst, at.Sub(next))
-			}
+		if changed {
+			first = append(first, e)
 		}
-		if worst > maxConfigAge {
-			t.Errorf("a configuration was in force %v after it had been replaced, want %v at most", worst, maxConfigAge)
+	}
+	listing, err := f.store.RangeAfter(ctx, prefix, key)
+	listing.Entries = append(first, listing.Entries...)
+	return listing, len(first) > 0, err
+}
+
+// Guards against a holder that falls behind a configuration that changes faster than its link carries it, as it receives
+// each change, and against one whose link is filled by configurations although followers can read them.
+func TestConfigStormOverNarrowLink(t *testing.T) {
+	for _, relayed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("relayed %t", relayed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playConfigStorm(t, relayed) })
+		})
+	}
+}
+
+func playConfigStorm(t *testing.T, relayed bool) {
+	c := newTestCluster(t, 0, 3, newRand(1), runsFor(endless))
+	var own *narrowStore
+	c.wrapStore = func(client store.TxnStore) store.TxnStore {
+		own = &narrowStore{TxnStore: client}
+		return own
+	}
+	if relayed {
+		c.relay = &follower{&narrowStore{TxnStore: c.store.Client(nil)}}
+	}
+	c.addHosts(1, 0, 0)
+	time.Sleep(8 * time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 12*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	var written map[int64]time.Time
+	wg.Go(func() { written = c.configStorm(ctx) })
+	seen := map[time.Time]int64{}
+	for ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+		sent := time.Now()
+		seen[sent] = c.state("unknown").Version
+	}
+	wg.Wait()
+	worst := time.Duration(0)
+	for at, version := range seen {
+		if next, ok := written[version+1]; ok {
+			worst = max(worst, at.Sub(next))
 		}
-		c.stop()
-	})
+	}
+	if worst > maxConfigAge {
+		t.Errorf("a configuration was in force %v after it had been replaced, want %v at most", worst, maxConfigAge)
+	}
+	if relayed && own.long > 0 {
+		t.Errorf("%d long answers over the holder's own link", own.long)
+	}
+	c.stop()
 }
--- a/internal/batch/drive/watch.go
+++ b/internal/batch/drive/watch.go
@@ -17,6 +17,7 @@
 // prefixWatch keeps a copy of the keys below a prefix and reports each change.
 type prefixWatch struct {
 	store  store.TxnStore
+	relay  RelayReader // reads in place of the watch, which would receive large values directly; nil: there is a watch
 	prefix string
 	// readInterval is the interval of full reads besides the watch. A watch may be cut off from its changes, and
 	// its silence looks the same as when there are none.
@@ -35,7 +36,7 @@
 	entries   map[string]store.Entry // the copy, by key
 	rev       uint64                 // revision of the store that the copy reflects
 	freshAsOf time.Time              // start of the latest read that the copy is no older than
-	readsOnly bool                   // the link carries the changes too slowly for a watch; see applyResult
+	readsOnly bool                   // there is no watch, as the link carries the changes too slowly; see applyResult
 	carried   int                    // size of the largest changes that the link has carried fast, in bytes
 }
 
@@ -63,7 +64,13 @@
 // changed.
 func (w *prefixWatch) read(ctx context.Context, first store.Entry) readResult {
 	start := time.Now()
-	if len(first.Value) >= largeSize {
+	large := len(first.Value) >= largeSize
+	if w.relay != nil {
+		if listing, received, ok := w.readRelayed(ctx, first); ok {
+			return readResult{start, listing, received, nil}
+		}
+	}
+	if large {
 		if listing, received, ok := w.readChanged(ctx, first); ok {
 			return readResult{start, listing, received, nil}
 		}
@@ -72,6 +79,19 @@
 	return readResult{start, listing, size(listing.Entries), err}
 }
 
+// readRelayed does the same as readChanged over the relay.
+func (w *prefixWatch) readRelayed(ctx context.Context, first store.Entry) (store.Listing, int, bool) {
+	listing, changed, err := w.relay.ReadChanged(ctx, w.prefix, first.Key, first.Rev)
+	if err != nil {
+		return store.Listing{}, 0, false
+	}
+	received := size(listing.Entries)
+	if first.Key != "" && !changed {
+		listing.Entries = append([]store.Entry{first}, listing.Entries...)
+	}
+	return listing, received, true
+}
+
 // readChanged reads the entries, the first one only if it has changed, and returns the size of what it has received. It
 // reports false if a call fails or the first entry is gone.
 //
@@ -219,7 +239,9 @@
 			})
 		}
 	}
-	startWatch()
+	if w.relay == nil {
+		startWatch()
+	}
 	for {
 		ticks := tick.C
 		if reading {
@@ -236,7 +258,7 @@
 			reading = false
 			w.applyRead(res)
 			switch {
-			case watching:
+			case watching || w.relay != nil:
 			case w.readsOnly:
 				startRead()
 			default:
--- a/internal/proc/front/process.go
+++ b/internal/proc/front/process.go
@@ -114,6 +114,9 @@
 	if err := p.peerServer.Register(agent.ServiceName, p.agent); err != nil {
 		return nil, err
 	}
+	if err := p.peerServer.Register(relayServiceName, &relayService{adapters.Store}); err != nil {
+		return nil, err
+	}
 	p.wg.Go(func() { p.peerServer.Serve(adapters.Meter.Listen(listeners[0], meter.Peers)) })
 	p.serveListener(adapters.Meter.Listen(listeners[1], meter.Callers), p.closeUnlessReady(adapters.CallerHandler(p.forwarder)))
 	p.serveListener(listeners[2], adapters.ReadinessHandler(p.Ready))
@@ -188,6 +191,7 @@
 	p.wg.Go(func() { p.monitor.confirmWithPeers(t) })
 	client := agent.NewClient(t.Context(), agent.Options{
 		Direct: p.adapters.WorkerClient, Log: p.log, Scope: p.forwarder.scope, WrapConn: p.adapters.Meter.Wrap(meter.Agents),
+		LinkMbps: p.settings.Limit.LinkMbps, ReceivedBytes: p.adapters.Meter.Received,
 	})
 	p.wg.Go(func() { p.chooseAgents(t, client) })
 	p.wg.Go(func() { p.handOverIfOverloaded(t, client) })
@@ -201,6 +205,7 @@
 		Scope:            p.forwarder.scope,
 		MemoryLimit:      MemoryLimit(p.settings.Limit),
 		ReadMemory:       p.adapters.ReadMemory,
+		Relay:            p.relay(client),
 	}, p.forwarder.setLocalHolder)
 	cause := ""
 	if err != nil {
