batch/sched: leases renewed while the state is loaded delay the starts of former tasks

The new holder of term 2 took 3.3 s to load; it renewed the lease of i-470391baae at 35.0 s and didn't get its next report by 37.5 s, when all leases of the former holder were over. Tasks taken over are now withheld until the leases that this holder has granted are over, too, unless the worker has reported.

TestReportsWhileRestoring covers ends reported meanwhile.

--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -48,13 +48,11 @@
 
 // formerRunsPossible reports whether runs that a former holder started may exist on workers that haven't reported their
 // inventory to this holder: until they do, a task taken over may run there or have ended there. This concerns only
-// workers in the stored record that this holder took over, as a worker is recorded there before its first start.
+// workers in the stored record that this holder took over, as a worker is recorded there before its first start. Their leases
+// may have been renewed by this holder while it loaded the state, when it didn't handle their reports.
 func (c *Core) formerRunsPossible(now time.Time) bool {
-	if !now.Before(c.formerLeasesEnd()) {
-		return false
-	}
 	for _, w := range c.workersByID {
-		if w.inherited && !w.inventoryComplete {
+		if w.inherited && !w.inventoryComplete && now.Before(latest(w.leaseExpiry, c.formerLeasesEnd())) {
 			return true
 		}
 	}
--- a/internal/batch/sched/stats.go
+++ b/internal/batch/sched/stats.go
@@ -55,7 +55,7 @@
 	if !c.formerRunsPossible(now) {
 		return s
 	}
-	s.WithheldFor = c.formerLeasesEnd().Sub(now)
+	s.WithheldFor = max(c.formerLeasesEnd().Sub(now), 0)
 	for _, st := range c.waitQueue.all() {
 		if st.job.restored && !st.job.state.Final() {
 			s.WithheldTasks += st.unseenTasks()
