batch/sched: late answers over one agent bound the starts over that agent only

The start limiter took all late answers for a lack of this process's processor time.

Each agent is a lane of its own. While fewer than half of the lanes are late, only these are bounded, by a window that halves and grows with their own answers, and they don't count for the others. An order that waited too long on its way to an agent counts as late.

--- a/internal/batch/agent/agents.go
+++ b/internal/batch/agent/agents.go
@@ -30,6 +30,9 @@
 	c.mu.Lock()
 	c.heardOf, c.demand = candidates, d
 	change := c.updateAgents(now)
+	if change.started || len(change.removed) > 0 {
+		c.lanesVersion++
+	}
 	if change.wanted == 0 {
 		c.closeReady()
 	}
@@ -210,8 +213,10 @@
 	return "lost"
 }
 
-// checkReady lets calls go on if agents take them and no other agent is about to. The caller holds c.mu.
+// checkReady is called after a change of the agents that take calls. It lets calls go on if agents take them and no other
+// agent is about to. The caller holds c.mu.
 func (c *Client) checkReady() {
+	c.lanesVersion++
 	if openCount(c.responsive()) > 0 && !c.opening() {
 		c.closeReady()
 	}
--- a/internal/batch/agent/client.go
+++ b/internal/batch/agent/client.go
@@ -52,6 +52,7 @@
 	demand        Demand               // as last given to Update
 	agentsWanted  int                  // number of agents; 0: all calls are made directly
 	sessions      []*clientSession     // with the agents; sorted by rank
+	lanesVersion  uint64               // changes with the agents that take calls
 	silentAt      time.Time            // when all agents were last found silent
 	excludedUntil map[string]time.Time // agents that aren't chosen, by address
 	avoidedUntil  map[string]time.Time // agents that are chosen only if there are no others, by address
@@ -95,6 +96,23 @@
 	return addrs
 }
 
+// Lanes implements drive.LaneRouter.
+func (c *Client) Lanes() (version uint64, laneOf func(worker string) string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lanesVersion, c.laneOf
+}
+
+// laneOf returns the address of the agent for a worker's calls, or an empty string if they are made directly.
+func (c *Client) laneOf(worker string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := preferred(c.sessions, worker); s != nil {
+		return s.addr
+	}
+	return ""
+}
+
 // awaitReady waits until agents are open, calls have waited long enough for them, or ctx ends.
 func (c *Client) awaitReady(ctx context.Context) {
 	c.mu.Lock()
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -22,6 +22,13 @@
 	SendOrder(ctx context.Context, o sched.Order, fence int64) sched.Outcome
 }
 
+// LaneRouter is a WorkerClient that makes its calls over agents.
+type LaneRouter interface {
+	// Lanes returns a function that names the agent for a worker's calls, or returns an empty string if they are made
+	// directly, and a version that changes with its results.
+	Lanes() (version uint64, laneOf func(worker string) string)
+}
+
 // Intent is what operators have written in the store.
 type Intent struct {
 	Config              sched.Config    // valid if HasConfig
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -50,6 +50,9 @@
 	h.mu.Lock()
 	now := time.Now()
 	h.updateConfirmation()
+	if r, ok := h.opt.Workers.(LaneRouter); ok {
+		h.core.SetLanes(r.Lanes())
+	}
 	lag := h.planLag.markPlanned(now)
 	orders := h.core.Plan(now)
 	pause := planPause(time.Since(now))
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -48,6 +48,8 @@
 	startLimiter       startLimiter                        // bounds the starts in flight
 	startBacklog       startBacklog                        // tasks that wait although workers have room
 	startDemand        startDemand                         // starts a second that are asked for
+	laneVersion        uint64                              // of laneOf
+	laneOf             func(worker string) string          // returns the name of a worker's lane; nil: not known
 	planNumber         int                                 // number of the newest plan
 	onTimeUnplaced     map[string]int                      // by service: newest plan with an on-time best-effort step unplaced
 	starvedRuns        int                                 // runs that were started for starved jobs
--- a/internal/batch/sched/feasible.go
+++ b/internal/batch/sched/feasible.go
@@ -167,6 +167,9 @@
 
 // addIfFeasible adds a worker with its score if a task of the step may be placed there.
 func (c *Core) addIfFeasible(now time.Time, f *feasibleWorkers, w *worker, s *stepInstance) {
+	if c.lane(w).full() {
+		return
+	}
 	if score, ok := c.placementScore(now, w, s); ok {
 		f.workers = append(f.workers, w)
 		f.scores = append(f.scores, score)
@@ -176,7 +179,7 @@
 // rescore updates the score of the i-th worker after a start there.
 func (c *Core) rescore(now time.Time, f *feasibleWorkers, i int) {
 	score, ok := c.placementScore(now, f.workers[i], f.step)
-	if !ok {
+	if !ok || c.lane(f.workers[i]).full() {
 		score = math.Inf(-1)
 	}
 	f.scores[i] = score
--- a/internal/batch/sched/limiter.go
+++ b/internal/batch/sched/limiter.go
@@ -27,6 +27,8 @@
 	promptAnswers int       // prompt answers since then
 	lateAnswers   int       // late answers, and starts without one, since then
 	baseline      baseline  // shortest time of recent answers
+
+	lanes map[string]*startLane // by name; empty: lanes aren't known
 }
 
 const (
@@ -63,17 +65,29 @@
 		l.window = max(l.window/2, min(l.window, initialWindow))
 		l.limitedAt = now
 	}
-	recent := 0
+	recent, counted := 0, 0
+	for _, lane := range l.lanes {
+		lane.inFlight = 0
+	}
 	l.inFlight = slices.DeleteFunc(l.inFlight, func(r *run) bool {
-		if r.state != RunSent || r.task == nil || r.task.run != r || l.newestPrompt.Sub(r.orderedAt) >= overdueAfter {
+		if r.state != RunSent || r.task == nil || r.task.run != r {
 			return true
 		}
-		if now.Sub(r.orderedAt) < overdueAfter {
+		overdue := now.Sub(r.orderedAt) >= overdueAfter
+		r.lane.recordInFlight(r, overdue)
+		switch {
+		case l.newestPrompt.Sub(r.orderedAt) >= overdueAfter:
+			return r.lane == nil // counts for its lane only
+		case r.lane.slow():
+			return false
+		}
+		counted++
+		if !overdue {
 			recent++
 		}
 		return false
 	})
-	l.available = max(l.window-len(l.inFlight), minWindow-recent)
+	l.available = max(l.window-counted, minWindow-recent)
 	l.limited = false
 }
 
@@ -88,44 +102,80 @@
 
 // add counts the start of a run.
 func (l *startLimiter) add(r *run) {
-	l.available--
+	if !r.lane.slow() {
+		l.available--
+	}
+	if r.lane != nil {
+		r.lane.inFlight++
+	}
 	l.inFlight = append(l.inFlight, r)
 }
 
 // cancelNewest removes the newest n starts, which were planned but not sent.
 func (l *startLimiter) cancelNewest(n int) {
-	l.available += n
+	for _, r := range l.inFlight[len(l.inFlight)-n:] {
+		if !r.lane.slow() {
+			l.available++
+		}
+		if r.lane != nil {
+			r.lane.inFlight--
+		}
+	}
 	l.inFlight = l.inFlight[:len(l.inFlight)-n]
 }
 
-// recordAnswer adapts the window to the outcome of a start and the time that its answer took.
-func (l *startLimiter) recordAnswer(now time.Time, took time.Duration, out Outcome) {
-	if out == OutcomeUnsent {
-		return
+// recordAnswer adapts the window to the outcome of a start over a lane, which is nil if lanes aren't known, and to the time
+// that its answer took.
+func (l *startLimiter) recordAnswer(now time.Time, lane *startLane, took time.Duration, out Outcome) {
+	overAgent := lane != nil && lane.overAgent
+	if out == OutcomeUnsent && !(overAgent && took >= orderMargin/2) {
+		return // it wasn't delayed on its way to an agent
 	}
-	if out != OutcomeUnknown {
+	if out != OutcomeUnknown && out != OutcomeUnsent {
 		l.baseline.add(now, took)
 	}
 	delay := took - l.baseline.value()
+	if overAgent {
+		delay -= agentDelay
+	}
 	switch {
-	case out == OutcomeUnknown || delay >= lateAnswer:
-		l.lateAnswers++
+	case out == OutcomeUnknown || out == OutcomeUnsent || delay >= lateAnswer:
+		l.recordLate(lane)
 	case delay < promptAnswer:
-		l.promptAnswers++
+		l.recordPrompt(lane)
 		l.newestPrompt = latest(l.newestPrompt, now.Add(-took))
-		if l.limited {
-			l.window = min(l.window+1, maxWindow)
-		}
 	}
 	if now.Sub(l.intervalStart) < shrinkInterval {
 		return
 	}
+	if len(l.lanes) > 0 {
+		l.promptAnswers, l.lateAnswers = l.endIntervals()
+	}
 	if l.lateAnswers > l.promptAnswers {
 		l.window = max(l.window/2, minWindow)
 	}
 	l.intervalStart, l.promptAnswers, l.lateAnswers = now, 0, 0
 }
 
+// recordLate counts a late answer, or a start without one.
+func (l *startLimiter) recordLate(lane *startLane) {
+	l.lateAnswers++
+	if lane != nil {
+		lane.lateAnswers++
+	}
+}
+
+// recordPrompt counts a prompt answer.
+func (l *startLimiter) recordPrompt(lane *startLane) {
+	l.promptAnswers++
+	if l.limited {
+		l.window = min(l.window+1, maxWindow)
+	}
+	if lane != nil {
+		lane.recordPrompt(l.window / max(len(l.lanes), 1))
+	}
+}
+
 // baseline is the shortest time of recent answers: what an answer takes that nothing delays.
 type baseline struct {
 	since            time.Time     // start of the current period
--- a/internal/batch/sched/outcome.go
+++ b/internal/batch/sched/outcome.go
@@ -25,7 +25,7 @@
 		// Also for an order to a former incarnation: the run may stay assigned to the worker and get further orders.
 		r.settleOrder(now, o.Verb, out)
 		if o.Verb == VerbStart {
-			c.startLimiter.recordAnswer(now, now.Sub(r.orderedAt), out)
+			c.startLimiter.recordAnswer(now, r.lane, now.Sub(r.orderedAt), out)
 			if out == OutcomeDone {
 				c.startBacklog.recordAnswer(now)
 			}
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -119,7 +119,10 @@
 	breaker       health.Breaker  // excludes the worker from placement after failures
 	colocation    colocation      // state of best-effort tasks beside latency-critical ones
 
-	forecast   forecast  // cached forecast of unused CPU and interference
+	forecast    forecast   // cached forecast of unused CPU and interference
+	lane        *startLane // of the starts for it; see Core.lane
+	laneVersion uint64     // Core.laneVersion as of which lane is valid
+
 	indexStale bool      // listed in Core.staleWorkers
 	orderDue   bool      // listed in Core.orderWorkers
 	indexKey   *indexKey // position in Core.workerIndexes; nil: not indexed
@@ -164,6 +167,8 @@
 	throttledSince  time.Time     // since when wantedCPULimit is below minKeepCPULimit; zero: it is not
 	cpuUsage        float64       // reported CPU usage, millicores
 	tailLatency     time.Duration // reported tail latency
+	lane            *startLane    // over which it was started; nil: not known
+	overdue         bool          // its start was overdue in a plan, and counts as late for the lane
 	adopted         bool          // first known from a report, not from an order of this holder
 	starved         bool          // the job was starved when the run was placed; see Core.updateStarved
 	progress        int           // percentage of the work done
