batch/sched: checkpoints that workers report with their runs aren't stored

A job's record is written with each end of a task, and held the newest checkpoint of every task of the job: some 2 kB for 40 running tasks. A run's worker reports its checkpoint to the next holder too; a record now has only those of tasks without a run, and is written when a run is given up.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -445,6 +445,9 @@
 // releaseLost releases a run that is certainly not active any more and records why.
 func (c *Core) releaseLost(r *run, cause ReleaseCause) {
 	c.recordReleased(r, cause)
+	if r.task != nil && r.task.run == r && r.task.step.job.checkpoints[r.runKey.task] != "" {
+		c.storeQueue.addNormal(r.task.step.job)
+	}
 	c.releaseRun(r)
 }
 
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -102,7 +102,9 @@
 		if len(j.checkpoints) > 0 {
 			p.Checkpoints = map[string]string{}
 			for t, s := range j.checkpoints {
-				p.Checkpoints[t.String()] = s
+				if !j.checkpointReported(t) {
+					p.Checkpoints[t.String()] = s
+				}
 			}
 		}
 	}
@@ -110,6 +112,13 @@
 	return data, errors.Wrap(err, "sched")
 }
 
+// checkpointReported reports whether a worker reports a task's checkpoint with its run, also to the next holder. Stored with
+// each end of another task, the checkpoints of all that run would make up most of a large job's record.
+func (j *job) checkpointReported(id TaskID) bool {
+	s := j.occurrences[id.Occurrence].steps[id.Step]
+	return !s.spec.Gang && s.tasks[id.Index].run != nil
+}
+
 // doneBits returns storedProgress.Done.
 func (j *job) doneBits() [][]string {
 	var all [][]string
