batch/agent: a job's specification is sent to an agent once

Each start carried its job's specification, some 500 bytes of 700; a job has up to 160 tasks. The agent keeps the newest 512 of a session, numbered by the holder; agents of an older build, which keep none, get it with each start as before.

--- a/internal/batch/agent/clientsession.go
+++ b/internal/batch/agent/clientsession.go
@@ -76,6 +76,7 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wake      chan struct{} // wakes sendLoop
+	specs     specSender    // used by sendLoop, once the session is open
 	silent    bool          // ended as all agents were silent; guarded by Client.mu
 
 	mu          sync.Mutex
@@ -141,6 +142,7 @@
 	}
 	s.mu.Lock()
 	s.repliedAt = time.Now()
+	s.specs.kept = min(reply.Specs, maxSpecs)
 	s.clockOffset, s.offsetAt = reply.Clock-time.Since(s.startedAt), time.Since(s.startedAt)
 	if s.state == stateOpening {
 		s.state = stateOpen
@@ -246,7 +248,11 @@
 func (s *clientSession) send(calls []Call) error {
 	ctx, cancel := s.withTimeout(agentTimeout)
 	defer cancel()
-	if err := s.transport.send(ctx, SendArgs{s.id, calls}); err != nil {
+	batch := make([]Call, 0, len(calls))
+	for _, c := range calls {
+		batch = append(batch, s.specs.replace(c))
+	}
+	if err := s.transport.send(ctx, SendArgs{s.id, batch}); err != nil {
 		return err
 	}
 	s.mu.Lock()
--- a/internal/batch/agent/service.go
+++ b/internal/batch/agent/service.go
@@ -76,7 +76,7 @@
 	if s.sessions[in.Session] == nil {
 		s.sessions[in.Session] = newServiceSession(func() { s.endSession(in.Session) })
 	}
-	out.Clock = s.clock.now()
+	out.Clock, out.Specs = s.clock.now(), maxSpecs
 	return nil
 }
 
@@ -102,7 +102,8 @@
 		return errNoSession
 	}
 	for _, c := range in.Calls {
-		if !ses.begin() {
+		var err error
+		if c.Order, err = ses.specs.restore(c); err != nil || !ses.begin() {
 			ses.add(Answer{ID: c.ID, Outcome: sched.OutcomeUnsent, NotMade: true})
 			continue
 		}
--- a/internal/batch/agent/servicesession.go
+++ b/internal/batch/agent/servicesession.go
@@ -14,6 +14,7 @@
 	cancel  context.CancelFunc
 	timeout *time.Timer   // ends the session
 	wake    chan struct{} // wakes take
+	specs   specReceiver  // guarded by Service.mu
 
 	mu       sync.Mutex
 	calls    int      // in progress
--- a/internal/batch/agent/wire.go
+++ b/internal/batch/agent/wire.go
@@ -16,6 +16,9 @@
 	Deadline time.Duration      // on the agent's clock; the call isn't made after it
 	Poll     *sched.PollRequest // nil: the call is an order
 	Order    *sched.Order       // nil: the call is a poll
+	// SpecNumber is the number of a start's specification in the session; 0: it has none. Order.Spec is empty if the agent
+	// has that specification from an earlier start.
+	SpecNumber uint64
 }
 
 // Answer is the outcome of a Call.
@@ -34,6 +37,7 @@
 // OpenReply is the reply of Service.Open.
 type OpenReply struct {
 	Clock time.Duration // the agent's clock
+	Specs uint64        // how many specifications the agent keeps for the session; 0: none, as an older build
 }
 
 // SendArgs are the arguments of Service.Send.
