batch/drive, batch/sched: plans follow sooner while starts are held back; fewer workers scored

Jobs waited 0.7 s (check-in) and 3.1 s (audit) for the holder though there was a place, and 143 submissions were refused as starts were behind. The pause after a plan that the limiter ended is now twice its length. Why a step finds no place is looked up on 128 workers instead of all, and of more than 511 workers some 256 are scored instead of 512 (as many as before with 350).

--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -101,6 +101,9 @@
 	// planPauseFactor is the least pause after a plan, in multiples of the time that the plan took. With 9, planning
 	// takes a tenth of the time at most.
 	planPauseFactor = 9
+	// limitedPauseFactor is the same after a plan that the start limiter ended: most of its time went into starts that have to
+	// be made anyway, and others wait for the next plan.
+	limitedPauseFactor = 2
 	// maxStopDelay is the longest rest of the pause for which stops and throttles wait.
 	maxStopDelay = 20 * time.Millisecond
 	// maxPlanPause bounds the pause, as the time that a plan took includes the time for which it waited for the processor.
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -55,7 +55,7 @@
 	}
 	lag := h.planLag.markPlanned(now)
 	orders := h.core.Plan(now)
-	pause := planPause(time.Since(now))
+	pause := planPause(time.Since(now), h.core.StartsLimited())
 	staleCause := h.core.StaleCause(now)
 	unplaced := h.core.TakeUnplacedSteps()
 	events := h.core.TakeEvents()
@@ -90,9 +90,13 @@
 	return h.core.PlanStops(time.Now())
 }
 
-// planPause returns the pause after a plan that took the given time.
-func planPause(took time.Duration) time.Duration {
-	return min(max(minPlanPause, planPauseFactor*took), maxPlanPause)
+// planPause returns the pause after a plan that took the given time. limited is whether the start limiter ended it.
+func planPause(took time.Duration, limited bool) time.Duration {
+	factor := time.Duration(planPauseFactor)
+	if limited {
+		factor = limitedPauseFactor
+	}
+	return min(max(minPlanPause, factor*took), maxPlanPause)
 }
 
 // wakeIfEventPending wakes planLoop if there are events that no plan covers.
--- a/internal/batch/sched/bench_test.go
+++ b/internal/batch/sched/bench_test.go
@@ -147,7 +147,7 @@
 // BenchmarkPlan measures a plan with workers full of latency-critical and best-effort tasks and with jobs that wait.
 // Reports, ends and new jobs between two plans are in proportion to the number of workers.
 func BenchmarkPlan(b *testing.B) {
-	for _, workers := range []int{48, 350, 3000, 28000} {
+	for _, workers := range []int{48, 350, 1100, 3000, 28000} {
 		b.Run(fmt.Sprintf("%dworkers", workers), func(b *testing.B) { benchmarkPlan(b, workers, false) })
 	}
 }
--- a/internal/batch/sched/feasible.go
+++ b/internal/batch/sched/feasible.go
@@ -12,7 +12,7 @@
 	// cpuBucketWidth is the width of the buckets in which workers are indexed by free CPU, in millicores.
 	cpuBucketWidth = 250
 	// maxScored bounds the workers that are scored for a step. Of more than that with enough free CPU, a sample is scored.
-	maxScored = 512
+	maxScored = 256
 	// unusedWeight is the weight of a worker's unused CPU in the score of a best-effort task, as a secondary criterion.
 	unusedWeight = 0.1
 	// advantageWeight is the weight of the advantage that interferenceOf returns against the expected violations.
--- a/internal/batch/sched/unplaced.go
+++ b/internal/batch/sched/unplaced.go
@@ -5,14 +5,15 @@
 	"time"
 )
 
-// UnplacedStep is a step whose tasks have found no worker for a while, with the reasons as numbers of workers.
+// UnplacedStep is a step whose tasks have found no worker for a while, with the reasons as numbers of workers. Of many
+// workers a sample is examined.
 type UnplacedStep struct {
 	Job          string        // id of the job
 	Step         int           // index of the step in its job
 	Image        string        // image of its tasks
 	Tasks        int           // tasks that wait
 	Waited       time.Duration // since a task first found no worker
-	Workers      int           // workers of the service
+	Workers      int           // workers of the service that were examined
 	Unavailable  int           // workers that accept no tasks at present or lack the required label
 	OverTarget   int           // workers where a latency-critical task has long been over its target
 	NoResources  int           // workers without the resources for a task, or where they are reserved
@@ -26,6 +27,10 @@
 // unplacedAfter is how long a step has waited when it is first reported. Steps that are on time usually wait for less.
 const unplacedAfter = time.Second
 
+// maxExamined bounds the workers that are examined for why a step finds no worker. With hundreds of waiting steps the reports
+// would otherwise cost as much as the placement.
+const maxExamined = 128
+
 // TakeUnplacedSteps returns the unplaced steps to report since the last call. A step is reported again each time its wait
 // has doubled.
 func (c *Core) TakeUnplacedSteps() []UnplacedStep {
@@ -49,7 +54,9 @@
 	s.reportedWait = waited
 	report := UnplacedStep{Job: s.job.ID, Step: s.index, Image: s.spec.Image, Tasks: s.pending, Waited: waited}
 	least := math.Inf(1)
-	for _, w := range c.workersByID {
+	stride := (len(c.workersByID) + maxExamined - 1) / maxExamined
+	for i := s.index % max(stride, 1); i < len(c.workersByID); i += stride {
+		w := c.workersByID[i]
 		if w.Service != s.job.Service {
 			continue
 		}
