batch/sched: a refused job that returns when it was told to has its turn before new ones

A refusal gave the time until the backlog of starts is short enough, without those who had been told the same: they returned together, found the turn taken by new jobs, and were refused again.

--- a/internal/batch/sched/startbacklog.go
+++ b/internal/batch/sched/startbacklog.go
@@ -15,6 +15,8 @@
 	// Starts that were answered, in the current interval and the one before.
 	intervalStart, previousStart time.Time
 	answered, previousAnswered   int
+
+	returns expectedReturns // refused jobs that will come back
 }
 
 const (
@@ -65,12 +67,17 @@
 	if b.held == 0 {
 		return 0
 	}
+	return b.startTime(now, b.held+b.ready)
+}
+
+// startTime returns how long it takes to start a number of tasks, at the rate of the last seconds.
+func (b *startBacklog) startTime(now time.Time, tasks int) time.Duration {
 	answered := b.answered + b.previousAnswered
 	if answered == 0 {
 		return maxAdmissionDelay
 	}
 	perStart := float64(now.Sub(b.previousStart)) / float64(answered)
-	return time.Duration(min(float64(b.held+b.ready)*perStart, float64(maxAdmissionDelay)))
+	return time.Duration(min(float64(tasks)*perStart, float64(maxAdmissionDelay)))
 }
 
 // updateStartBacklog records which tasks the newest plan left out because of the start limiter.
@@ -101,14 +108,33 @@
 //
 // Refused early, the caller can come back when the job will be served. Accepted, it would wait although workers have
 // room, or make others wait that were accepted before.
+//
+// A job that returns when it was told to has its turn before new ones.
 func (c *Core) AdmissionDelay(now time.Time, j *Job) time.Duration {
 	b := &c.startBacklog
+	returns := b.returns.takeInTime(now, j.ID)
 	if !b.sustained(now) {
 		return 0
 	}
+	delay := c.admissionDelay(now, j, returns)
+	if delay > 0 {
+		b.returns.expect(j, now.Add(delay))
+	}
+	return delay
+}
+
+// admissionDelay returns AdmissionDelay while this process can't keep up. returns is whether the job returns when it was told
+// to.
+func (c *Core) admissionDelay(now time.Time, j *Job, returns bool) time.Duration {
+	b := &c.startBacklog
 	drain, bound := b.drainTime(now), c.bearableStartDelay(j)
+	if returns {
+		bound = returnTolerance * bound
+	} else if b.held > 0 {
+		drain = b.startTime(now, b.held+b.ready+b.returns.tasks(now))
+	}
 	switch {
-	case now.Sub(b.oldestHeld) > maxStartDelay:
+	case now.Sub(b.oldestHeld) > maxStartDelay && !returns:
 		return max(drain, minAdmissionDelay) // newer jobs would keep it waiting
 	case drain > bound:
 		return max(drain-bound, minAdmissionDelay)
