batch/drive, proc/front: workers are polled during a load only once it takes 0.7 s

A load that takes less leaves enough of the leases. A read over a follower is given up after 3 s, so that one that is frozen doesn't bar starts (the intent may be 4.6 s old).

--- a/internal/batch/drive/load.go
+++ b/internal/batch/drive/load.go
@@ -14,6 +14,9 @@
 const (
 	// loadRetryDelay is the pause after a failed attempt to load a part of the state.
 	loadRetryDelay = 100 * time.Millisecond
+	// loadingPollDelay is how long the state is loaded before the workers are polled meanwhile. A load that takes less is
+	// over sooner without the polls, and leaves enough of the leases.
+	loadingPollDelay = 700 * time.Millisecond
 	// loadingPollPause is the pause between two polls of a worker while the state is loaded. They only renew its lease: its
 	// ends can't be handled yet, so that it answers at once with the same ones.
 	loadingPollPause = 700 * time.Millisecond
@@ -23,7 +26,8 @@
 // work began. It fails only if the tenure ends.
 //
 // Each part is read again until it is received, and those before it are kept: over a narrow link an attempt that begins with
-// the first part may never get to the last one. The tracked workers come first, so that their leases are renewed meanwhile.
+// the first part may never get to the last one. The tracked workers come first, so that their leases are renewed if the rest
+// takes long.
 func (h *Holder) loadState(start time.Time) ([]*prefixWatch, error) {
 	core := sched.New(sched.Options{
 		WorkerLease: h.opt.WorkerLease, MaxWorkerLease: h.opt.MaxWorkerLease, MaxStopTime: h.opt.MaxStopTime, MaxUnconfirmed: h.opt.MaxUnconfirmed, Term: h.opt.Tenure.Term(),
@@ -85,7 +89,7 @@
 	}
 }
 
-// loadTrackedWorkers reads the workers that may hold runs and begins to poll them.
+// loadTrackedWorkers reads the workers that may hold runs, and polls them once loading takes long.
 func (h *Holder) loadTrackedWorkers(core *sched.Core, start time.Time) error {
 	tracked, err := h.readTrackedWorkers()
 	if err != nil {
@@ -96,18 +100,22 @@
 	h.core = core
 	h.trackedWorkers = tracked
 	h.mu.Unlock()
-	h.pollWorkers()
+	h.wg.Go(func() {
+		if h.awaitLoaded(loadingPollDelay); h.ctx.Err() == nil {
+			h.pollWorkers()
+		}
+	})
 	return nil
 }
 
-// awaitLoaded pauses the polls of a worker while the state is loaded.
-func (h *Holder) awaitLoaded() {
+// awaitLoaded waits until the state is loaded, for the given time at most.
+func (h *Holder) awaitLoaded(most time.Duration) {
 	select {
 	case <-h.loaded:
 		return
 	default:
 	}
-	t := time.NewTimer(loadingPollPause)
+	t := time.NewTimer(most)
 	defer t.Stop()
 	select {
 	case <-h.loaded:
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -330,7 +330,7 @@
 		wait.For(h.ctx, pollRetryDelay)
 		return
 	}
-	h.awaitLoaded()
+	h.awaitLoaded(loadingPollPause)
 	h.awaitStoredEnds(id)
 }
 
--- a/internal/proc/front/relay.go
+++ b/internal/proc/front/relay.go
@@ -25,7 +25,7 @@
 	// reads large values over its followers, which send them compressed.
 	narrowLinkMbps = 10
 	// relayTimeout limits a read over a follower, which receives the value over a narrow link too.
-	relayTimeout = 4 * time.Second
+	relayTimeout = 3 * time.Second
 	// maxRelayedSize bounds what is decompressed.
 	maxRelayedSize = 64 << 20
 )
