--- a/internal/batch/agent/agents.go
+++ b/internal/batch/agent/agents.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -128,19 +129,13 @@
 	}
 	candidates := slices.Collect(maps.Values(byAddr))
 	sortByRank(candidates)
-	avoided := func(candidate Candidate) bool {
-		_, ok := c.avoidedUntil[candidate.Addr]
-		return ok
-	}
-	slices.SortStableFunc(candidates, func(a, b Candidate) int {
-		switch {
-		case !avoided(a) && avoided(b):
-			return -1
-		case avoided(a) && !avoided(b):
+	avoided := func(candidate Candidate) int {
+		if _, ok := c.avoidedUntil[candidate.Addr]; ok {
 			return 1
 		}
 		return 0
-	})
+	}
+	slices.SortStableFunc(candidates, func(a, b Candidate) int { return cmp.Compare(avoided(a), avoided(b)) })
 	c.agentsWanted = agentCount(c.agentsWanted, candidates, c.demand)
 	return candidates[:min(c.agentsWanted, len(candidates))]
 }
