batch/sched: a CPU limit that isn't known is confirmed

What callers saw: jobs shown as running that never end.

Cause: a run that another holder started was taken for unlimited, and workers don't report the limit in force.

Change: the limit in force is a type, cpuLimit, with one state for "not known", and each question that read the field is answered for it: the run may be active (over target), gets an order whatever is wanted, is still a candidate for a straggler unless a limit below 100 % was sent; forecasts go by the wanted limit, which the order brings about. Orders to such runs go eight at a time, furthest from the wanted use first.

The five tests of cpulimit_test.go fail on: "throttles [], want one to 100% of an idle run", "throttles [], want 8", "throttles [] after the unanswered one", "no order for a task that is paused by a late order", "CPU limits [25 25 25 25 25 25 25] over 12 s over the target". Here they pass.

--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -159,15 +159,15 @@
 
 // executeOrder sends an order and passes the outcome to the core, also when the tenure is over. A worker that
 // has been fenced by a newer holder ends the tenure instead. Each order is logged, starts that were carried out by the run
-// log, except a throttle to a CPU limit above 0 that was carried out.
+// log, except a throttle to a CPU limit above 0 that was carried out, unless the run was idle.
 func (h *Holder) executeOrder(o sched.Order) {
 	start := time.Now()
 	outcome, cause := h.sendOrder(o)
 	switch {
 	case o.Verb == sched.VerbStart && outcome == sched.OutcomeDone && !o.Starved:
 		h.runLog.addStart(time.Now(), o, time.Since(start))
-	case o.Verb == sched.VerbStart || outcome != sched.OutcomeDone || o.CPULimit == 0:
-		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Incarnation.ID, "pace", o.CPULimit, "starved", o.Starved, "outcome", outcome, "cause", cause,
+	case o.Verb == sched.VerbStart || outcome != sched.OutcomeDone || o.CPULimit == 0 || o.Idle:
+		h.log.Info("order", "verb", o.Verb, "task", o.Task, "run", o.Run, "worker", o.Incarnation.ID, "pace", o.CPULimit, "idle", o.Idle, "starved", o.Starved, "outcome", outcome, "cause", cause,
 			"took", time.Since(start))
 	}
 	h.countOrder(string(o.Verb), string(outcome))
--- a/internal/batch/sched/colocation.go
+++ b/internal/batch/sched/colocation.go
@@ -90,27 +90,17 @@
 	}
 }
 
-// bestEffortActive reports whether a best-effort task of the worker is active: its CPU limit is above 0, or it isn't known
-// to run.
+// bestEffortActive reports whether a best-effort task of the worker may be active: its CPU limit isn't known to be 0, or the
+// task isn't known to run.
 func (w *worker) bestEffortActive() bool {
 	for _, r := range w.runList {
-		if r.bestEffort() && (r.cpuLimit > 0 || r.state != RunLive) {
+		if r.bestEffort() && (r.cpuLimit.mayRun() || r.state != RunLive) {
 			return true
 		}
 	}
 	return false
 }
 
-// exceedsCPULimit reports whether a best-effort run uses more CPU than its limit allows. The worker may have carried out
-// an earlier, unanswered throttle order after the newest one.
-func (r *run) exceedsCPULimit(now time.Time) bool {
-	if !r.bestEffort() || r.cpuLimit == unknownCPULimit || now.Sub(r.cpuLimitSetAt) < 2*measurementDelay {
-		return false
-	}
-	declared := float64(r.task.step.spec.Size.CPU)
-	return r.cpuUsage > declared*(float64(r.cpuLimit)/fullCPULimit+usageTolerance)
-}
-
 // overTarget reports whether a latency-critical task of the worker counts as over its target.
 func (w *worker) overTarget() bool {
 	for _, r := range w.runList {
--- a/internal/batch/sched/outcome.go
+++ b/internal/batch/sched/outcome.go
@@ -50,9 +50,11 @@
 			r.confirmedAt = now
 		}
 	case VerbThrottle:
-		if out == OutcomeDone {
-			r.cpuLimit = o.CPULimit
-			r.cpuLimitSetAt = now
+		switch out {
+		case OutcomeDone:
+			r.cpuLimit.recordAnswered(now, o.CPULimit)
+		case OutcomeUnknown:
+			r.cpuLimit.recordUnanswered(now)
 		}
 	}
 }
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -247,7 +247,7 @@
 
 // startRun assigns a new run of a task to a worker and returns the order that starts it.
 func (c *Core) startRun(now time.Time, t *task, w *worker, number int64) Order {
-	r := &run{runKey: runKey{t.id(), number}, task: t, worker: w, state: RunSent, incarnation: w.StartedAt, orderedAt: now, startedAt: now, cpuLimit: fullCPULimit, wantedCPULimit: fullCPULimit,
+	r := &run{runKey: runKey{t.id(), number}, task: t, worker: w, state: RunSent, incarnation: w.StartedAt, orderedAt: now, startedAt: now, cpuLimit: newCPULimit(), wantedCPULimit: fullCPULimit,
 		starved: t.step.starved, lane: c.lane(w)}
 	t.run = r
 	t.lastRunNumber = number
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -27,6 +27,7 @@
 	Checkpoint  string        // of a start: checkpoint to resume from; empty: none
 	LeaseUntil  time.Duration // of a start: end of the worker's lease that it carries, on the worker's clock
 	CPULimit    int           // of a throttle: percent of the declared CPU
+	Idle        bool          // of a throttle: the limit in force isn't known, and the run uses no CPU
 	// Starved is set for a start of a starved job's task: its job had nothing running, and the task may interfere with
 	// latency-critical ones.
 	Starved bool
@@ -93,16 +94,12 @@
 				r.orderedAt = now
 				r.stopBackoff.markSent()
 				orders = append(orders, r.newOrder(VerbStop))
-			case r.throttleWanted() && now.Sub(r.orderedAt) > minThrottleInterval && r.throttleBackoff.ready(now):
-				r.orderedAt = now
-				r.throttleBackoff.markSent()
-				o := r.newOrder(VerbThrottle)
-				o.CPULimit = r.wantedCPULimit
-				orders = append(orders, o)
+			case r.cpuLimit.known() && r.throttleDue(now):
+				orders = append(orders, r.throttle(now))
 			}
 		}
 	}
-	return orders
+	return c.planLimitConfirms(now, orders)
 }
 
 // noteOrderDue lists a worker for the next plan of stops and throttles. It is called after any change by which
@@ -119,11 +116,6 @@
 	return r.state == RunStopping || r.state == RunUnknown || r.throttleWanted()
 }
 
-// throttleWanted reports whether the run's CPU limit isn't the wanted one.
-func (r *run) throttleWanted() bool {
-	return r.state == RunLive && r.bestEffort() && r.cpuLimit != r.wantedCPULimit
-}
-
 // stopDue reports whether a stop is to be sent for a run.
 //
 // A run whose start was not answered is not stopped at once: for a while, a poll may report it. It often runs, as an
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -342,8 +342,8 @@
 	r.cpuUsage, r.tailLatency = status.CPUUsage, status.TailLatency
 	r.progress = status.Progress
 	r.ready = status.Progress >= fullProgress
-	if r.exceedsCPULimit(now) {
-		r.cpuLimit = unknownCPULimit
+	if r.bestEffort() {
+		r.cpuLimit.recordUse(now, r.cpuShare())
 	}
 }
 
@@ -351,7 +351,7 @@
 // its start as lost. It becomes the run of its task if the task is unfinished and has no other run. Otherwise it is
 // stopped.
 func (c *Core) adoptRun(now time.Time, w *worker, key runKey) *run {
-	r := &run{runKey: key, worker: w, adopted: true, state: RunLive, incarnation: w.StartedAt, startedAt: now, orderedAt: now, confirmedAt: now, cpuLimit: fullCPULimit, wantedCPULimit: fullCPULimit}
+	r := &run{runKey: key, worker: w, adopted: true, state: RunLive, incarnation: w.StartedAt, startedAt: now, orderedAt: now, confirmedAt: now, cpuLimit: adoptedCPULimit(now), wantedCPULimit: fullCPULimit}
 	t := c.findTask(key.task)
 	if t == nil || t.done || t.run != nil || t.step.job.state.Final() {
 		r.state = RunStopping
--- a/internal/batch/sched/straggler.go
+++ b/internal/batch/sched/straggler.go
@@ -33,7 +33,7 @@
 // wait for the task on that worker.
 func (r *run) isStraggler(now time.Time) bool {
 	s := r.task.step
-	if s.spec.LongRunning || s.spec.Gang || r.state != RunLive || !r.cpuLimitSetAt.IsZero() {
+	if s.spec.LongRunning || s.spec.Gang || r.state != RunLive || r.cpuLimit.lowered {
 		return false
 	}
 	typical := s.typicalDuration()
--- a/internal/batch/sched/throttle.go
+++ b/internal/batch/sched/throttle.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// fullCPULimit is the CPU limit of a task that isn't throttled, in percent of its declared CPU.
-	fullCPULimit = 100
-	// unknownCPULimit stands for a CPU limit in force that isn't known, so that the wanted one is sent again.
-	unknownCPULimit = -1
 	// latencyCriticalWeight is how many seconds of a best-effort task one second of a latency-critical one is worth. A job
 	// is as late as the last of its tasks, so throttling one costs more than its own time.
 	latencyCriticalWeight = 1.5
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -161,8 +161,7 @@
 	throttleBackoff backoff       // spaces out throttle orders
 	startedAt       time.Time     // time of the start order, or of the first report for an adopted run
 	confirmedAt     time.Time     // time at which the run was confirmed as active or its stop as acknowledged
-	cpuLimit        int           // CPU limit that the worker acknowledged, percent; or unknownCPULimit
-	cpuLimitSetAt   time.Time     // time of that acknowledgement
+	cpuLimit        cpuLimit      // CPU limit that the worker applies, as far as known
 	wantedCPULimit  int           // CPU limit that the run should have, percent
 	throttledSince  time.Time     // since when wantedCPULimit is below minKeepCPULimit; zero: it is not
 	cpuUsage        float64       // reported CPU usage, millicores
