batch/sched: a run without progress is moved, or its limit lifted

What callers saw: a job is shown as running and never ends, as its only task stands still.

Cause: a run that is behind is found by comparison with finished tasks of its step. With one task, or before half of them are done, there are none, whatever the run's reports show.

Change: a run without progress for 3 s (a fifth of its estimate, if more) counts as a straggler. One that also uses no CPU, under a limit that isn't known, first gets an order for the wanted limit, also if it isn't best-effort.

TestPausedRunOfFormerHolder (as the users wrote it) and TestStalledRun fail on: "no order in 60 s for a run that stands still", "0 stops, want 1".

Instrumented, hanging tasks report CPU use as at work, so the use alone wouldn't show them.

--- a/internal/batch/sched/cpulimit.go
+++ b/internal/batch/sched/cpulimit.go
@@ -75,9 +75,13 @@
 	}
 }
 
-// throttleWanted reports whether the run's CPU limit isn't the wanted one, or isn't known.
+// throttleWanted reports whether the run's CPU limit isn't the wanted one, or isn't known. Only best-effort runs are
+// throttled, but one that is idle under a limit that isn't known gets an order whatever it is.
 func (r *run) throttleWanted() bool {
-	return r.state == RunLive && r.bestEffort() && r.cpuLimit.inForce != r.wantedCPULimit
+	if r.state != RunLive || r.cpuLimit.inForce == r.wantedCPULimit {
+		return false
+	}
+	return r.bestEffort() || r.isIdle() && !r.cpuLimit.known()
 }
 
 // throttleDue reports whether a throttle is to be sent now.
@@ -97,7 +101,7 @@
 	r.cpuLimit.recordSent(r.wantedCPULimit)
 	o := r.newOrder(VerbThrottle)
 	o.CPULimit = r.wantedCPULimit
-	o.Idle = !r.cpuLimit.known() && r.cpuUsage == 0
+	o.Idle = !r.cpuLimit.known() && r.isIdle()
 	return o
 }
 
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -287,6 +287,7 @@
 		r := w.runs[key]
 		if r == nil {
 			r = c.adoptRun(now, w, key)
+			r.progress = status.Progress
 		}
 		r.applyStatus(now, status)
 		r.reported = r.reported || r.incarnation == w.StartedAt
@@ -339,6 +340,7 @@
 		r.state = RunLive
 		r.confirmedAt = now
 	}
+	r.updateStill(now, status)
 	r.cpuUsage, r.tailLatency = status.CPUUsage, status.TailLatency
 	r.progress = status.Progress
 	r.ready = status.Progress >= fullProgress
--- a/internal/batch/sched/straggler.go
+++ b/internal/batch/sched/straggler.go
@@ -12,6 +12,10 @@
 	minRestartGain  = 1.5
 	// minStragglerPeers is the number of finished tasks that a step needs for a typical duration.
 	minStragglerPeers = 2
+	// stalledAfter is how long a run may make no progress, and 1/stalledFraction of the estimate of its duration if that is
+	// more. Progress is reported in whole percents, so a run that is slower than its estimate by far stays below that.
+	stalledAfter    = 3 * time.Second
+	stalledFraction = 5
 	// restartCost is the time that stopping a task and starting it elsewhere takes in addition to its work.
 	restartCost = 500 * time.Millisecond
 )
@@ -49,7 +53,39 @@
 	return float64(remaining) > minRestartGain*float64(restarted+restartCost)
 }
 
-// replaceStragglers stops stragglers that fit on another worker. Each one counts against its worker's circuit breaker
+// updateStill updates since when the run makes no progress, although it isn't to be paused.
+func (r *run) updateStill(now time.Time, status RunStatus) {
+	switch {
+	case status.Progress != r.progress || r.wantedCPULimit == 0 || !r.cpuLimit.mayRun():
+		r.stillSince = time.Time{}
+	case r.stillSince.IsZero():
+		r.stillSince = now
+	}
+}
+
+// isStill reports whether the newest report shows no progress of a run that has an end. Runs of gangs may wait for each
+// other.
+func (r *run) isStill() bool {
+	return r.task != nil && !r.task.step.spec.LongRunning && !r.task.step.spec.Gang && !r.stillSince.IsZero()
+}
+
+// isIdle reports whether the newest report shows neither progress nor CPU use of a run that has an end.
+func (r *run) isIdle() bool {
+	return r.isStill() && r.cpuUsage == 0
+}
+
+// isStalled reports whether a run has made no progress for so long that it won't go on.
+//
+// A straggler shows only beside finished tasks of its step. The only task of a step, or the first ones, would stand still
+// for as long as their worker renews its lease.
+func (r *run) isStalled(now time.Time) bool {
+	if r.state != RunLive || !r.isStill() {
+		return false
+	}
+	return now.Sub(r.stillSince) >= max(stalledAfter, r.task.step.spec.Estimate/stalledFraction)
+}
+
+// replaceStragglers stops stragglers and stalled runs that fit on another worker. Each one counts against its worker's circuit breaker
 // like a failure there. Workers in taken are already the destination of another move.
 func (c *Core) replaceStragglers(now time.Time, taken map[*worker]bool) {
 	for _, w := range c.workersByID {
@@ -57,7 +93,7 @@
 			continue
 		}
 		for _, r := range w.runList {
-			if r.task == nil || r.task.run != r || !r.isStraggler(now) {
+			if r.task == nil || r.task.run != r || !r.isStraggler(now) && !r.isStalled(now) {
 				continue
 			}
 			previous := r.task.avoidWorker
--- a/internal/batch/sched/straggler_test.go
+++ b/internal/batch/sched/straggler_test.go
@@ -65,3 +65,57 @@
 		})
 	}
 }
+
+// Guards against a task that stands still for good: it uses no CPU and makes no progress, and no order follows.
+func TestPausedRunOfFormerHolder(t *testing.T) {
+	b := newHarness(t, 2, 2)
+	if err := b.core.RestoreJob(b.now, "old", oneTaskJob("old", nil), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.core.InheritWorkers(b.now, members(2))
+	orders := 0
+	for range 60 {
+		b.poll("w0", sched.Report{Running: []sched.RunStatus{{Task: "old.0.0.0", Run: 1_000_001, CPUUsage: 0, Progress: 10}}})
+		b.poll("w1", sched.Report{})
+		orders += len(b.planOrders(sched.VerbThrottle)) + len(b.planOrders(sched.VerbStop))
+		b.advance(time.Second)
+	}
+	if orders == 0 {
+		t.Error("no order in 60 s for a run that stands still")
+	}
+}
+
+// Guards against a job that waits for good for its only task, on a worker on which it stands still.
+func TestStalledRun(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(*sched.Job)
+		use    float64 // millicores
+		step   int     // progress from report to report, percent
+		want   int     // stops within 6 s
+	}{
+		{"stands still", nil, 0, 0, 1},
+		{"stands still at work", nil, 1000, 0, 1},
+		{"takes long", func(j *sched.Job) { j.Steps[0].Estimate = time.Minute }, 1000, 0, 0},
+		{"makes progress", nil, 0, 1, 0},
+		{"long-running", func(j *sched.Job) { j.Steps[0].LongRunning = true }, 0, 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newHarness(t, 1, 2).openWorkers()
+			b.core.AddJob(b.now, oneTaskJob("j", tt.change))
+			o := b.planOrders(sched.VerbStart)[0]
+			stops := 0
+			status := runStatus(o)
+			for range 12 {
+				status.CPUUsage = tt.use
+				status.Progress += tt.step
+				b.poll(o.Incarnation.ID, sched.Report{Running: []sched.RunStatus{status}})
+				stops += len(b.planOrders(sched.VerbStop))
+				b.advance(500 * time.Millisecond)
+			}
+			if stops != tt.want {
+				t.Errorf("%d stops, want %d", stops, tt.want)
+			}
+		})
+	}
+}
