--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -146,6 +146,7 @@
 	lastRunNumber int64  // number of its newest run of this term; 0: none
 	soleRunSeen   bool   // its only run was seen alive in this term, so no run that a former holder started can be elsewhere
 	avoidWorker   string // id of the worker on which it failed or from which it was moved; empty: none
+	stalledRuns   int    // runs that were moved as stalled
 	// heldSuccess is the worker that has reported a success while a newer start was in flight; nil: none.
 	heldSuccess *worker
 }
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -340,7 +340,7 @@
 		r.state = RunLive
 		r.confirmedAt = now
 	}
-	r.updateStill(now, status)
+	r.updateIdle(now, status)
 	r.cpuUsage, r.tailLatency = status.CPUUsage, status.TailLatency
 	r.progress = status.Progress
 	r.ready = status.Progress >= fullProgress
--- a/internal/batch/sched/straggler.go
+++ b/internal/batch/sched/straggler.go
@@ -12,10 +12,9 @@
 	minRestartGain  = 1.5
 	// minStragglerPeers is the number of finished tasks that a step needs for a typical duration.
 	minStragglerPeers = 2
-	// stalledAfter is how long a run may make no progress, and 1/stalledFraction of the estimate of its duration if that is
-	// more. Progress is reported in whole percents, so a run that is slower than its estimate by far stays below that.
-	stalledAfter    = 3 * time.Second
-	stalledFraction = 5
+	// stalledAfter is how long a run may be idle. A start from a checkpoint takes a fraction of that.
+	stalledAfter        = 3 * time.Second
+	maxStalledDoublings = 10
 	// restartCost is the time that stopping a task and starting it elsewhere takes in addition to its work.
 	restartCost = 500 * time.Millisecond
 )
@@ -53,36 +52,32 @@
 	return float64(remaining) > minRestartGain*float64(restarted+restartCost)
 }
 
-// updateStill updates since when the run makes no progress, although it isn't to be paused.
-func (r *run) updateStill(now time.Time, status RunStatus) {
+// updateIdle updates since when the run makes no progress and uses no CPU, although it isn't to be paused.
+func (r *run) updateIdle(now time.Time, status RunStatus) {
 	switch {
-	case status.Progress != r.progress || r.wantedCPULimit == 0 || !r.cpuLimit.mayRun():
-		r.stillSince = time.Time{}
-	case r.stillSince.IsZero():
-		r.stillSince = now
+	case status.CPUUsage > 0 || status.Progress != r.progress || r.wantedCPULimit == 0 || !r.cpuLimit.mayRun():
+		r.idleSince = time.Time{}
+	case r.idleSince.IsZero():
+		r.idleSince = now
 	}
 }
 
-// isStill reports whether the newest report shows no progress of a run that has an end. Runs of gangs may wait for each
-// other.
-func (r *run) isStill() bool {
-	return r.task != nil && !r.task.step.spec.LongRunning && !r.task.step.spec.Gang && !r.stillSince.IsZero()
-}
-
-// isIdle reports whether the newest report shows neither progress nor CPU use of a run that has an end.
+// isIdle reports whether the newest report shows neither progress nor CPU use of a run that has an end. Runs of gangs may
+// wait for each other.
 func (r *run) isIdle() bool {
-	return r.isStill() && r.cpuUsage == 0
+	return r.task != nil && !r.task.step.spec.LongRunning && !r.task.step.spec.Gang && !r.idleSince.IsZero()
 }
 
-// isStalled reports whether a run has made no progress for so long that it won't go on.
+// isStalled reports whether a run has been idle for so long that it won't go on. A task that waits for something else looks
+// the same, so with each of its runs that was taken for stalled the next one gets twice the time.
 //
 // A straggler shows only beside finished tasks of its step. The only task of a step, or the first ones, would stand still
 // for as long as their worker renews its lease.
 func (r *run) isStalled(now time.Time) bool {
-	if r.state != RunLive || !r.isStill() {
+	if r.state != RunLive || !r.isIdle() {
 		return false
 	}
-	return now.Sub(r.stillSince) >= max(stalledAfter, r.task.step.spec.Estimate/stalledFraction)
+	return now.Sub(r.idleSince) >= stalledAfter<<min(r.task.stalledRuns, maxStalledDoublings)
 }
 
 // replaceStragglers stops stragglers and stalled runs that fit on another worker. Each one counts against its worker's circuit breaker
@@ -104,6 +99,9 @@
 				continue
 			}
 			taken[dest] = true
+			if r.isStalled(now) {
+				r.task.stalledRuns++
+			}
 			w.breaker.RecordFailure(now, r.task.step.job.ID)
 			r.orderedAt = time.Time{} // sends the stop without a delay
 			c.stopRun(r)
