batch/drive: a stored job that can't be decoded is left out

What callers would see: nothing is served any more. A new holder tries its load again every 100 ms as long as one job's record, or its progress, can't be decoded; with a job without steps it panics, one host after the other.

Cause: storedJobs.restore ended with the first error, and addOccurrence takes the maximum over no steps.

Change: RestoreJob decodes and checks a job as a whole before it adds anything. What can't be decoded is logged and left in the store; requests about it are refused with "come back in 1 min", also a submission under its id, which would overwrite it.

--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -152,6 +152,7 @@
 	loggedMaintenance    map[string]bool            // maintenance requests that were logged as refused
 	learnedModelStoredAt time.Time                  // when the learned model was last collected for a write
 	admission            admission                  // decides whether new jobs are accepted
+	undecodedJobs        map[string]error           // jobs in the store that can't be decoded, by id
 }
 
 // submission is a submitted job that isn't stored yet.
--- a/internal/batch/drive/load.go
+++ b/internal/batch/drive/load.go
@@ -44,7 +44,8 @@
 		{"restored jobs", func() error {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			return stored.restore(core, start)
+			h.undecodedJobs = stored.restore(core, start)
+			return nil
 		}},
 		{"learned model", func() error { return h.readLearnedModel(core) }},
 		{"intent", func() error { return watches[0].readAll(h.ctx) }},
@@ -54,6 +55,7 @@
 			return nil, err
 		}
 	}
+	h.logUndecodedJobs()
 	h.mu.Lock()
 	core.EndRestore()
 	h.mu.Unlock()
@@ -162,29 +164,45 @@
 	jobs    []store.Entry // what was submitted
 }
 
-// restore restores the jobs.
-func (s *storedJobs) restore(core *sched.Core, now time.Time) error {
+// restore restores the jobs and returns by id why the others can't be decoded.
+func (s *storedJobs) restore(core *sched.Core, now time.Time) map[string]error {
 	progress := make(map[string][]byte, len(s.records))
 	for _, e := range s.records {
 		progress[e.Key[len(progressPrefix):]] = e.Value
 	}
+	undecoded := map[string]error{}
 	for _, e := range s.jobs {
 		id := e.Key[len(jobPrefix):]
 		spec := &sched.Job{}
-		if err := json.Unmarshal(e.Value, spec); err != nil {
-			return errors.Wrapf(err, "drive: job %s", id)
+		err := errors.Wrap(json.Unmarshal(e.Value, spec), "drive")
+		if err == nil {
+			err = core.RestoreJob(now, id, spec, progress[id])
 		}
-		if err := core.RestoreJob(now, id, spec, progress[id]); err != nil {
-			return err
+		if err != nil {
+			undecoded[id] = err
 		}
 		delete(progress, id)
 	}
 	for id, data := range progress {
 		if err := core.RestoreJob(now, id, nil, data); err != nil {
-			return err
+			undecoded[id] = err
 		}
 	}
-	return nil
+	return undecoded
+}
+
+// maxLoggedJobs bounds the jobs that are logged as not decoded.
+const maxLoggedJobs = 20
+
+// logUndecodedJobs logs the jobs that are in the store and can't be decoded. They stay there.
+func (h *Holder) logUndecodedJobs() {
+	logged := 0
+	for id, err := range h.undecodedJobs {
+		if logged++; logged > maxLoggedJobs {
+			break
+		}
+		h.log.Error(err, "stored job not decoded; it is left out", "job", id, "of", len(h.undecodedJobs))
+	}
 }
 
 // readPrefix reads the entries below a prefix.
--- a/internal/batch/drive/request.go
+++ b/internal/batch/drive/request.go
@@ -68,6 +68,8 @@
 	// retryAfterStoreOutage is the delay while the store doesn't answer. The holder tries it ten times a
 	// second, so a second is soon enough.
 	retryAfterStoreOutage = time.Second
+	// retryAfterUndecodedJob is the delay for a job whose stored record can't be decoded. Another build may be able to.
+	retryAfterUndecodedJob = time.Minute
 	// retryAfterUnsupportedQueue is the delay for a queue that isn't served until operators change its configuration.
 	retryAfterUnsupportedQueue = time.Minute
 )
@@ -100,6 +102,9 @@
 		return Reply{Result: ResultCount, Pending: h.core.PendingJobs(q.Name)}
 	case id == "" || strings.Contains(id, "/") || strings.Contains(id, "."):
 		return Reply{Result: ResultBad, Why: "no job id"}
+	case h.undecoded(id):
+		h.log.Info("refused", "job", id, "queue", q.Name, "cause", "stored record not decoded")
+		return RefusedReply("the job's stored record can't be decoded", retryAfterUndecodedJob)
 	case req.Verb == VerbSubmit:
 		return h.submitJob(ctx, req, q, id)
 	case req.Verb == VerbCancel:
@@ -108,6 +113,13 @@
 	return h.replyState(ctx, id)
 }
 
+// undecoded reports whether a job is in the store and can't be decoded.
+func (h *Holder) undecoded(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.undecodedJobs[id] != nil
+}
+
 // submitJob has a job stored and replies once it is. A job that is known already is accepted again.
 func (h *Holder) submitJob(ctx context.Context, req Request, q sched.Queue, id string) Reply {
 	if q.Advised {
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -138,8 +138,50 @@
 	return all
 }
 
+// restoredProgress is the decoded progress of a job that hasn't ended.
+type restoredProgress struct {
+	done        [][]big.Int // by occurrence and step: a bit per task that is done
+	failedRuns  map[TaskID]failedRuns
+	checkpoints map[TaskID]string
+}
+
+// decode decodes the progress of a job.
+func (p *storedProgress) decode(spec *Job) (restoredProgress, error) {
+	r := restoredProgress{failedRuns: map[TaskID]failedRuns{}, checkpoints: map[TaskID]string{}}
+	if len(p.Done) > max(spec.OccurrenceCount, 1) {
+		return r, errors.Errorf("sched: progress of %d occurrences, the job has %d", len(p.Done), max(spec.OccurrenceCount, 1))
+	}
+	for _, steps := range p.Done {
+		if len(steps) > len(spec.Steps) {
+			return r, errors.Errorf("sched: progress of %d steps, the job has %d", len(steps), len(spec.Steps))
+		}
+		done := make([]big.Int, len(steps))
+		for i, text := range steps {
+			if _, ok := done[i].SetString(text, 16); !ok {
+				return r, errors.Errorf("sched: invalid done tasks %q of step %d", text, i)
+			}
+		}
+		r.done = append(r.done, done)
+	}
+	for name, runs := range p.FailedRuns {
+		t, err := ParseTaskID(name)
+		if err != nil {
+			return r, err
+		}
+		r.failedRuns[t] = runs
+	}
+	for name, checkpoint := range p.Checkpoints {
+		t, err := ParseTaskID(name)
+		if err != nil {
+			return r, err
+		}
+		r.checkpoints[t] = checkpoint
+	}
+	return r, nil
+}
+
 // RestoreJob adds a job as the store holds it. data is its progress, empty if none is stored yet. spec is nil for a
-// job that has ended.
+// job that has ended. If either is invalid, it returns an error and adds nothing.
 func (c *Core) RestoreJob(now time.Time, id string, spec *Job, data []byte) error {
 	p := storedProgress{State: StateQueued}
 	if len(data) > 0 {
@@ -155,45 +197,30 @@
 		c.jobs[id] = &job{Job: &Job{ID: id, Queue: p.Queue}, state: p.State, storedState: p.State, started: true}
 		return nil
 	}
-	j := &job{Job: spec, state: p.State, storedState: p.State, restored: true, started: p.Started}
+	if err := spec.Validate(); err != nil {
+		return errors.Wrapf(err, "sched: job %s", id)
+	}
+	progress, err := p.decode(spec)
+	if err != nil {
+		return errors.Wrapf(err, "sched: progress of %s", id)
+	}
+	j := &job{Job: spec, state: p.State, storedState: p.State, restored: true, started: p.Started,
+		failedRuns: progress.failedRuns, checkpoints: progress.checkpoints}
 	c.registerJob(now, j)
-	for len(j.occurrences) < len(p.Done) {
+	for len(j.occurrences) < len(progress.done) {
 		c.addOccurrence(now, j)
 	}
-	for k, steps := range p.Done {
-		for i, text := range steps {
-			if err := j.occurrences[k].restoreDone(i, text); err != nil {
-				return errors.Wrapf(err, "sched: progress of %s", id)
-			}
+	for k, steps := range progress.done {
+		for i := range steps {
+			j.occurrences[k].steps[i].restoreDone(&steps[i])
 		}
 		c.markReadySteps(now, j, j.occurrences[k])
 	}
-	j.failedRuns = map[TaskID]failedRuns{}
-	for name, n := range p.FailedRuns {
-		t, err := ParseTaskID(name)
-		if err != nil {
-			return err
-		}
-		j.failedRuns[t] = n
-	}
-	j.checkpoints = map[TaskID]string{}
-	for name, s := range p.Checkpoints {
-		t, err := ParseTaskID(name)
-		if err != nil {
-			return err
-		}
-		j.checkpoints[t] = s
-	}
 	return nil
 }
 
-// restoreDone marks the tasks of a step done that are set in text, a number in hexadecimal.
-func (o *occurrence) restoreDone(step int, text string) error {
-	bits, ok := new(big.Int).SetString(text, 16)
-	if !ok || step >= len(o.steps) {
-		return errors.Errorf("sched: invalid done tasks %q of step %d", text, step)
-	}
-	s := o.steps[step]
+// restoreDone marks the tasks done whose bits are set.
+func (s *stepInstance) restoreDone(bits *big.Int) {
 	for i, t := range s.tasks {
 		if bits.Bit(i) == 1 && !t.done {
 			t.done = true
@@ -201,7 +228,6 @@
 			s.pending--
 		}
 	}
-	return nil
 }
 
 // Workers returns all known workers, sorted by id.
