batch/hold: a change that can't be encoded is refused, the others are written

Cause: heldBucket.commit left the loop without ending the holding when the record couldn't be encoded. A job whose time is beyond the year 9999 can't be, as of a host whose clock is far off; nothing else of a job that Validate accepts.

Change: the jobs that can't be encoded are found one by one, their changes undone, and their callers told at once ("encode": nothing was changed). The others are written. If that isn't it, the holding ends and is taken anew.

TestUnencodableJobIsRefused and TestUnencodableCancelIsRefused fail before: "the bucket is no longer held", replies outcome-unknown to all.

--- a/internal/batch/hold/bucket.go
+++ b/internal/batch/hold/bucket.go
@@ -130,12 +130,14 @@
 		defer b.mu.Unlock()
 		return !b.closed
 	}
-	value, err := b.core.BeginWrite(uuid.NewString())
-	b.mu.Unlock()
+	value, err := b.encode()
 	if err != nil {
+		defer b.mu.Unlock()
 		b.holder.opts.Log.Error(err, "bucket record not encoded", "bucket", b.name)
+		b.abandon(err)
 		return false
 	}
+	b.mu.Unlock()
 	// The write is retried while the store is unreachable. Submissions that wait for it get
 	// no reply meanwhile.
 	err = store.SwapWithRetry(ctx, b.holder.opts.Store, bucketKeyPrefix+b.name, value, b.rev, store.ValueEquals(value))
@@ -153,7 +155,25 @@
 	return true
 }
 
-// abandon ends a holding whose record another process has written, or whose last write has
+// encode begins a write and returns the encoded record. Changes that can't be encoded are dropped, so that they don't keep
+// the others from being written. The lock is held.
+func (b *heldBucket) encode() ([]byte, error) {
+	value, err := b.core.BeginWrite(uuid.NewString())
+	if err == nil {
+		return value, nil
+	}
+	dropped := b.core.DropUnencodable()
+	for id, err := range dropped {
+		b.holder.opts.Log.Error(err, "change of a job not encoded; it is dropped", "bucket", b.name, "job", id)
+	}
+	if len(dropped) == 0 {
+		return nil, err
+	}
+	b.notifyWaiters()
+	return b.core.BeginWrite(uuid.NewString())
+}
+
+// abandon ends a holding whose record another process has written or can't be encoded, or whose last write has
 // an unknown outcome. If the bucket is still assigned to this process, reconcile reads the
 // record again. The lock is held.
 func (b *heldBucket) abandon(err error) {
@@ -213,11 +233,14 @@
 	for {
 		b.mu.Lock()
 		j, ok := b.core.CommittedJob(in.Spec.ID)
+		working, pending := b.core.WorkingJob(in.Spec.ID)
 		closed, changed := b.closed, b.changed
 		b.mu.Unlock()
 		switch {
 		case ok && (!in.Cancel || j.State != jobs.StateOpen):
 			return SubmitReply{Job: j, Code: CodeOK}
+		case !pending || in.Cancel && working.State == jobs.StateOpen:
+			return SubmitReply{Code: CodeNotEncoded, Text: ErrNotEncoded.Error()}
 		case closed:
 			return SubmitReply{Code: CodeOutcomeUnknown, Text: ErrOutcomeUnknown.Error()}
 		}
--- a/internal/batch/hold/holder.go
+++ b/internal/batch/hold/holder.go
@@ -33,6 +33,8 @@
 	// can't be reached or hasn't read the record yet. The submission or cancellation may still
 	// take effect; repeating it is safe.
 	ErrOutcomeUnknown = errors.New("hold: bucket not reached; the outcome is unknown, repeat the call")
+	// ErrNotEncoded means that a submission or cancellation can't be encoded for the store. Nothing was changed.
+	ErrNotEncoded = errors.New("hold: the change can't be encoded for the store; nothing was changed")
 )
 
 // Options are the settings of a Holder. All fields are required.
@@ -285,6 +287,7 @@
 	CodeIDTaken        Code = "id-taken"        // a different job has the id
 	CodeNotFound       Code = "not-found"       // no job has the id
 	CodeBucketFull     Code = "full"            // no room in the bucket's record
+	CodeNotEncoded     Code = "not-encoded"     // the change can't be encoded; nothing was changed
 	CodeOutcomeUnknown Code = "outcome-unknown" // not confirmed; it may still take effect
 )
 
--- a/internal/batch/jobs/core.go
+++ b/internal/batch/jobs/core.go
@@ -203,6 +203,34 @@
 	return value, nil
 }
 
+// DropUnencodable undoes the changes of the jobs that can't be encoded: one that was never written is removed, any other is as
+// the store holds it. It returns why, by job id. No write may be under way.
+func (c *Core) DropUnencodable() map[string]error {
+	dropped := map[string]error{}
+	for id, j := range c.working.Jobs {
+		if _, err := json.Marshal(j); err != nil {
+			dropped[id] = errors.Wrap(err, "jobs: encode job")
+		}
+	}
+	for id := range dropped {
+		if old := c.committed.Jobs[id]; old != nil {
+			c.working.Jobs[id] = old.clone()
+		} else {
+			delete(c.working.Jobs, id)
+		}
+	}
+	return dropped
+}
+
+// WorkingJob returns a job with the changes that aren't written yet.
+func (c *Core) WorkingJob(id string) (Job, bool) {
+	j := c.working.Jobs[id]
+	if j == nil {
+		return Job{}, false
+	}
+	return *j, true
+}
+
 // EndWrite ends a write that took effect (ok) or failed. It must not be called while the
 // outcome of the write is unknown.
 func (c *Core) EndWrite(ok bool) {
--- a/internal/proc/node/admin.go
+++ b/internal/proc/node/admin.go
@@ -32,6 +32,7 @@
 	AdminUnknownZone        AdminCode = "unknown-zone" // 404: the failure domain is not declared
 	AdminNotFound           AdminCode = "not-found"    // 404: no such job
 	AdminBucketFull         AdminCode = "full"         // 503: the job's bucket is full; nothing was changed
+	AdminNotEncoded         AdminCode = "encode"       // 500: the change can't be encoded for the store; nothing was changed
 	AdminStoreFailure       AdminCode = "store"        // 503 or 500: the store failed or the job's bucket was not reached; the outcome may be unknown
 )
 
@@ -218,6 +219,8 @@
 		writeJSON(w, http.StatusNotFound, Problem{AdminNotFound, reply.Text})
 	case hold.CodeBucketFull:
 		writeJSON(w, http.StatusServiceUnavailable, Problem{AdminBucketFull, reply.Text})
+	case hold.CodeNotEncoded:
+		writeJSON(w, http.StatusInternalServerError, Problem{AdminNotEncoded, reply.Text})
 	default:
 		writeJSON(w, http.StatusServiceUnavailable, Problem{AdminStoreFailure, reply.Text})
 	}
