batch/sched: measurements that aren't possible are bounded

What callers would see: the holder changes every few seconds. One report with a CPU use of 1e308 millicores makes the learned model overflow; a model that can't be encoded ended the tenure with the next commit. Found while looking for other records that can't be encoded.

Change: a use is bounded to the worker's processors, and a tail latency to 0 or more. A model that can't be encoded is logged and left out of the commit.

TestImpossibleMeasurement before: "sched: json: unsupported value: NaN" for 1e308 and +Inf.

--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -119,12 +119,12 @@
 	}
 	// The learned model is stored only with a commit that is due anyway.
 	if now := time.Now(); len(c.writes) > 0 && len(c.writes) < lead.MaxWrites && now.Sub(h.learnedModelStoredAt) > learnedModelInterval {
-		data, err := h.core.EncodeModel()
-		if err != nil {
-			return nil, err
-		}
 		h.learnedModelStoredAt = now
-		c.writes = append(c.writes, store.Write{Key: keyLearnedModel, Value: data})
+		if data, err := h.core.EncodeModel(); err != nil {
+			h.log.Error(err, "learned model not encoded; the next holder gets the last one that was stored")
+		} else {
+			c.writes = append(c.writes, store.Write{Key: keyLearnedModel, Value: data})
+		}
 	}
 	if len(c.writes) > 0 {
 		h.writeStarted = time.Now()
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -341,7 +341,7 @@
 		r.confirmedAt = now
 	}
 	r.updateIdle(now, status)
-	r.cpuUsage, r.tailLatency = status.CPUUsage, status.TailLatency
+	r.cpuUsage, r.tailLatency = r.worker.plausibleUse(status.CPUUsage), max(status.TailLatency, 0)
 	r.progress = status.Progress
 	r.ready = status.Progress >= fullProgress
 	if r.bestEffort() {
@@ -349,6 +349,14 @@
 	}
 }
 
+// plausibleUse returns a reported CPU use in millicores, bounded to what the worker has.
+func (w *worker) plausibleUse(use float64) float64 {
+	if !(use > 0) { // also if it isn't a number
+		return 0
+	}
+	return min(use, float64(w.Size.CPU))
+}
+
 // adoptRun adds a reported run that this holder has no record of: a former holder started it, or this holder gave up
 // its start as lost. It becomes the run of its task if the task is unfinished and has no other run. Otherwise it is
 // stopped.
