proc/node: two listeners that fail don't panic

Cause: Node.serveHTTP closed listenerFailed each time. proc/front guards the same channel with a sync.Once; so does this now. Both causes are logged.

--- a/internal/proc/node/node.go
+++ b/internal/proc/node/node.go
@@ -36,16 +36,18 @@
 	store    store.Store
 	links    *link.Set // RPC links to the peers
 
-	membership     *member.Group        // membership of this process among the entry processes
-	assigner       *shard.Assigner      // reads and plans the tables that assign targets, racks and buckets
-	configWatcher  *sheet.ConfigWatcher // follows the operators' configuration
-	hosts          hostList             // targets and workers, as the platform lists them
-	registry       *once.Registry       // records of non-idempotent requests
-	relay          *relay.Relay         // sends requests to targets
-	services       serviceSet           // services to which requests are routed
-	entry          *entry.Entry         // answers callers' requests
-	batchHolder    *hold.Holder         // runs the racks and buckets that this process holds
-	listenerFailed chan struct{}        // closed when an HTTP listener fails
+	membership    *member.Group        // membership of this process among the entry processes
+	assigner      *shard.Assigner      // reads and plans the tables that assign targets, racks and buckets
+	configWatcher *sheet.ConfigWatcher // follows the operators' configuration
+	hosts         hostList             // targets and workers, as the platform lists them
+	registry      *once.Registry       // records of non-idempotent requests
+	relay         *relay.Relay         // sends requests to targets
+	services      serviceSet           // services to which requests are routed
+	entry         *entry.Entry         // answers callers' requests
+	batchHolder   *hold.Holder         // runs the racks and buckets that this process holds
+
+	listenerFailed     chan struct{} // closed when an HTTP listener fails
+	listenerFailedOnce sync.Once     // guards the closing of listenerFailed
 
 	scope           tally.Scope
 	metricsHandler  http.Handler
@@ -178,7 +180,7 @@
 func (n *Node) serveHTTP(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		n.log.Error(err, "HTTP listener failed", "addr", l.Addr().String())
-		close(n.listenerFailed)
+		n.listenerFailedOnce.Do(func() { close(n.listenerFailed) })
 	}
 }
 
