ctrl/shard: tables are reported in order, one call at a time

Cause: applyListing called out after it had released the lock.

Change: calls are made under a lock of their own, each with the newest table that wasn't reported yet.

--- a/internal/ctrl/shard/assigner.go
+++ b/internal/ctrl/shard/assigner.go
@@ -31,7 +31,7 @@
 	Group         *member.Group               // membership of this process
 	WatchTimeout  time.Duration               // longest wait of one watch of the store
 	ListItems     func() map[string][]Item    // returns the items to assign, by table
-	OnTableChange func(table string, t Table) // called with each new revision of a table
+	OnTableChange func(table string, t Table) // called with new revisions of a table, in their order and one call at a time; it must not read the tables
 	Log           logr.Logger
 }
 
@@ -45,12 +45,15 @@
 	changeNeededSince map[string]time.Time   // by table: since when the plan has differed from it
 	yielded           map[string]uint64      // epoch of the holder that an item was given up to, by table/item
 	planWake          chan struct{}          // wakes the planning loop; capacity 1
+
+	reportMu sync.Mutex // held during calls of OnTableChange; locked before mu
 }
 
 // storedTable is a table with its revision in the store.
 type storedTable struct {
-	table Table
-	rev   uint64
+	table    Table
+	rev      uint64
+	reported bool // OnTableChange was called with it
 }
 
 // NewAssigner returns an Assigner that knows no table yet.
@@ -143,8 +146,15 @@
 // applyListing stores the tables in a listing that are newer than the known ones and calls OnTableChange with them.
 // The read of the listing began at readStart.
 func (a *Assigner) applyListing(listing store.Listing, readStart time.Time) {
-	updated := map[string]Table{}
+	a.storeListing(listing, readStart)
+	a.reportTables()
+	a.WakePlanner()
+}
+
+// storeListing stores the tables in a listing that are newer than the known ones.
+func (a *Assigner) storeListing(listing store.Listing, readStart time.Time) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	for _, e := range listing.Entries {
 		name := strings.TrimPrefix(e.Key, keyPrefix)
 		if e.Rev <= a.tables[name].rev {
@@ -155,17 +165,37 @@
 			a.opts.Log.Error(err, "assignment table not decoded", "table", name)
 			continue
 		}
-		a.tables[name] = storedTable{t, e.Rev}
-		updated[name] = t
+		a.tables[name] = storedTable{table: t, rev: e.Rev}
 	}
 	if readStart.After(a.lastReadStart) {
 		a.lastReadStart = readStart
 	}
-	a.mu.Unlock()
-	for name, t := range updated {
+}
+
+// reportTables calls OnTableChange with each table that it wasn't called with yet. Two goroutines read tables: without
+// reportMu, the call with the older one could come last.
+func (a *Assigner) reportTables() {
+	a.reportMu.Lock()
+	defer a.reportMu.Unlock()
+	for name, t := range a.takeUnreported() {
 		a.opts.OnTableChange(name, t)
 	}
-	a.WakePlanner()
+}
+
+// takeUnreported returns the tables that OnTableChange wasn't called with yet, by name, and marks them as reported.
+func (a *Assigner) takeUnreported() map[string]Table {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	unreported := map[string]Table{}
+	for name, t := range a.tables {
+		if t.reported {
+			continue
+		}
+		unreported[name] = t.table
+		t.reported = true
+		a.tables[name] = t
+	}
+	return unreported
 }
 
 // planLoop plans all tables at intervals, and when it is woken, until ctx ends.
