route/once: a record without an outcome is checked at its home

What callers saw (TestRequestPath, KNOWN-RED): 409 still-running for a repeat of an answered request through another process, and the same again after each "come back in 1 s", until the record expires.

Cause: while a view settles, a process pulls the records of the ids whose backup it is, also of a request that is being run. The outcome is reported to the home only, so its copy stays "begun", and Begin answered by it without asking the home.

Change: a record that another process has begun counts only at its home; elsewhere the home is asked. It is one call more, for repeats only.

Where else: the same copy gave "outcome unknown" once the sender had left; the same check covers it.

--- a/internal/route/once/registry.go
+++ b/internal/route/once/registry.go
@@ -91,6 +91,9 @@
 	self := reg.group.Self().ID
 	v, r := reg.table.Begin(time.Now(), id, fingerprint, self, false, reg.isMember)
 	if v != VerdictNew {
+		if r.State == StateBegun && r.By != self && !reg.isHome(id) {
+			v, r = reg.askHome(ctx, id, fingerprint, v, r)
+		}
 		return v, r, nil
 	}
 	v, r, err := reg.beginRemote(ctx, id, fingerprint, self)
@@ -103,6 +106,31 @@
 	return v, r, err
 }
 
+// isHome reports whether this process is the home of an id.
+func (reg *Registry) isHome(id string) bool {
+	home, ok := reg.group.View().HomeOf(id)
+	return ok && home.ID == reg.group.Self().ID
+}
+
+// askHome returns what the home knows of a request that this process knows as begun by another, or the verdict v and the
+// record r of this process if the home knows less. This process may have pulled the record while the request was being run:
+// its outcome is reported to the home only.
+func (reg *Registry) askHome(ctx context.Context, id string, fingerprint uint64, v Verdict, r Record) (Verdict, Record) {
+	self := reg.group.Self().ID
+	homeVerdict, homeRecord, err := reg.beginRemote(ctx, id, fingerprint, self)
+	switch {
+	case err != nil:
+		go reg.sendDrop(id, self)
+		return v, r
+	case homeVerdict == VerdictNew:
+		reg.sendDrop(id, self)
+		return v, r
+	case homeVerdict == VerdictDone:
+		reg.table.Finish(time.Now(), homeRecord)
+	}
+	return homeVerdict, homeRecord
+}
+
 // beginRemote registers the request at the home, or at the backup when this process is the home.
 func (reg *Registry) beginRemote(ctx context.Context, id string, fingerprint uint64, self string) (Verdict, Record, error) {
 	for range maxBeginAttempts {
