route/entry: a repeat waits for an outcome that is on its way

What callers saw: a repeat while its request is being run, as after a broken connection, is refused with 409 and "come back in 1 s", although the answer is there within milliseconds.

Change: the repeat asks again, after 2 ms and then in growing pauses, for up to that second and not beyond its own deadline. A request that is dropped unsent meanwhile is run by the repeat. After a second the answer is 409, as before.

Recording the outcome before the answer is written was weighed: small answers leave when the handler returns, after the record is made, so it would change nothing for them.

TestRepeatWaitsForAnswer before: 409 for the repeats of a request of 300 ms.

--- a/internal/proc/whole/path_test.go
+++ b/internal/proc/whole/path_test.go
@@ -36,6 +36,26 @@
 	}
 }
 
+// Guards against a caller that repeats its request through another process, as its connection broke, and is sent away
+// although the answer is on its way.
+func TestRepeatWaitsForAnswer(t *testing.T) {
+	s := newRequestSystem(t, 3, 3, 8, 300*time.Millisecond)
+	first := make(chan answer)
+	go func() { first <- postCheckin(s.entries[0].callerAddr, "case-7", "bottle 7") }()
+	eventually(t, "the request at a target", func() bool { return s.targetCounts().Total == 1 })
+	for i, e := range s.entries {
+		if a := postCheckin(e.callerAddr, "case-7", "bottle 7"); a.status != http.StatusOK || a.body != "POST /checkin bottle 7" {
+			t.Errorf("answer of entry process %d to the repeat: %+v", i, a)
+		}
+	}
+	if a := <-first; a.status != http.StatusOK {
+		t.Errorf("first answer: %+v", a)
+	}
+	if stats := s.targetCounts(); stats.Total != 1 {
+		t.Errorf("%d runs, want 1", stats.Total)
+	}
+}
+
 // A batch job is submitted through one entry process and again through others. It must run on the
 // workers of racks that other entry processes own, too, and be recorded as finished once.
 func TestJobPath(t *testing.T) {
--- a/internal/route/entry/entry.go
+++ b/internal/route/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"bramleysail.example/bramleysail/internal/base/conf"
 	"bramleysail.example/bramleysail/internal/base/telem"
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/route/broker"
 	"bramleysail.example/bramleysail/internal/route/once"
 	"bramleysail.example/bramleysail/internal/route/pool"
@@ -149,7 +150,7 @@
 func (e *Entry) runAtMostOnce(ctx context.Context, w http.ResponseWriter, s Service, q request) Code {
 	fingerprint := q.fingerprint(s.Name)
 	bctx, span := telem.Tracer().Start(ctx, "once.begin")
-	v, rec, err := e.opts.Registry.Begin(bctx, q.Key, fingerprint)
+	v, rec, err := e.beginOrAwait(bctx, q.Key, fingerprint)
 	span.End()
 	if err != nil {
 		return writeFailure(w, &Failure{Code: CodeHomeUnavailable, Text: "the request was not begun: " + err.Error(), RetryAfter: time.Second})
@@ -167,13 +168,35 @@
 		final.State = once.StateDone
 		final.Answer = storedAnswer(a)
 	}
-	// The caller gets its answer before the outcome is recorded. A repeat that arrives in
-	// between finds the request still running.
+	// A large answer may leave before the outcome is recorded. A repeat that arrives in
+	// between waits for that.
 	code := e.writeResult(w, a, f)
 	e.opts.Registry.Finish(final)
 	return code
 }
 
+const (
+	// stillRunningWait is how long a repeat waits for the outcome of the request with its key. Refused
+	// at once, its caller would be told to come back after the same time.
+	stillRunningWait = time.Second
+	// minOutcomePause and maxOutcomePause bound the growing pause between two looks for the outcome.
+	minOutcomePause = 2 * time.Millisecond
+	maxOutcomePause = 250 * time.Millisecond
+)
+
+// beginOrAwait registers a request. If one with its key is being run, it waits for the outcome, up to
+// stillRunningWait and not beyond ctx.
+func (e *Entry) beginOrAwait(ctx context.Context, key string, fingerprint uint64) (once.Verdict, once.Record, error) {
+	began, pause := time.Now(), minOutcomePause
+	for {
+		v, rec, err := e.opts.Registry.Begin(ctx, key, fingerprint)
+		if err != nil || v != once.VerdictRunning || time.Since(began)+pause > stillRunningWait || !wait.For(ctx, pause) {
+			return v, rec, err
+		}
+		pause = min(2*pause, maxOutcomePause)
+	}
+}
+
 // storedAnswer returns what is stored of an answer for repeats.
 func storedAnswer(a relay.Answer) once.Answer {
 	stored := once.Answer{Status: a.Status, Whole: len(a.Body) <= maxStoredBody}
