--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -19,8 +19,8 @@
 	AckedSeq     int64         // the worker may forget its ends up to this number
 	LeaseUntil   time.Duration // end of the granted lease, on the worker's clock; 0: no lease
 	Wait         time.Duration // time for which the worker may delay its answer while no run ends
-	ContactSlack time.Duration // time beyond Wait after which the worker is out of contact until it answers
-	AnswerSlack  time.Duration // time beyond Wait after which the answer is given up
+	ContactSlack time.Duration // time beyond Wait after which the worker is out of contact until it answers, and by which its answer has to begin
+	AnswerSlack  time.Duration // time beyond Wait after which an answer that has begun is given up
 }
 
 // clockReading is a lower bound of the time on a worker's clock.
