batch/sched: a pause doesn't wait for orders that confirm limits

Beside workers that leave orders unanswered, the one that disturbs a latency-critical task would wait for theirs to time out.

Change: only orders that confirm that a run isn't limited are bounded; least CPU use first.

TestPauseDoesNotWaitForConfirms before: "the best-effort task isn't paused"; now it is.

--- a/internal/batch/sched/cpulimit.go
+++ b/internal/batch/sched/cpulimit.go
@@ -11,8 +11,8 @@
 	fullCPULimit = 100
 	// unknownCPULimit stands for a CPU limit in force that isn't known.
 	unknownCPULimit = -1
-	// maxLimitConfirms is the number of throttles in flight to runs whose CPU limit isn't known. A new holder may have
-	// hundreds of them. It is what the start limiter allows whatever the load.
+	// maxLimitConfirms is the number of throttles in flight that only confirm that a run isn't limited. A new holder may
+	// need hundreds of them. It is what the start limiter allows whatever the load.
 	maxLimitConfirms = minWindow
 )
 
@@ -105,15 +105,20 @@
 	return o
 }
 
-// planLimitConfirms appends the throttles to runs whose CPU limit isn't known, as many as may be in flight. Those that use
-// least of the CPU that they should have come first: they may be paused.
+// confirmsLimit reports whether a throttle of the run would only confirm that it isn't limited.
+func (r *run) confirmsLimit() bool {
+	return !r.cpuLimit.known() && r.wantedCPULimit == fullCPULimit
+}
+
+// planLimitConfirms appends the throttles that only confirm that runs aren't limited, as many as may be in flight. Those that
+// use least CPU come first: they may be paused.
 func (c *Core) planLimitConfirms(now time.Time, orders []Order) []Order {
 	var due []*run
 	inFlight := 0
 	for _, w := range c.orderWorkers {
 		for _, r := range w.runList {
 			switch {
-			case !r.throttleWanted() || r.cpuLimit.known():
+			case !r.throttleWanted() || !r.confirmsLimit():
 			case r.throttleBackoff.inFlight:
 				inFlight++
 			case w.contact == ContactGood && r.throttleDue(now):
@@ -121,16 +126,9 @@
 			}
 		}
 	}
-	slices.SortStableFunc(due, func(a, b *run) int { return cmp.Compare(a.limitNeed(), b.limitNeed()) })
+	slices.SortStableFunc(due, func(a, b *run) int { return cmp.Compare(a.cpuShare(), b.cpuShare()) })
 	for _, r := range due[:min(len(due), max(maxLimitConfirms-inFlight, 0))] {
 		orders = append(orders, r.throttle(now))
 	}
 	return orders
 }
-
-// limitNeed ranks a run whose CPU limit isn't known: the lower, the more urgent is an order. Runs that use more than they
-// should disturb latency-critical ones, and runs that use less stand still.
-func (r *run) limitNeed() float64 {
-	wanted := float64(r.wantedCPULimit) / fullCPULimit
-	return -max(wanted-r.cpuShare(), r.cpuShare()-wanted)
-}
--- a/internal/batch/sched/cpulimit_test.go
+++ b/internal/batch/sched/cpulimit_test.go
@@ -72,6 +72,37 @@
 	}
 }
 
+// Guards against a latency-critical task that is disturbed for longer, as the order to pause the best-effort task beside it,
+// whose limit isn't known, waits for those that only confirm limits.
+func TestPauseDoesNotWaitForConfirms(t *testing.T) {
+	b, critical, bestEffort := newColocated(t)
+	job := bestEffortJob("old", "calm", 1)
+	job.Steps[0].Count, job.Steps[0].Size.Mem = 40, 1
+	if err := b.core.RestoreJob(b.now, "old", job, nil); err != nil {
+		t.Fatal(err)
+	}
+	var adopted []sched.RunStatus
+	for i := range 40 {
+		adopted = append(adopted, sched.RunStatus{Task: fmt.Sprintf("old.0.0.%d", i), Run: 1, CPUUsage: 1, Progress: 10})
+	}
+	for range 12 {
+		b.advance(600 * time.Millisecond)
+		s, f := runStatus(critical), runStatus(bestEffort)
+		s.Progress, s.TailLatency, f.CPUUsage = 100, 90*time.Millisecond, 3000
+		b.poll(critical.Incarnation.ID, sched.Report{Running: append([]sched.RunStatus{s, f}, adopted...)})
+		b.advance(time.Millisecond)
+		for _, o := range throttles(b.core.Plan(b.now)) {
+			if o.Task == bestEffort.Task && o.CPULimit == 0 {
+				return
+			}
+			if o.Task == bestEffort.Task {
+				b.core.HandleOutcome(b.now, o, sched.OutcomeUnknown)
+			} // the others stay in flight
+		}
+	}
+	t.Error("the best-effort task isn't paused")
+}
+
 // throttles returns the orders that set a CPU limit.
 func throttles(orders []sched.Order) []sched.Order {
 	return slices.DeleteFunc(orders, func(o sched.Order) bool { return o.Verb != sched.VerbThrottle })
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -94,7 +94,7 @@
 				r.orderedAt = now
 				r.stopBackoff.markSent()
 				orders = append(orders, r.newOrder(VerbStop))
-			case r.cpuLimit.known() && r.throttleDue(now):
+			case !r.confirmsLimit() && r.throttleDue(now):
 				orders = append(orders, r.throttle(now))
 			}
 		}
