--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -19,7 +19,7 @@
 	AckedSeq     int64         // the worker may forget its ends up to this number
 	LeaseUntil   time.Duration // end of the granted lease, on the worker's clock; 0: no lease
 	Wait         time.Duration // time for which the worker may delay its answer while no run ends
-	ContactSlack time.Duration // time beyond Wait after which the worker is out of contact until it answers, and by which its answer has to begin
+	ContactSlack time.Duration // time beyond Wait by which the answer has to begin; after it, the worker is out of contact
 	AnswerSlack  time.Duration // time beyond Wait after which an answer that has begun is given up
 }
 
--- a/internal/batch/sched/straggler.go
+++ b/internal/batch/sched/straggler.go
@@ -80,8 +80,8 @@
 	return now.Sub(r.idleSince) >= stalledAfter<<min(r.task.stalledRuns, maxStalledDoublings)
 }
 
-// replaceStragglers stops stragglers and stalled runs that fit on another worker. Each one counts against its worker's circuit breaker
-// like a failure there. Workers in taken are already the destination of another move.
+// replaceStragglers stops stragglers and stalled runs that fit on another worker. Each one counts against its worker's
+// circuit breaker like a failure there. Workers in taken are already the destination of another move.
 func (c *Core) replaceStragglers(now time.Time, taken map[*worker]bool) {
 	for _, w := range c.workersByID {
 		if w.contact != ContactGood {
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -171,7 +171,7 @@
 	adopted         bool          // first known from a report, not from an order of this holder
 	starved         bool          // the job was starved when the run was placed; see Core.updateStarved
 	progress        int           // percentage of the work done
-	idleSince       time.Time     // since when reports show neither progress nor CPU use; zero: the newest one does, or the run is to be paused
+	idleSince       time.Time     // since when reports show neither progress nor CPU use; zero: not idle, or to be paused
 	ready           bool          // the task has completed its startup; only meaningful for long-running tasks
 	overTargetSince time.Time     // since when the tail latency is over its target; zero: it is not
 }
--- a/internal/ctrl/shard/assigner.go
+++ b/internal/ctrl/shard/assigner.go
@@ -31,7 +31,7 @@
 	Group         *member.Group               // membership of this process
 	WatchTimeout  time.Duration               // longest wait of one watch of the store
 	ListItems     func() map[string][]Item    // returns the items to assign, by table
-	OnTableChange func(table string, t Table) // called with new revisions of a table, in their order and one call at a time; it must not read the tables
+	OnTableChange func(table string, t Table) // called with new revisions, in order and one at a time; must not call ReadTables
 	Log           logr.Logger
 }
 
