--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -117,11 +117,12 @@
 func (h *Holder) logUnplaced(unplaced []sched.UnplacedStep) {
 	for _, u := range unplaced {
 		h.log.Info("waits", "job", u.Job, "step", u.Step, "image", u.Image, "tasks", u.Tasks, "since", u.Waited, "workers", u.Workers,
-			"closed", u.Unavailable, "shut", u.OverTarget, "full", u.NoResources, "memory", u.NoMemory, "harm", u.Interference, "least", u.LeastViolations)
+			"closed", u.Unavailable, "shut", u.OverTarget, "full", u.NoResources, "memory", u.NoMemory, "harm", u.Interference, "least", u.LeastViolations, "beside", u.FitsBeside)
 	}
 }
 
-// logEvents logs the steps whose tasks have all been placed, the jobs that have ended and the runs that were given up.
+// logEvents logs the steps whose tasks have all been placed, the jobs that have ended, the workers that drain and the runs
+// that were given up.
 func (h *Holder) logEvents(events sched.Events) {
 	for _, p := range events.Placed {
 		h.log.Info("placed", "job", p.Job, "queue", p.Queue, "round", p.Occurrence, "step", p.Step, "tasks", p.Tasks,
@@ -130,6 +131,9 @@
 	for _, e := range events.Ended {
 		h.log.Info("finished", "job", e.Job, "queue", e.Queue, "state", e.State, "took", e.Took, "aim", e.RelativeDeadline)
 	}
+	for _, d := range events.Draining {
+		h.log.Info("drains", "worker", d.Worker, "left", d.Remaining, "lasting", d.LongRunning)
+	}
 	h.logReleased(events.Released)
 }
 
@@ -144,7 +148,7 @@
 		for _, r := range released[:n] {
 			runs = append(runs, fmt.Sprintf("%s:%d", r.Task, r.Run))
 		}
-		h.log.Info("released", "worker", first.Worker, "cause", first.Cause, "runs", strings.Join(runs, ","))
+		h.log.Info("released", "worker", first.Worker, "cause", first.Cause, "draining", first.Draining, "runs", strings.Join(runs, ","))
 		released = released[n:]
 	}
 }
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -61,6 +61,7 @@
 	unreportedPlaced   []StepPlaced                        // for the next call of TakeEvents
 	unreportedEndings  []JobEnded                          // for the next call of TakeEvents
 	unreportedReleases []RunReleased                       // for the next call of TakeEvents
+	unreportedDraining []WorkerDraining                    // for the next call of TakeEvents
 }
 
 // New returns a Core for a term that begins at now. It starts no tasks and grants no leases before its first confirmation.
--- a/internal/batch/sched/events.go
+++ b/internal/batch/sched/events.go
@@ -41,6 +41,15 @@
 	Run    int64        // number of the run
 	Worker string       // id of its worker
 	Cause  ReleaseCause // why it is known not to be active
+	// Draining is set if the worker had announced that it leaves.
+	Draining bool
+}
+
+// WorkerDraining is the event that a worker is first read as draining.
+type WorkerDraining struct {
+	Worker      string        // its id
+	Remaining   time.Duration // minimum time that it stays available
+	LongRunning int           // long-running tasks on it
 }
 
 // maxEvents bounds the events of each type that are kept until TakeEvents. Further ones are dropped.
@@ -51,12 +60,13 @@
 	Placed   []StepPlaced
 	Ended    []JobEnded
 	Released []RunReleased
+	Draining []WorkerDraining
 }
 
 // TakeEvents returns the events since its last call.
 func (c *Core) TakeEvents() Events {
-	e := Events{c.unreportedPlaced, c.unreportedEndings, c.unreportedReleases}
-	c.unreportedPlaced, c.unreportedEndings, c.unreportedReleases = nil, nil, nil
+	e := Events{c.unreportedPlaced, c.unreportedEndings, c.unreportedReleases, c.unreportedDraining}
+	c.unreportedPlaced, c.unreportedEndings, c.unreportedReleases, c.unreportedDraining = nil, nil, nil, nil
 	return e
 }
 
@@ -65,7 +75,21 @@
 	if r.task == nil || r.task.run != r || r.task.done || len(c.unreportedReleases) >= maxEvents {
 		return
 	}
-	c.unreportedReleases = append(c.unreportedReleases, RunReleased{r.runKey.task, r.run, r.worker.ID, cause})
+	c.unreportedReleases = append(c.unreportedReleases, RunReleased{r.runKey.task, r.run, r.worker.ID, cause, r.worker.Draining})
+}
+
+// recordDraining records the event that a worker is first read as draining.
+func (c *Core) recordDraining(w *worker, remaining time.Duration) {
+	if len(c.unreportedDraining) >= maxEvents {
+		return
+	}
+	e := WorkerDraining{Worker: w.ID, Remaining: remaining}
+	for _, r := range w.runList {
+		if r.task != nil && r.task.step.spec.LongRunning {
+			e.LongRunning++
+		}
+	}
+	c.unreportedDraining = append(c.unreportedDraining, e)
 }
 
 // recordPlaced records the event that no task of a step waits any more, the first time only. Jobs that were taken over
--- a/internal/batch/sched/unplaced.go
+++ b/internal/batch/sched/unplaced.go
@@ -19,6 +19,9 @@
 	NoResources  int           // workers without the resources for a task, or where they are reserved
 	NoMemory     int           // of these, workers that lack memory but not CPU
 	Interference int           // workers where a task would interfere too much with latency-critical ones
+	// FitsBeside is, for a long-running step, the number of available workers where a task fits beside the long-running ones,
+	// so that it only waits for other tasks to end.
+	FitsBeside int
 	// LeastViolations is the lowest number of expected violations among the workers counted in Interference, that is, of
 	// latency-critical tasks that a task would push over their targets.
 	LeastViolations float64
@@ -61,6 +64,9 @@
 			continue
 		}
 		report.Workers++
+		if s.spec.LongRunning && w.eligible(now, s) && w.Size.Minus(w.longRunning).Covers(s.spec.Size) {
+			report.FitsBeside++
+		}
 		_, fits := c.resourceScore(now, w, s)
 		switch {
 		case !w.schedulable(now) || !w.hasLabel(s.spec.RequiredLabel):
--- a/internal/batch/sched/unplaced_test.go
+++ b/internal/batch/sched/unplaced_test.go
@@ -45,3 +45,30 @@
 		}
 	}
 }
+
+// Guards against a report that doesn't tell a long-running task which only waits for other tasks to end from one for which
+// the long-running tasks leave no place anywhere.
+func TestUnplacedFitsBeside(t *testing.T) {
+	b := newHarness(t, 1, 3).openWorkers()
+	long := func(j *sched.Job) { j.Steps[0].LongRunning, j.Steps[0].Size = true, wire.Size{CPU: 10000, Mem: 1000} }
+	b.core.AddJob(b.now, oneTaskJob("long-w0", func(j *sched.Job) { long(j); j.Steps[0].RequiredLabel = "w0" }))
+	for _, id := range []string{"w1", "w2"} {
+		b.core.AddJob(b.now, oneTaskJob("big-"+id, func(j *sched.Job) { j.Steps[0].Size, j.Steps[0].RequiredLabel = wire.Size{CPU: 15500, Mem: 1000}, id }))
+	}
+	reports := map[string]sched.Report{}
+	for _, o := range b.planOrders(sched.VerbStart) {
+		reports[o.Incarnation.ID] = sched.Report{Running: []sched.RunStatus{runStatus(o)}}
+	}
+	b.core.AddJob(b.now, oneTaskJob("late", long))
+	for range 12 {
+		b.advance(100 * time.Millisecond)
+		for _, m := range members(3) {
+			b.poll(m.ID, reports[m.ID])
+		}
+		b.planOrders(sched.VerbStart)
+	}
+	reported := b.core.TakeUnplacedSteps()
+	if len(reported) != 1 || reported[0].NoResources != 3 || reported[0].FitsBeside != 2 {
+		t.Errorf("reported %+v, want one step that 3 workers lack the resources for and that fits beside the long-running tasks on 2", reported)
+	}
+}
