batch/sched: an interrupted long-running task precedes those that haven't run

A long-running task that is lost with its worker is queued when the worker's lease has expired, 5.2 s after it stopped. Steps were ordered by when they were queued, so every long-running job that came in during these 5.2 s was placed first, although it had waited for less.

Steps with an interrupted task now come first, ordered by when the task stopped running (the last report of its worker); then those whose tasks haven't run yet. TestInterruptedTaskBeforeNewJobs gives the only free worker to the new job before.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -124,6 +124,7 @@
 	fullyPlaced       bool                 // the event that all of its tasks are placed was recorded
 	inWaitQueue       bool                 // in Core.waitQueue
 	queuedAt          time.Time            // when it entered the wait queue
+	interruptedAt     time.Time            // since when a waiting task that had run doesn't run; zero: none had
 	precedence        precedence           // its rank in the wait queue
 	infeasible        *infeasibleSizes     // of its placement class; nil: not looked up yet
 	starved           bool                 // its job counts as starved; see Core.updateStarved
@@ -441,9 +442,20 @@
 		return
 	}
 	t.step.pending++
+	t.step.noteInterrupted(r, r.worker.clock.receivedAt)
 	c.enqueueStep(t.step)
 }
 
+// noteInterrupted records since when a task whose run has ended doesn't run, if the run was ever confirmed.
+func (s *stepInstance) noteInterrupted(r *run, since time.Time) {
+	if r.confirmedAt.IsZero() {
+		return
+	}
+	if s.interruptedAt.IsZero() || since.Before(s.interruptedAt) {
+		s.interruptedAt = since
+	}
+}
+
 // releaseLost releases a run that is certainly not active any more and records why.
 func (c *Core) releaseLost(r *run, cause ReleaseCause) {
 	c.recordReleased(r, cause)
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -415,6 +415,7 @@
 	if r != nil && t.run == r {
 		t.run = nil
 		t.step.pending++
+		t.step.noteInterrupted(r, now)
 		c.enqueueStep(t.step)
 	}
 	if f.End == EndFailed {
--- a/internal/batch/sched/waitqueue.go
+++ b/internal/batch/sched/waitqueue.go
@@ -29,11 +29,21 @@
 	lateUseless                        // too late to be useful
 )
 
+// continuity is whether a long-running step's tasks have run before.
+type continuity int
+
+// The continuity of a long-running step, in the order in which steps are placed.
+const (
+	interrupted continuity = iota // a task of it has lost its run
+	notStarted                    // the tasks that wait have not run yet
+)
+
 // precedence decides which of two steps is placed first: the fields are compared in their order, and the step with the
 // lesser value is first.
 type precedence struct {
 	batch      bool       // not long-running
 	priority   int        // of the job; 0 comes first
+	continuity continuity // not set for other steps
 	timeliness timeliness // of the job; not set for a long-running step
 	timeKey    int64      // see waitQueue.precedence; Unix nanoseconds, negated where the newest comes first
 }
@@ -46,7 +56,8 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(p.priority, q.priority), cmp.Compare(p.timeliness, q.timeliness), cmp.Compare(p.timeKey, q.timeKey))
+	return cmp.Or(cmp.Compare(p.priority, q.priority), cmp.Compare(p.continuity, q.continuity),
+		cmp.Compare(p.timeliness, q.timeliness), cmp.Compare(p.timeKey, q.timeKey))
 }
 
 // timeliness returns whether the step's job can still be on time or useful if the step starts now.
@@ -66,11 +77,14 @@
 // on time. Among jobs that haven't started, the newest come first once others of their priority are late: with the oldest
 // first, each would start when it can hardly be on time any more.
 //
-// Long-running steps come before all others, the one that has waited longest first: their jobs' deadlines are long over
-// when a task has to be restarted, and say nothing about its urgency.
+// Long-running steps come before all others, those with an interrupted task first, and of these the one that has stood still
+// for longest: their jobs' deadlines are long over when a task has to be restarted, and say nothing about its urgency.
 func (w *waitQueue) precedence(now time.Time, s *stepInstance) precedence {
-	if s.spec.LongRunning {
-		return precedence{priority: s.job.Priority, timeKey: s.queuedAt.UnixNano()}
+	switch {
+	case s.spec.LongRunning && !s.interruptedAt.IsZero():
+		return precedence{priority: s.job.Priority, continuity: interrupted, timeKey: s.interruptedAt.UnixNano()}
+	case s.spec.LongRunning:
+		return precedence{priority: s.job.Priority, continuity: notStarted, timeKey: s.queuedAt.UnixNano()}
 	}
 	p := precedence{batch: true, priority: s.job.Priority, timeliness: s.timeliness(now), timeKey: s.latestOnTimeStart.UnixNano()}
 	if p.timeliness == onTimeNotStarted && w.overloaded[p.priority] {
@@ -109,6 +123,9 @@
 	w.added = slices.DeleteFunc(w.added, (*stepInstance).dequeueIfDone)
 	for _, s := range w.added {
 		s.queuedAt = now
+		if s.job.restored && s.job.started && s.interruptedAt.IsZero() {
+			s.interruptedAt = now
+		}
 		s.precedence = w.precedence(now, s)
 	}
 	if now.Sub(w.sortedAt) < resortInterval {
@@ -137,5 +154,6 @@
 		return false
 	}
 	s.inWaitQueue = false
+	s.interruptedAt = time.Time{}
 	return true
 }
--- a/internal/batch/sched/waitqueue_test.go
+++ b/internal/batch/sched/waitqueue_test.go
@@ -53,3 +53,38 @@
 		t.Errorf("resources for one task go to %v, want job old, which has waited longest", got)
 	}
 }
+
+// Guards against a long-running task that is lost with its worker and restarted only after the jobs that came in while the
+// worker's lease still ran: the task has stood still for longer than any of them has waited.
+func TestInterruptedTaskBeforeNewJobs(t *testing.T) {
+	longRunning := func(id string) *sched.Job {
+		return oneTaskJob(id, func(j *sched.Job) { j.Steps[0].LongRunning, j.Steps[0].Size.CPU = true, 16000 })
+	}
+	b := newHarness(t, 1, 2).openWorkers()
+	b.core.AddJob(b.now, longRunning("lost"))
+	b.core.AddJob(b.now, longRunning("beside"))
+	orders := map[string]sched.Order{}
+	for _, o := range b.planOrders(sched.VerbStart) {
+		orders[o.Task.Job] = o
+		b.poll(o.Incarnation.ID, sched.Report{Running: []sched.RunStatus{runStatus(o)}})
+	}
+	lost, beside := orders["lost"].Incarnation.ID, orders["beside"].Incarnation.ID
+	b.core.PollFailed(b.now, lost, 1)
+	for i := range 6 {
+		b.advance(time.Second)
+		b.poll(beside, sched.Report{Running: []sched.RunStatus{runStatus(orders["beside"])}})
+		if i == 0 {
+			b.core.AddJob(b.now, longRunning("new"))
+		}
+		if starts := b.planOrders(sched.VerbStart); len(starts) != 0 {
+			t.Fatalf("started %v while no worker is free, want none", starts)
+		}
+	}
+	b.core.CancelJob(b.now, "beside")
+	b.planOrders(sched.VerbStop)
+	b.poll(beside, sched.Report{Finished: []sched.FinishedRun{finishedRun(1, orders["beside"], sched.EndStopped)}})
+	got := b.planOrders(sched.VerbStart)
+	if len(got) != 1 || got[0].Task.Job != "lost" {
+		t.Errorf("resources for one task go to %v, want job lost", got)
+	}
+}
