batch/sched: long-running tasks are moved off a draining worker while there is time

Cause: a move was tried in the last 0.6 s only, and only to a worker with free resources. Of a fleet full of short tasks hardly any has them at that moment; nothing was reserved, and whatever was freed went to the next short task. A moved task could also lose its destination to a job that came in while its run was being stopped.

Change: from 1.9 s before the earliest departure, the size of each long-running task on the worker is reserved elsewhere, where it fits now or is expected to fit first, and the task moves as soon as it fits. The reservation lasts until it is started there. Interrupted tasks come first and may take a reservation whose task still runs; jobs that haven't run come after. The stop leaves with the plan that decides on it.

TestMovedBeforeWorkerLeaves: before, none of the tasks is moved in any of its four cases. TestRelocatedTaskKeepsDestination, TestRelocationGivenUp.

--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// logEvents logs the steps whose tasks have all been placed, the jobs that have ended, the workers that drain and the runs
-// that were given up.
+// logEvents logs the steps whose tasks have all been placed, the jobs that have ended, the workers that drain, the tasks
+// that are moved off them and the runs that were given up.
 func (h *Holder) logEvents(events sched.Events) {
 	for _, p := range events.Placed {
 		h.log.Info("placed", "job", p.Job, "queue", p.Queue, "round", p.Occurrence, "step", p.Step, "tasks", p.Tasks,
@@ -134,6 +134,9 @@
 	for _, d := range events.Draining {
 		h.log.Info("drains", "worker", d.Worker, "left", d.Remaining, "lasting", d.LongRunning)
 	}
+	for _, m := range events.Moved {
+		h.log.Info("moves", "task", m.Task, "from", m.From, "to", m.To, "left", m.Left)
+	}
 	h.logReleased(events.Released)
 }
 
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -33,6 +33,7 @@
 	waitQueue          waitQueue                           // steps with tasks to place
 	storeQueue         storeQueue                          // jobs whose changed progress has to be stored
 	recurring          []*job                              // jobs with occurrences still to be released
+	relocating         []*task                             // long-running tasks that are to be moved or are being moved
 	workers            map[string]*worker                  // by id
 	workersByID        []*worker                           // the same, sorted by id
 	workerIndexes      map[string]*workerIndex             // by service
@@ -62,6 +63,7 @@
 	unreportedEndings  []JobEnded                          // for the next call of TakeEvents
 	unreportedReleases []RunReleased                       // for the next call of TakeEvents
 	unreportedDraining []WorkerDraining                    // for the next call of TakeEvents
+	unreportedMoves    []RunMoved                          // for the next call of TakeEvents
 }
 
 // New returns a Core for a term that begins at now. It starts no tasks and grants no leases before its first confirmation.
@@ -142,13 +144,14 @@
 // task is a task of a step instance.
 type task struct {
 	step          *stepInstance
-	index         int    // of the task in its step
-	done          bool   // it has succeeded
-	run           *run   // its current run; nil: none
-	lastRunNumber int64  // number of its newest run of this term; 0: none
-	soleRunSeen   bool   // its only run was seen alive in this term, so no run that a former holder started can be elsewhere
-	avoidWorker   string // id of the worker on which it failed or from which it was moved; empty: none
-	stalledRuns   int    // runs that were moved as stalled
+	index         int         // of the task in its step
+	done          bool        // it has succeeded
+	run           *run        // its current run; nil: none
+	lastRunNumber int64       // number of its newest run of this term; 0: none
+	soleRunSeen   bool        // its only run was seen alive in this term, so no run that a former holder started can be elsewhere
+	avoidWorker   string      // id of the worker on which it failed or from which it was moved; empty: none
+	stalledRuns   int         // runs that were moved as stalled
+	relocation    *relocation // its move off a draining worker; nil: none
 	// heldSuccess is the worker that has reported a success while a newer start was in flight; nil: none.
 	heldSuccess *worker
 }
--- a/internal/batch/sched/events.go
+++ b/internal/batch/sched/events.go
@@ -52,6 +52,13 @@
 	LongRunning int           // long-running tasks on it
 }
 
+// RunMoved is the event that a long-running task is stopped on a draining worker to be started on another.
+type RunMoved struct {
+	Task     TaskID        // the task
+	From, To string        // ids of the workers
+	Left     time.Duration // until the worker may leave; negative: since then
+}
+
 // maxEvents bounds the events of each type that are kept until TakeEvents. Further ones are dropped.
 const maxEvents = 10_000
 
@@ -61,12 +68,14 @@
 	Ended    []JobEnded
 	Released []RunReleased
 	Draining []WorkerDraining
+	Moved    []RunMoved
 }
 
 // TakeEvents returns the events since its last call.
 func (c *Core) TakeEvents() Events {
-	e := Events{c.unreportedPlaced, c.unreportedEndings, c.unreportedReleases, c.unreportedDraining}
-	c.unreportedPlaced, c.unreportedEndings, c.unreportedReleases, c.unreportedDraining = nil, nil, nil, nil
+	e := Events{c.unreportedPlaced, c.unreportedEndings, c.unreportedReleases, c.unreportedDraining, c.unreportedMoves}
+	c.unreportedPlaced, c.unreportedEndings, c.unreportedReleases = nil, nil, nil
+	c.unreportedDraining, c.unreportedMoves = nil, nil
 	return e
 }
 
@@ -92,6 +101,15 @@
 	c.unreportedDraining = append(c.unreportedDraining, e)
 }
 
+// recordMoved records the event that a run is stopped so that its task moves.
+func (c *Core) recordMoved(now time.Time, rel *relocation) {
+	if len(c.unreportedMoves) >= maxEvents {
+		return
+	}
+	from := rel.run.worker
+	c.unreportedMoves = append(c.unreportedMoves, RunMoved{rel.run.runKey.task, from.ID, rel.dest.ID, from.drainUntil.Sub(now)})
+}
+
 // recordPlaced records the event that no task of a step waits any more, the first time only. Jobs that were taken over
 // from a former holder are left out: it isn't known since when their steps have waited.
 func (c *Core) recordPlaced(now time.Time, s *stepInstance) {
--- a/internal/batch/sched/move.go
+++ b/internal/batch/sched/move.go
@@ -11,16 +11,10 @@
 	// moveAfterThrottled is how long a best-effort task is throttled before it is moved: a load peak that ends earlier
 	// costs less than a move.
 	moveAfterThrottled = 400 * time.Millisecond
-	// moveBeforeLeave is how long before the earliest departure of its draining worker a long-running task is moved: a
-	// stop takes up to 0.4 s.
-	moveBeforeLeave = 600 * time.Millisecond
-	// minMoveAffinity is the minimum affinity between a long-running task and the worker to which it is moved. Mixing
-	// images would leave no worker for the best-effort images that interfere with one of them.
-	minMoveAffinity = 0.2
 )
 
-// moveRuns stops runs that are better off on another worker: stragglers, throttled best-effort runs, and long-running
-// runs on draining workers. Their tasks are placed again and resume from the newest checkpoint.
+// moveRuns stops runs that are better off on another worker: stragglers and throttled best-effort runs. Their tasks are
+// placed again and resume from the newest checkpoint.
 func (c *Core) moveRuns(now time.Time) {
 	if now.Sub(c.lastMoveCheck) < moveInterval || !c.mayStart(now) {
 		return
@@ -29,20 +23,17 @@
 	taken := map[*worker]bool{}
 	c.replaceStragglers(now, taken)
 	for _, w := range c.workersByID {
-		if w.contact != ContactGood || w.bestEffortCPU == 0 && !w.Draining {
+		if w.contact != ContactGood || w.bestEffortCPU == 0 {
 			continue
 		}
 		for _, r := range w.runList {
-			if r.task == nil || r.state != RunLive || r.task.step.spec.Gang || !r.throttledTooLong(now) && !r.workerLeaving(now, w) {
+			if r.task == nil || r.state != RunLive || r.task.step.spec.Gang || !r.throttledTooLong(now) {
 				continue
 			}
 			dest := c.bestWorker(now, r.task, "")
 			if dest == nil || dest == w || taken[dest] {
 				continue
 			}
-			if s := r.task.step.spec; s.LongRunning && c.affinity(dest, s.Image) < minMoveAffinity {
-				continue
-			}
 			taken[dest] = true
 			r.task.avoidWorker = w.ID
 			r.orderedAt = time.Time{} // sends the stop without a delay
@@ -63,11 +54,3 @@
 	}
 	return d >= moveAfterThrottled
 }
-
-// workerLeaving reports whether a long-running run has to be moved because its worker may leave soon. A task that ends
-// with its worker is restarted only after the worker's lease has certainly expired, about 6 s later. Other tasks are
-// not moved: most workers stay longer than announced, and without long-running tasks beside them the others run at full
-// speed there.
-func (r *run) workerLeaving(now time.Time, w *worker) bool {
-	return w.Draining && r.task.step.spec.LongRunning && now.Add(moveBeforeLeave).After(w.drainUntil)
-}
--- a/internal/batch/sched/overload_test.go
+++ b/internal/batch/sched/overload_test.go
@@ -31,6 +31,16 @@
 	r.runs[o.Incarnation.ID] = append(r.runs[o.Incarnation.ID], timedRun{r.b.now.Add(duration), o})
 }
 
+// stop ends the run of a stop order after the given duration.
+func (r *timedRuns) stop(o sched.Order, after time.Duration) {
+	runs := r.runs[o.Incarnation.ID]
+	for i := range runs {
+		if runs[i].order.Task == o.Task && runs[i].order.Run == o.Run {
+			runs[i].endsAt = r.b.now.Add(after)
+		}
+	}
+}
+
 // poll delivers the reports of the workers on which a run has ended. If all returns true, it delivers the reports of all
 // workers that have had a run.
 func (r *timedRuns) poll(all func() bool) {
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -32,16 +32,23 @@
 	c.startLimiter.refresh(now)
 	c.planNumber++
 	c.reserveScans = 0
+	c.dropRelocations(now)
+	orders = c.startRelocated(now, formerRuns, orders)
+	departures := c.departures(now, formerRuns)
 	for _, s := range c.waitQueue.steps {
 		if c.startLimiter.limited {
 			break
 		}
+		departures, orders = c.relocateBefore(now, s.precedence, departures, orders)
 		orders = c.placeStep(now, s, formerRuns && s.job.restored, orders)
 		s.lacksWorker = s.pending > 0 && !c.startLimiter.limited
 		if s.pending == 0 {
 			c.recordPlaced(now, s)
 		}
 	}
+	if !c.startLimiter.limited {
+		_, orders = c.relocateBefore(now, precedence{batch: true}, departures, orders)
+	}
 	c.updateStartBacklog(now, formerRuns)
 	return orders
 }
@@ -139,6 +146,12 @@
 			feasible = c.findFeasible(now, s, "")
 		}
 		i := feasible.best(t)
+		if i < 0 && s.precedence.continuity == interrupted && s.spec.LongRunning {
+			if w := c.takeReserved(now, s); w != nil {
+				orders = append(orders, c.startRun(now, t, w, t.nextRunNumber(c.opts.Term)))
+				continue
+			}
+		}
 		if i < 0 {
 			c.handleUnplaced(now, s, formerRuns)
 			if s.spec.LongRunning && !s.spec.BestEffort {
@@ -307,7 +320,7 @@
 	return sum / float64(max(w.Size.CPU, 1))
 }
 
-// taskCount returns the number of a step's runs on the worker.
+// taskCount returns the number of a step's tasks that run on the worker or are being moved there.
 func (w *worker) taskCount(s *stepInstance) int {
 	n := 0
 	for _, r := range w.runList {
@@ -315,5 +328,10 @@
 			n++
 		}
 	}
+	for _, t := range w.incomingTasks {
+		if t.step == s {
+			n++
+		}
+	}
 	return n
 }
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -91,9 +91,7 @@
 		for _, r := range w.runList {
 			switch {
 			case r.stopDue(now) && r.stopBackoff.ready(now):
-				r.orderedAt = now
-				r.stopBackoff.markSent()
-				orders = append(orders, r.newOrder(VerbStop))
+				orders = append(orders, r.orderStop(now))
 			case !r.confirmsLimit() && r.throttleDue(now):
 				orders = append(orders, r.throttle(now))
 			}
@@ -132,6 +130,13 @@
 	return false
 }
 
+// orderStop returns the order that stops the run.
+func (r *run) orderStop(now time.Time) Order {
+	r.orderedAt = now
+	r.stopBackoff.markSent()
+	return r.newOrder(VerbStop)
+}
+
 // newOrder returns an order about the run, without the fields that depend on the verb.
 func (r *run) newOrder(v Verb) Order {
 	return Order{Verb: v, Incarnation: r.worker.Incarnation, Addr: r.worker.Addr, Task: r.runKey.task, Run: r.run}
--- /dev/null
+++ b/internal/batch/sched/relocate.go
@@ -0,0 +1,258 @@
+package sched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/wire"
+)
+
+const (
+	// relocateBeforeLeave is how long before the earliest departure of a draining worker resources for its long-running tasks
+	// are reserved elsewhere, to which they move as soon as they fit. Most other tasks end within that time; a longer one
+	// would keep resources unused.
+	relocateBeforeLeave = 1900 * time.Millisecond
+	// relocateInterval is the minimum time between two searches for a destination.
+	relocateInterval = 100 * time.Millisecond
+	// minMoveAffinity is the minimum affinity between a long-running task and a worker with other long-running tasks to
+	// which it is moved. Mixing images would leave no worker for the best-effort images that interfere with one of them.
+	minMoveAffinity = 0.2
+)
+
+// relocation is the move of a long-running task off a draining worker. The task's size is reserved on the destination from
+// when that is chosen until the task is started there, whoever else waits.
+//
+// The failure it guards against: a task that is lost with its worker is restarted only after the worker's lease has
+// certainly expired, and by then others have taken the resources that were freed since the worker announced its departure.
+type relocation struct {
+	run  *run    // on the draining worker
+	dest *worker // where the task is started once the run has ended
+}
+
+// departure is a run that is to be moved before its draining worker leaves.
+type departure struct {
+	run        *run
+	precedence precedence // among the long-running steps that wait
+}
+
+// departures returns the runs for which resources have to be reserved elsewhere, in the order in which they get them. If
+// former runs are possible, it leaves out the tasks that this holder can't restart yet.
+func (c *Core) departures(now time.Time, formerRuns bool) []departure {
+	var all []departure
+	for _, w := range c.workersByID {
+		if !w.departs(now) {
+			continue
+		}
+		for _, r := range w.runList {
+			if r.relocatable() && !(formerRuns && r.task.step.job.restored && !r.task.soleRunSeen) {
+				all = append(all, departure{r, precedence{priority: r.task.step.job.Priority, continuity: departing, timeKey: w.drainUntil.UnixNano()}})
+			}
+		}
+	}
+	// A large task is first among equals, as it fits on fewer workers.
+	slices.SortStableFunc(all, func(a, b departure) int {
+		return cmp.Or(a.precedence.compare(b.precedence), cmp.Compare(b.run.task.step.spec.Size.CPU, a.run.task.step.spec.Size.CPU))
+	})
+	return all
+}
+
+// departs reports whether a worker may soon leave and its long-running tasks can still be stopped.
+func (w *worker) departs(now time.Time) bool {
+	return w.Draining && w.contact == ContactGood && now.Add(relocateBeforeLeave).After(w.drainUntil)
+}
+
+// relocatable reports whether a run is that of a long-running task which can be moved by itself.
+func (r *run) relocatable() bool {
+	return r.task != nil && r.task.run == r && r.state == RunLive && r.task.step.spec.LongRunning && !r.task.step.spec.Gang
+}
+
+// relocateBefore reserves resources for the departures that precede a step, and appends the stops of those that can move now.
+// It returns the departures that are left.
+func (c *Core) relocateBefore(now time.Time, p precedence, left []departure, orders []Order) ([]departure, []Order) {
+	for len(left) > 0 && left[0].precedence.compare(p) < 0 {
+		orders = c.relocate(now, left[0].run, orders)
+		left = left[1:]
+	}
+	return left, orders
+}
+
+// relocate reserves resources for the task of a departing run, and appends the run's stop if it can move now.
+func (c *Core) relocate(now time.Time, r *run, orders []Order) []Order {
+	rel := r.task.relocation
+	if rel == nil || !rel.dest.fitsReserved() {
+		rel = c.chooseDestination(now, r)
+	}
+	if rel == nil || !rel.dest.fitsReserved() || !r.stopBackoff.ready(now) {
+		return orders
+	}
+	c.recordMoved(now, rel)
+	c.stopRun(r)
+	return append(orders, r.orderStop(now))
+}
+
+// fitsReserved reports whether everything that is reserved on a worker for relocated tasks fits now.
+func (w *worker) fitsReserved() bool {
+	return w.free().Covers(wire.Size{})
+}
+
+// chooseDestination returns the relocation of a run: to a worker where the task fits now, else to the one where it is expected
+// to fit first. It keeps a former destination if no task fits elsewhere, and returns nil if there is no destination.
+func (c *Core) chooseDestination(now time.Time, r *run) *relocation {
+	t := r.task
+	if now.Sub(r.relocationTriedAt) < relocateInterval {
+		return t.relocation
+	}
+	r.relocationTriedAt = now
+	dest := c.fittingDestination(now, t)
+	if dest == nil && t.relocation == nil {
+		dest = c.earliestDestination(now, t)
+	}
+	if dest == nil {
+		return t.relocation
+	}
+	if t.relocation != nil {
+		c.cancelRelocation(t)
+	}
+	return c.reserveRelocation(r, dest)
+}
+
+// fittingDestination returns the best worker on which a long-running task fits now, or nil.
+func (c *Core) fittingDestination(now time.Time, t *task) *worker {
+	feasible := c.findFeasible(now, t.step, "")
+	for i, w := range feasible.workers {
+		if !c.suitsRelocation(w, t.step) {
+			feasible.scores[i] = math.Inf(-1)
+		}
+	}
+	if i := feasible.best(t); i >= 0 {
+		return feasible.workers[i]
+	}
+	return nil
+}
+
+// earliestDestination returns the worker on which a long-running task is expected to fit first, or nil. A worker has one such
+// reservation at a time.
+func (c *Core) earliestDestination(now time.Time, t *task) *worker {
+	s := t.step
+	var earliest *worker
+	var least time.Duration
+	for _, w := range c.workersByID {
+		if c.reserveScans >= maxReserveScans {
+			break
+		}
+		if w.Service != s.job.Service || w.reserved.plan == c.planNumber || !w.fitsReserved() || !w.fitsBeside(s.spec.Size) || !w.eligible(now, s) || !c.suitsRelocation(w, s) {
+			continue
+		}
+		c.reserveScans++
+		if freeIn, ok := c.fitsIn(now, w, s.spec.Size); ok && (earliest == nil || freeIn < least) {
+			earliest, least = w, freeIn
+		}
+	}
+	return earliest
+}
+
+// suitsRelocation reports whether the long-running tasks on a worker allow a step's task to be moved there.
+func (c *Core) suitsRelocation(w *worker, s *stepInstance) bool {
+	return w.longRunning == wire.Size{} || c.affinity(w, s.spec.Image) >= minMoveAffinity
+}
+
+// reserveRelocation reserves a task's size on the destination of its relocation.
+func (c *Core) reserveRelocation(r *run, dest *worker) *relocation {
+	rel := &relocation{run: r, dest: dest}
+	r.task.relocation = rel
+	c.relocating = append(c.relocating, r.task)
+	dest.addIncoming(r.task, 1)
+	c.markStale(dest)
+	return rel
+}
+
+// cancelRelocation gives up the reservation of a task's relocation.
+func (c *Core) cancelRelocation(t *task) {
+	dest := t.relocation.dest
+	t.relocation = nil
+	c.relocating = slices.DeleteFunc(c.relocating, func(other *task) bool { return other == t })
+	dest.addIncoming(t, -1)
+	c.markStale(dest)
+}
+
+// addIncoming adds a relocated task to the reserved resources if sign is 1, and removes it if sign is -1.
+func (w *worker) addIncoming(t *task, sign int) {
+	size := t.relocationSize()
+	if sign > 0 {
+		w.incoming = w.incoming.Plus(size)
+		w.incomingTasks = append(w.incomingTasks, t)
+		return
+	}
+	w.incoming = w.incoming.Minus(size)
+	w.incomingTasks = slices.DeleteFunc(w.incomingTasks, func(other *task) bool { return other == t })
+}
+
+// relocationSize returns what is reserved for a task that is being moved. A best-effort task takes no CPU from others.
+func (t *task) relocationSize() wire.Size {
+	size := t.step.spec.Size
+	if t.step.spec.BestEffort {
+		size.CPU = 0
+	}
+	return size
+}
+
+// dropRelocations gives up the relocations that have become needless or impossible.
+func (c *Core) dropRelocations(now time.Time) {
+	for _, t := range slices.Clone(c.relocating) {
+		if !c.relocationValid(now, t) {
+			c.cancelRelocation(t)
+		}
+	}
+}
+
+// relocationValid reports whether a task is still to be started on the destination of its relocation.
+func (c *Core) relocationValid(now time.Time, t *task) bool {
+	rel := t.relocation
+	switch {
+	case t.done || t.step.job.state.Final():
+		return false
+	case c.workers[rel.dest.ID] != rel.dest || !rel.dest.schedulable(now):
+		return false
+	case t.run == nil:
+		return true
+	}
+	// The contact is lost if the worker has left: the resources would stay unused until its lease has expired.
+	return t.run == rel.run && rel.run.worker.departs(now)
+}
+
+// takeReserved takes a worker for an interrupted task on which resources are reserved for another that still runs, and gives
+// up that reservation. It returns nil if there is none.
+func (c *Core) takeReserved(now time.Time, s *stepInstance) *worker {
+	for _, t := range c.relocating {
+		dest := t.relocation.dest
+		if t.run == nil || t.run.state != RunLive || dest.Service != s.job.Service || !dest.eligible(now, s) || c.lane(dest).full() {
+			continue
+		}
+		if !dest.respectsReservation(c.planNumber, s.spec) || !dest.free().Plus(t.relocationSize()).Covers(s.spec.Size) {
+			continue
+		}
+		c.cancelRelocation(t)
+		return dest
+	}
+	return nil
+}
+
+// startRelocated appends the starts of the relocated tasks whose runs have ended.
+func (c *Core) startRelocated(now time.Time, formerRuns bool, orders []Order) []Order {
+	for _, t := range slices.Clone(c.relocating) {
+		dest := t.relocation.dest
+		if t.run != nil || formerRuns && t.step.job.restored && !t.soleRunSeen || c.lane(dest).full() {
+			continue
+		}
+		if !c.startLimiter.allows(1) {
+			break
+		}
+		c.cancelRelocation(t)
+		if dest.eligible(now, t.step) && dest.unallocated().Covers(t.step.spec.Size) {
+			orders = append(orders, c.startRun(now, t, dest, t.nextRunNumber(c.opts.Term)))
+		}
+	}
+	return orders
+}
--- /dev/null
+++ b/internal/batch/sched/relocate_test.go
@@ -0,0 +1,166 @@
+package sched_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/batch/wire"
+)
+
+// longRunningJob returns a job with one long-running task of some CPU, which may run on any worker or, if label isn't empty, on
+// those with the label.
+func longRunningJob(id string, cpu int, label string) *sched.Job {
+	return oneTaskJob(id, func(j *sched.Job) {
+		j.Steps[0].LongRunning, j.Steps[0].Size, j.Steps[0].RequiredLabel = true, wire.Size{CPU: cpu, Mem: 1000}, label
+	})
+}
+
+// drainingMembers returns n workers of which the first ones drain.
+func drainingMembers(n, draining int, remaining time.Duration) []sched.Member {
+	all := members(n)
+	for i := range draining {
+		all[i].Draining, all[i].DrainRemaining = true, remaining
+	}
+	return all
+}
+
+// Guards against long-running tasks that stay on a worker until it leaves, as it has announced: all other workers are full of
+// short tasks then, and the tasks stand still until the worker's lease has expired and a worker has room for them.
+func TestMovedBeforeWorkerLeaves(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		cpu      int // of the long-running task on each leaving worker
+		leaving  int // workers that leave at the same time
+		notice   time.Duration
+		interval time.Duration // between short tasks: more come in than fit
+	}{
+		{"one worker", 10000, 1, 5 * time.Second, 50 * time.Millisecond},
+		{"two workers", 10000, 2, 5 * time.Second, 50 * time.Millisecond},
+		{"task as large as a worker", 16000, 1, 5 * time.Second, 50 * time.Millisecond},
+		{"two workers, short notice", 10000, 2, 3 * time.Second, 30 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			const (
+				workers   = 4
+				tick      = 10 * time.Millisecond
+				announced = 2 * time.Second
+				stopTime  = 200 * time.Millisecond
+				duration  = time.Second // of a short task
+			)
+			b := newHarness(t, 1, workers).openWorkers()
+			runs := newTimedRuns(b)
+			for i := range tt.leaving {
+				b.core.AddJob(b.now, longRunningJob(fmt.Sprintf("long%d", i), tt.cpu, ""))
+			}
+			origin := map[string]string{}
+			for _, o := range b.planOrders(sched.VerbStart) {
+				origin[o.Task.Job] = o.Incarnation.ID
+				runs.start(o, time.Hour)
+			}
+			directory := members(workers)
+			for i := range directory {
+				for _, id := range origin {
+					if directory[i].ID == id {
+						directory[i].Draining, directory[i].DrainRemaining = true, tt.notice
+					}
+				}
+			}
+			moved := map[string]string{}
+			for n := 0; b.now.Sub(epoch()) < announced+tt.notice; n++ {
+				now := b.now.Sub(epoch())
+				if n%int(tt.interval/tick) == 0 {
+					b.core.AddJob(b.now, oneTaskJob(fmt.Sprintf("short%d", n), func(j *sched.Job) {
+						j.Steps[0].Size, j.AcceptedAt = wire.Size{CPU: 4000, Mem: 4000}, b.now
+					}))
+				}
+				if now >= announced {
+					b.core.UpdateDirectory(b.now, directory)
+				}
+				for _, o := range b.core.Plan(b.now) {
+					b.core.HandleOutcome(b.now, o, sched.OutcomeDone)
+					switch {
+					case o.Verb == sched.VerbStop:
+						runs.stop(o, stopTime)
+					case strings.HasPrefix(o.Task.Job, "long"):
+						moved[o.Task.Job] = o.Incarnation.ID
+						runs.start(o, time.Hour)
+					default:
+						runs.start(o, duration)
+					}
+				}
+				runs.poll(func() bool { return now%time.Second < tick })
+				b.storeChanges()
+				b.advance(tick)
+			}
+			for job, from := range origin {
+				if to := moved[job]; to == "" || to == from {
+					t.Errorf("%s runs on %s, which has left, and was started on %q since, want another worker", job, from, to)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a moved task that loses its destination to a job that comes in while its run is being stopped.
+func TestRelocatedTaskKeepsDestination(t *testing.T) {
+	b := newHarness(t, 1, 2).openWorkers()
+	b.core.AddJob(b.now, longRunningJob("moved", 10000, ""))
+	first := b.planOrders(sched.VerbStart)[0]
+	leaving, other := first.Incarnation.ID, otherWorker(first)
+	b.poll(leaving, sched.Report{Running: []sched.RunStatus{runStatus(first)}})
+	b.poll(other, sched.Report{})
+	directory := members(2)
+	for i := range directory {
+		if directory[i].ID == leaving {
+			directory[i].Draining, directory[i].DrainRemaining = true, 500*time.Millisecond
+		}
+	}
+	b.core.UpdateDirectory(b.now, directory)
+	if stops := b.planOrders(sched.VerbStop); len(stops) != 1 {
+		t.Fatalf("stops %v, want that of the task on the draining worker", stops)
+	}
+	b.core.AddJob(b.now, longRunningJob("new", 10000, ""))
+	if starts := b.planOrders(sched.VerbStart); len(starts) != 0 {
+		t.Errorf("started %v while the task is being moved, want none", starts)
+	}
+	b.poll(leaving, sched.Report{Finished: []sched.FinishedRun{finishedRun(1, first, sched.EndStopped)}})
+	starts := b.planOrders(sched.VerbStart)
+	if len(starts) != 1 || starts[0].Task.Job != "moved" || starts[0].Incarnation.ID != other {
+		t.Errorf("started %v after the stop, want the moved task on %s", starts, other)
+	}
+}
+
+// Guards against resources that stay reserved for a task which isn't moved any more: nothing else could ever use them.
+func TestRelocationGivenUp(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(b *harness) // after which the task isn't moved to w1
+	}{
+		{"job cancelled", func(b *harness) { b.core.CancelJob(b.now, "moved") }},
+		{"worker doesn't drain any more", func(b *harness) { b.core.UpdateDirectory(b.now, members(2)) }},
+		{"worker has left", func(b *harness) { b.core.PollFailed(b.now, "w0", 1) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newHarness(t, 1, 2).openWorkers()
+			b.core.AddJob(b.now, longRunningJob("moved", 10000, "w0"))
+			first := b.planOrders(sched.VerbStart)[0]
+			b.poll("w0", sched.Report{Running: []sched.RunStatus{runStatus(first)}})
+			// The label is shared from now on.
+			directory := drainingMembers(2, 1, time.Second)
+			directory[1].Labels = []string{"w0", "w1"}
+			b.core.UpdateDirectory(b.now, directory)
+			b.planOrders(sched.VerbStop)
+			b.core.AddJob(b.now, longRunningJob("new", 10000, "w1"))
+			if starts := b.planOrders(sched.VerbStart); len(starts) != 0 {
+				t.Fatalf("started %v on the destination, want none while it is reserved", starts)
+			}
+			tt.change(b)
+			if starts := b.planOrders(sched.VerbStart); len(starts) != 1 || starts[0].Task.Job != "new" {
+				t.Errorf("started %v, want the new job", starts)
+			}
+		})
+	}
+}
--- a/internal/batch/sched/reserve.go
+++ b/internal/batch/sched/reserve.go
@@ -36,7 +36,7 @@
 		if c.reserveScans >= maxReserveScans {
 			break
 		}
-		if w.Service != s.job.Service || w.reserved.plan == c.planNumber || !w.Size.Minus(w.longRunning).Covers(s.spec.Size) || !w.eligible(now, s) {
+		if w.Service != s.job.Service || w.reserved.plan == c.planNumber || !w.fitsBeside(s.spec.Size) || !w.eligible(now, s) {
 			continue
 		}
 		c.reserveScans++
--- a/internal/batch/sched/unplaced.go
+++ b/internal/batch/sched/unplaced.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		report.Workers++
-		if s.spec.LongRunning && w.eligible(now, s) && w.Size.Minus(w.longRunning).Covers(s.spec.Size) {
+		if s.spec.LongRunning && w.eligible(now, s) && w.fitsBeside(s.spec.Size) {
 			report.FitsBeside++
 		}
 		_, fits := c.resourceScore(now, w, s)
--- a/internal/batch/sched/waitqueue.go
+++ b/internal/batch/sched/waitqueue.go
@@ -35,6 +35,7 @@
 // The continuity of a long-running step, in the order in which steps are placed.
 const (
 	interrupted continuity = iota // a task of it has lost its run
+	departing                     // its run will end when its draining worker leaves; see departure
 	notStarted                    // the tasks that wait have not run yet
 )
 
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -113,6 +113,8 @@
 	bestEffortCPU int             // millicores declared by best-effort runs
 	longRunning   wire.Size       // declared size of long-running runs that are not best-effort
 	reserved      reservation     // resources kept free for a task that waits for others to end
+	incoming      wire.Size       // reserved for tasks that are being moved here
+	incomingTasks []*task         // these tasks
 	clock         clockReading    // newest reading of the worker's clock
 	pollWait      time.Duration   // PollRequest.Wait of the newest poll
 	answerDelay   time.Duration   // how much longer than its wait the newest answered poll took, if that is more than contactSlack
@@ -174,15 +176,29 @@
 	idleSince       time.Time     // since when reports show neither progress nor CPU use; zero: not idle, or to be paused
 	ready           bool          // the task has completed its startup; only meaningful for long-running tasks
 	overTargetSince time.Time     // since when the tail latency is over its target; zero: it is not
+
+	relocationTriedAt time.Time // when a destination was last searched for
 }
 
-// free returns the capacity that is not allocated to runs. Best-effort runs take memory and accelerators of it, but no CPU.
+// free returns the capacity that is neither allocated to runs nor reserved for tasks that are being moved here. It is
+// negative if such a task has to wait for others to end.
 func (w *worker) free() wire.Size {
+	return w.unallocated().Minus(w.incoming)
+}
+
+// unallocated returns the capacity that is not allocated to runs. Best-effort runs take memory and accelerators of it, but
+// no CPU.
+func (w *worker) unallocated() wire.Size {
 	f := w.Size.Minus(w.allocated)
 	f.Mem -= w.bestEffortMem
 	return f
 }
 
+// fitsBeside reports whether a long-running task of a size fits once all other tasks have ended.
+func (w *worker) fitsBeside(size wire.Size) bool {
+	return w.Size.Minus(w.longRunning).Minus(w.incoming).Covers(size)
+}
+
 // addRun adds a run to the worker and updates the allocated resources. Callers use Core.attachRun.
 func (w *worker) addRun(r *run) {
 	w.runs[r.runKey] = r
--- a/internal/batch/wire/wire.go
+++ b/internal/batch/wire/wire.go
@@ -14,6 +14,11 @@
 	return t.CPU <= s.CPU && t.Mem <= s.Mem && t.Accel <= s.Accel
 }
 
+// Plus returns the sum of s and t in every dimension.
+func (s Size) Plus(t Size) Size {
+	return Size{s.CPU + t.CPU, s.Mem + t.Mem, s.Accel + t.Accel}
+}
+
 // Minus returns s reduced by t in every dimension.
 func (s Size) Minus(t Size) Size {
 	return Size{s.CPU - t.CPU, s.Mem - t.Mem, s.Accel - t.Accel}
