batch/sched: a long-running task moves off a draining worker to any image

A long-running task stayed on a draining worker to the end if the only workers with room for it ran other images (affinity below 0.2), and was lost with it.

Cause: the rule was to keep images apart. It didn't: a lost task is placed by the best affinity there is, however low, so it came to such a worker all the same, 5.2 s later.

Change: a move takes the best worker, as any placement does.

--- a/internal/batch/sched/relocate.go
+++ b/internal/batch/sched/relocate.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -16,9 +15,6 @@
 	relocateBeforeLeave = 1900 * time.Millisecond
 	// relocateInterval is the minimum time between two searches for a destination.
 	relocateInterval = 100 * time.Millisecond
-	// minMoveAffinity is the minimum affinity between a long-running task and a worker with other long-running tasks to
-	// which it is moved. Mixing images would leave no worker for the best-effort images that interfere with one of them.
-	minMoveAffinity = 0.2
 )
 
 // relocation is the move of a long-running task off a draining worker. The task's size is reserved on the destination from
@@ -105,7 +101,7 @@
 		return t.relocation
 	}
 	r.relocationTriedAt = now
-	dest := c.fittingDestination(now, t)
+	dest := c.bestWorker(now, t, "")
 	if dest == nil && t.relocation == nil {
 		dest = c.earliestDestination(now, t)
 	}
@@ -118,20 +114,6 @@
 	return c.reserveRelocation(r, dest)
 }
 
-// fittingDestination returns the best worker on which a long-running task fits now, or nil.
-func (c *Core) fittingDestination(now time.Time, t *task) *worker {
-	feasible := c.findFeasible(now, t.step, "")
-	for i, w := range feasible.workers {
-		if !c.suitsRelocation(w, t.step) {
-			feasible.scores[i] = math.Inf(-1)
-		}
-	}
-	if i := feasible.best(t); i >= 0 {
-		return feasible.workers[i]
-	}
-	return nil
-}
-
 // earliestDestination returns the worker on which a long-running task is expected to fit first, or nil. A worker has one such
 // reservation at a time.
 func (c *Core) earliestDestination(now time.Time, t *task) *worker {
@@ -142,7 +124,7 @@
 		if c.reserveScans >= maxReserveScans {
 			break
 		}
-		if w.Service != s.job.Service || w.reserved.plan == c.planNumber || !w.fitsReserved() || !w.fitsBeside(s.spec.Size) || !w.eligible(now, s) || !c.suitsRelocation(w, s) {
+		if w.Service != s.job.Service || w.reserved.plan == c.planNumber || !w.fitsReserved() || !w.fitsBeside(s.spec.Size) || !w.eligible(now, s) {
 			continue
 		}
 		c.reserveScans++
@@ -153,11 +135,6 @@
 	return earliest
 }
 
-// suitsRelocation reports whether the long-running tasks on a worker allow a step's task to be moved there.
-func (c *Core) suitsRelocation(w *worker, s *stepInstance) bool {
-	return w.longRunning == wire.Size{} || c.affinity(w, s.spec.Image) >= minMoveAffinity
-}
-
 // reserveRelocation reserves a task's size on the destination of its relocation.
 func (c *Core) reserveRelocation(r *run, dest *worker) *relocation {
 	rel := &relocation{run: r, dest: dest}
