batch/sched: a plan searches for a bounded number of destinations

With a failure domain reclaimed in a fleet of 1,100 workers, some 800 long-running tasks look for a destination ten times a second, each among all workers. A plan makes 16 searches at most; the other tasks have theirs in the next plans, in the same order. A destination whose machine has gone to another service is given up.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -43,6 +43,7 @@
 	candidateBuf       []reserveCandidate                  // likewise
 	expectedEndBuf     []expectedEnd                       // likewise
 	reserveScans       int                                 // workers for which the current plan has estimated when a task fits
+	relocationSearches int                                 // destinations that the current plan has searched for
 	sampleCount        int                                 // how often workers were sampled
 	trackedVersion     uint64                              // changes with the list of TrackedWorkers
 	evacuatedZones     map[string]bool                     // failure domains that operators have taken out
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -31,7 +31,7 @@
 	c.waitQueue.sort(now)
 	c.startLimiter.refresh(now)
 	c.planNumber++
-	c.reserveScans = 0
+	c.reserveScans, c.relocationSearches = 0, 0
 	c.dropRelocations(now)
 	orders = c.startRelocated(now, formerRuns, orders)
 	departures := c.departures(now, formerRuns)
--- a/internal/batch/sched/relocate.go
+++ b/internal/batch/sched/relocate.go
@@ -13,8 +13,10 @@
 	// are reserved elsewhere, to which they move as soon as they fit. Most other tasks end within that time; a longer one
 	// would keep resources unused.
 	relocateBeforeLeave = 1900 * time.Millisecond
-	// relocateInterval is the minimum time between two searches for a destination.
+	// relocateInterval is the minimum time between two searches for the destination of a task.
 	relocateInterval = 100 * time.Millisecond
+	// maxRelocationSearches bounds the searches in a plan: each looks at all workers, and hundreds may drain at once.
+	maxRelocationSearches = 16
 )
 
 // relocation is the move of a long-running task off a draining worker. The task's size is reserved on the destination from
@@ -97,9 +99,10 @@
 // to fit first. It keeps a former destination if no task fits elsewhere, and returns nil if there is no destination.
 func (c *Core) chooseDestination(now time.Time, r *run) *relocation {
 	t := r.task
-	if now.Sub(r.relocationTriedAt) < relocateInterval {
+	if now.Sub(r.relocationTriedAt) < relocateInterval || c.relocationSearches >= maxRelocationSearches {
 		return t.relocation
 	}
+	c.relocationSearches++
 	r.relocationTriedAt = now
 	dest := c.bestWorker(now, t, "")
 	if dest == nil && t.relocation == nil {
@@ -190,7 +193,7 @@
 	switch {
 	case t.done || t.step.job.state.Final():
 		return false
-	case c.workers[rel.dest.ID] != rel.dest || !rel.dest.schedulable(now):
+	case c.workers[rel.dest.ID] != rel.dest || rel.dest.Service != t.step.job.Service || !rel.dest.schedulable(now):
 		return false
 	case t.run == nil:
 		return true
