batch/sched: resources for the tasks of a lost worker are reserved before its lease ends

A long-running task that is lost with its worker stood still for the lease (5.2 s) and then for as long as it took other tasks to end somewhere.

Cause: resources were reserved for it only when the lease had expired, although the holder knows 4 s before that the worker is out of contact.

Change: from 1.9 s before the lease expires, the size of the task is reserved elsewhere, as for a draining worker; nothing is stopped, and the run is released no sooner than before. If the worker answers again, the reservation is given up.

TestRestartedWhenLeaseExpires: before, the task isn't started by the plan that releases its run.

--- a/internal/batch/sched/relocate.go
+++ b/internal/batch/sched/relocate.go
@@ -9,27 +9,29 @@
 )
 
 const (
-	// relocateBeforeLeave is how long before the earliest departure of a draining worker resources for its long-running tasks
-	// are reserved elsewhere, to which they move as soon as they fit. Most other tasks end within that time; a longer one
-	// would keep resources unused.
-	relocateBeforeLeave = 1900 * time.Millisecond
+	// relocationLead is how long before the earliest departure of a draining worker, or before the lease of a lost one has
+	// expired, resources for its long-running tasks are reserved elsewhere. Most other tasks end within that time; a longer
+	// one would keep resources unused.
+	relocationLead = 1900 * time.Millisecond
+	// maxLeaseOverrun is how long after its bound the expiry of a lease is awaited with reserved resources.
+	maxLeaseOverrun = time.Second
 	// relocateInterval is the minimum time between two searches for the destination of a task.
 	relocateInterval = 100 * time.Millisecond
 	// maxRelocationSearches bounds the searches in a plan: each looks at all workers, and hundreds may drain at once.
 	maxRelocationSearches = 16
 )
 
-// relocation is the move of a long-running task off a draining worker. The task's size is reserved on the destination from
-// when that is chosen until the task is started there, whoever else waits.
+// relocation is the planned restart of a long-running task whose worker drains or is lost. The task's size is reserved on the
+// destination from when that is chosen until the task is started there, whoever else waits.
 //
 // The failure it guards against: a task that is lost with its worker is restarted only after the worker's lease has
-// certainly expired, and by then others have taken the resources that were freed since the worker announced its departure.
+// certainly expired, and if it then has to wait for other tasks to end as well, it stands still for too long.
 type relocation struct {
-	run  *run    // on the draining worker
+	run  *run    // on the draining or lost worker
 	dest *worker // where the task is started once the run has ended
 }
 
-// departure is a run that is to be moved before its draining worker leaves.
+// departure is a run whose worker drains or is lost.
 type departure struct {
 	run        *run
 	precedence precedence // among the long-running steps that wait
@@ -40,12 +42,17 @@
 func (c *Core) departures(now time.Time, formerRuns bool) []departure {
 	var all []departure
 	for _, w := range c.workersByID {
-		if !w.departs(now) {
+		if !w.departs(now) && !w.leaseEnds(now) {
 			continue
 		}
+		p := precedence{continuity: departing, timeKey: w.drainUntil.UnixNano()}
+		if w.contact != ContactGood {
+			p = precedence{continuity: interrupted, timeKey: w.clock.receivedAt.UnixNano()}
+		}
 		for _, r := range w.runList {
 			if r.relocatable() && !(formerRuns && r.task.step.job.restored && !r.task.soleRunSeen) {
-				all = append(all, departure{r, precedence{priority: r.task.step.job.Priority, continuity: departing, timeKey: w.drainUntil.UnixNano()}})
+				p.priority = r.task.step.job.Priority
+				all = append(all, departure{r, p})
 			}
 		}
 	}
@@ -58,7 +65,12 @@
 
 // departs reports whether a worker may soon leave and its long-running tasks can still be stopped.
 func (w *worker) departs(now time.Time) bool {
-	return w.Draining && w.contact == ContactGood && now.Add(relocateBeforeLeave).After(w.drainUntil)
+	return w.Draining && w.contact == ContactGood && now.Add(relocationLead).After(w.drainUntil)
+}
+
+// leaseEnds reports whether the runs of a worker that is out of contact are about to be released, as its lease expires.
+func (w *worker) leaseEnds(now time.Time) bool {
+	return w.contact == ContactLost && now.Add(relocationLead).After(w.leaseExpiry) && now.Before(w.leaseExpiry.Add(maxLeaseOverrun))
 }
 
 // relocatable reports whether a run is that of a long-running task which can be moved by itself.
@@ -82,7 +94,7 @@
 	if rel == nil || !rel.dest.fitsReserved() {
 		rel = c.chooseDestination(now, r)
 	}
-	if rel == nil || !rel.dest.fitsReserved() || !r.stopBackoff.ready(now) {
+	if r.worker.contact != ContactGood || rel == nil || !rel.dest.fitsReserved() || !r.stopBackoff.ready(now) {
 		return orders
 	}
 	c.recordMoved(now, rel)
@@ -198,16 +210,16 @@
 	case t.run == nil:
 		return true
 	}
-	// The contact is lost if the worker has left: the resources would stay unused until its lease has expired.
-	return t.run == rel.run && rel.run.worker.departs(now)
+	// In between, when the worker has left and its lease goes on, the resources would stay unused for too long.
+	return t.run == rel.run && (rel.run.worker.departs(now) || rel.run.worker.leaseEnds(now))
 }
 
-// takeReserved takes a worker for an interrupted task on which resources are reserved for another that still runs, and gives
+// takeReserved takes a worker for an interrupted task on which resources are reserved for another that still runs on a draining worker, and gives
 // up that reservation. It returns nil if there is none.
 func (c *Core) takeReserved(now time.Time, s *stepInstance) *worker {
 	for _, t := range c.relocating {
 		dest := t.relocation.dest
-		if t.run == nil || t.run.state != RunLive || dest.Service != s.job.Service || !dest.eligible(now, s) || c.lane(dest).full() {
+		if t.run == nil || t.run.state != RunLive || t.run.worker.contact != ContactGood || dest.Service != s.job.Service || !dest.eligible(now, s) || c.lane(dest).full() {
 			continue
 		}
 		if !dest.respectsReservation(c.planNumber, s.spec) || !dest.free().Plus(t.relocationSize()).Covers(s.spec.Size) {
--- a/internal/batch/sched/relocate_test.go
+++ b/internal/batch/sched/relocate_test.go
@@ -104,6 +104,52 @@
 	}
 }
 
+// Guards against a long-running task of a lost worker that stands still for longer than its worker's lease: when the lease has
+// expired, all other workers are full of short tasks, and the task has to wait for them to end as well.
+func TestRestartedWhenLeaseExpires(t *testing.T) {
+	const (
+		workers  = 4
+		tick     = 10 * time.Millisecond
+		lostAt   = 2 * time.Second
+		interval = 50 * time.Millisecond // between short tasks: more come in than fit
+		duration = time.Second           // of a short task
+		end      = lostAt + 2*lease
+	)
+	b := newHarness(t, 1, workers).openWorkers()
+	runs := newTimedRuns(b)
+	b.core.AddJob(b.now, longRunningJob("long", 10000, ""))
+	first := b.planOrders(sched.VerbStart)[0]
+	lost := first.Incarnation.ID
+	runs.start(first, time.Hour)
+	for n := 0; b.now.Sub(epoch()) < end; n++ {
+		now := b.now.Sub(epoch())
+		if n%int(interval/tick) == 0 {
+			b.core.AddJob(b.now, oneTaskJob(fmt.Sprintf("short%d", n), func(j *sched.Job) {
+				j.Steps[0].Size, j.AcceptedAt = wire.Size{CPU: 4000, Mem: 4000}, b.now
+			}))
+		}
+		if now >= lostAt {
+			b.core.PollFailed(b.now, lost, 1)
+			delete(runs.runs, lost)
+		}
+		restarted := false
+		for _, o := range b.planOrders(sched.VerbStart) {
+			restarted = restarted || o.Task.Job == "long"
+			runs.start(o, duration)
+		}
+		if released := b.core.TakeEvents().Released; len(released) > 0 {
+			if !restarted {
+				t.Errorf("%s isn't started by the plan that releases its lost run", released[0].Task)
+			}
+			return
+		}
+		runs.poll(func() bool { return now%time.Second < tick })
+		b.storeChanges()
+		b.advance(tick)
+	}
+	t.Fatal("the lost run wasn't released")
+}
+
 // Guards against a moved task that loses its destination to a job that comes in while its run is being stopped.
 func TestRelocatedTaskKeepsDestination(t *testing.T) {
 	b := newHarness(t, 1, 2).openWorkers()
