batch/sched: new long-running jobs leave the room that departing tasks need

Cause: in between, new long-running jobs were started there.

Change: the resources are reserved from the announcement on, at first against long-running tasks that aren't interrupted; others may use them, as they end in time. From 1.9 s before the departure they are held against all. An interrupted task goes before one that still runs, also where it has to wait for short tasks to end. Tasks with the same destination move one by one, not once all of them fit.

TestNewJobsLeaveRoomForDepartingTasks starts the new job before. TestInterruptedTaskBeforeDepartingOnes guards the order of the two.

--- a/internal/batch/sched/feasible.go
+++ b/internal/batch/sched/feasible.go
@@ -234,7 +234,7 @@
 	case !free.Covers(s.spec.Size):
 		return 0, false
 	case s.spec.LongRunning:
-		return c.affinity(w, s.spec.Image), true
+		return c.affinity(w, s.spec.Image), w.fitsBeside(s.spec.Size)
 	}
 	return unused / total, true
 }
--- a/internal/batch/sched/relocate.go
+++ b/internal/batch/sched/relocate.go
@@ -10,8 +10,8 @@
 
 const (
 	// relocationLead is how long before the earliest departure of a draining worker, or before the lease of a lost one has
-	// expired, resources for its long-running tasks are reserved elsewhere. Most other tasks end within that time; a longer
-	// one would keep resources unused.
+	// expired, the resources that are reserved elsewhere for its long-running tasks are held against all others. Most tasks
+	// that aren't long-running end within that time; a longer one would keep resources unused.
 	relocationLead = 1900 * time.Millisecond
 	// maxLeaseOverrun is how long after its bound the expiry of a lease is awaited with reserved resources.
 	maxLeaseOverrun = time.Second
@@ -22,13 +22,15 @@
 )
 
 // relocation is the planned restart of a long-running task whose worker drains or is lost. The task's size is reserved on the
-// destination from when that is chosen until the task is started there, whoever else waits.
+// destination from when that is chosen until the task is started there: at first against other long-running tasks only, as
+// the rest ends in time, and later against all.
 //
 // The failure it guards against: a task that is lost with its worker is restarted only after the worker's lease has
-// certainly expired, and if it then has to wait for other tasks to end as well, it stands still for too long.
+// certainly expired, and if it then has to wait for resources as well, it stands still for too long.
 type relocation struct {
 	run  *run    // on the draining or lost worker
 	dest *worker // where the task is started once the run has ended
+	held bool    // the resources are held against all tasks
 }
 
 // departure is a run whose worker drains or is lost.
@@ -42,7 +44,7 @@
 func (c *Core) departures(now time.Time, formerRuns bool) []departure {
 	var all []departure
 	for _, w := range c.workersByID {
-		if !w.departs(now) && !w.leaseEnds(now) {
+		if !w.departs() && !w.leaseEnds(now) {
 			continue
 		}
 		p := precedence{continuity: departing, timeKey: w.drainUntil.UnixNano()}
@@ -63,9 +65,14 @@
 	return all
 }
 
-// departs reports whether a worker may soon leave and its long-running tasks can still be stopped.
-func (w *worker) departs(now time.Time) bool {
-	return w.Draining && w.contact == ContactGood && now.Add(relocationLead).After(w.drainUntil)
+// departs reports whether a worker drains and its long-running tasks can still be stopped.
+func (w *worker) departs() bool {
+	return w.Draining && w.contact == ContactGood
+}
+
+// departsSoon reports whether it may leave so soon that its long-running tasks have to move.
+func (w *worker) departsSoon(now time.Time) bool {
+	return w.departs() && now.Add(relocationLead).After(w.drainUntil)
 }
 
 // leaseEnds reports whether the runs of a worker that is out of contact are about to be released, as its lease expires.
@@ -91,10 +98,16 @@
 // relocate reserves resources for the task of a departing run, and appends the run's stop if it can move now.
 func (c *Core) relocate(now time.Time, r *run, orders []Order) []Order {
 	rel := r.task.relocation
-	if rel == nil || !rel.dest.fitsReserved() {
+	if rel == nil || rel.held && !rel.fits() {
 		rel = c.chooseDestination(now, r)
 	}
-	if r.worker.contact != ContactGood || rel == nil || !rel.dest.fitsReserved() || !r.stopBackoff.ready(now) {
+	if rel == nil || !r.worker.departsSoon(now) && !r.worker.leaseEnds(now) {
+		return orders
+	}
+	if !rel.held {
+		c.holdRelocation(r.task)
+	}
+	if !r.worker.departsSoon(now) || !rel.fits() || !r.stopBackoff.ready(now) {
 		return orders
 	}
 	c.recordMoved(now, rel)
@@ -102,9 +115,20 @@
 	return append(orders, r.orderStop(now))
 }
 
-// fitsReserved reports whether everything that is reserved on a worker for relocated tasks fits now.
-func (w *worker) fitsReserved() bool {
-	return w.free().Covers(wire.Size{})
+// fits reports whether the task fits on its destination now, besides those that are already on their way there.
+func (rel *relocation) fits() bool {
+	free := rel.dest.unallocated()
+	for _, t := range rel.dest.incomingTasks {
+		if t != rel.run.task && !t.departing() {
+			free = free.Minus(t.relocationSize())
+		}
+	}
+	return free.Covers(rel.run.task.relocationSize())
+}
+
+// departing reports whether a task that is to be moved still has its run.
+func (t *task) departing() bool {
+	return t.run != nil && t.run.state == RunLive
 }
 
 // chooseDestination returns the relocation of a run: to a worker where the task fits now, else to the one where it is expected
@@ -129,8 +153,7 @@
 	return c.reserveRelocation(r, dest)
 }
 
-// earliestDestination returns the worker on which a long-running task is expected to fit first, or nil. A worker has one such
-// reservation at a time.
+// earliestDestination returns the worker on which a long-running task is expected to fit first, or nil.
 func (c *Core) earliestDestination(now time.Time, t *task) *worker {
 	s := t.step
 	var earliest *worker
@@ -139,7 +162,7 @@
 		if c.reserveScans >= maxReserveScans {
 			break
 		}
-		if w.Service != s.job.Service || w.reserved.plan == c.planNumber || !w.fitsReserved() || !w.fitsBeside(s.spec.Size) || !w.eligible(now, s) {
+		if w.Service != s.job.Service || w.reserved.plan == c.planNumber || !w.fitsBeside(s.spec.Size) || !w.eligible(now, s) {
 			continue
 		}
 		c.reserveScans++
@@ -155,30 +178,32 @@
 	rel := &relocation{run: r, dest: dest}
 	r.task.relocation = rel
 	c.relocating = append(c.relocating, r.task)
-	dest.addIncoming(r.task, 1)
-	c.markStale(dest)
+	dest.incoming = dest.incoming.Plus(r.task.relocationSize())
+	dest.incomingTasks = append(dest.incomingTasks, r.task)
 	return rel
 }
 
+// holdRelocation holds the resources of a task's relocation against all other tasks.
+func (c *Core) holdRelocation(t *task) {
+	rel := t.relocation
+	rel.held = true
+	rel.dest.held = rel.dest.held.Plus(t.relocationSize())
+	c.markStale(rel.dest)
+}
+
 // cancelRelocation gives up the reservation of a task's relocation.
 func (c *Core) cancelRelocation(t *task) {
-	dest := t.relocation.dest
+	rel, size := t.relocation, t.relocationSize()
 	t.relocation = nil
-	c.relocating = slices.DeleteFunc(c.relocating, func(other *task) bool { return other == t })
-	dest.addIncoming(t, -1)
-	c.markStale(dest)
-}
-
-// addIncoming adds a relocated task to the reserved resources if sign is 1, and removes it if sign is -1.
-func (w *worker) addIncoming(t *task, sign int) {
-	size := t.relocationSize()
-	if sign > 0 {
-		w.incoming = w.incoming.Plus(size)
-		w.incomingTasks = append(w.incomingTasks, t)
-		return
+	isTask := func(other *task) bool { return other == t }
+	c.relocating = slices.DeleteFunc(c.relocating, isTask)
+	dest := rel.dest
+	dest.incoming = dest.incoming.Minus(size)
+	dest.incomingTasks = slices.DeleteFunc(dest.incomingTasks, isTask)
+	if rel.held {
+		dest.held = dest.held.Minus(size)
+		c.markStale(dest)
 	}
-	w.incoming = w.incoming.Minus(size)
-	w.incomingTasks = slices.DeleteFunc(w.incomingTasks, func(other *task) bool { return other == t })
 }
 
 // relocationSize returns what is reserved for a task that is being moved. A best-effort task takes no CPU from others.
@@ -210,19 +235,26 @@
 	case t.run == nil:
 		return true
 	}
-	// In between, when the worker has left and its lease goes on, the resources would stay unused for too long.
-	return t.run == rel.run && (rel.run.worker.departs(now) || rel.run.worker.leaseEnds(now))
+	// While the worker has left and its lease goes on for longer, the resources would stay unused.
+	return t.run == rel.run && (rel.run.worker.departs() || rel.run.worker.leaseEnds(now))
 }
 
-// takeReserved takes a worker for an interrupted task on which resources are reserved for another that still runs on a draining worker, and gives
-// up that reservation. It returns nil if there is none.
+// takeReserved returns a worker where an interrupted task fits in place of one that still runs on a draining worker, and gives
+// up the reservation for that one. It returns nil if there is none.
 func (c *Core) takeReserved(now time.Time, s *stepInstance) *worker {
 	for _, t := range c.relocating {
-		dest := t.relocation.dest
-		if t.run == nil || t.run.state != RunLive || t.run.worker.contact != ContactGood || dest.Service != s.job.Service || !dest.eligible(now, s) || c.lane(dest).full() {
+		rel := t.relocation
+		if !t.mayYield() {
 			continue
 		}
-		if !dest.respectsReservation(c.planNumber, s.spec) || !dest.free().Plus(t.relocationSize()).Covers(s.spec.Size) {
+		dest, size := rel.dest, s.spec.Size.Minus(t.relocationSize())
+		if dest.Service != s.job.Service || !dest.eligible(now, s) || !dest.respectsReservation(c.planNumber, s.spec) || c.lane(dest).full() || !dest.fitsBeside(size) {
+			continue
+		}
+		if !rel.held {
+			size = s.spec.Size
+		}
+		if !dest.free().Covers(size) {
 			continue
 		}
 		c.cancelRelocation(t)
@@ -231,6 +263,28 @@
 	return nil
 }
 
+// yieldRelocations gives up the relocations of n tasks that still run on draining workers, and reserves the resources for an
+// interrupted step, where its tasks will fit once tasks that aren't long-running have ended.
+func (c *Core) yieldRelocations(now time.Time, s *stepInstance, n int) {
+	for _, t := range slices.Clone(c.relocating) {
+		if n == 0 {
+			return
+		}
+		dest := t.relocation.dest
+		if !t.mayYield() || dest.Service != s.job.Service || dest.reserved.plan == c.planNumber || !dest.eligible(now, s) || !dest.fitsBeside(s.spec.Size.Minus(t.relocationSize())) {
+			continue
+		}
+		c.cancelRelocation(t)
+		dest.reserved = reservation{c.planNumber, s.spec.Size}
+		n--
+	}
+}
+
+// mayYield reports whether a task that is to be moved still runs, so that an interrupted one goes before it.
+func (t *task) mayYield() bool {
+	return t.departing() && t.run.worker.contact == ContactGood
+}
+
 // startRelocated appends the starts of the relocated tasks whose runs have ended.
 func (c *Core) startRelocated(now time.Time, formerRuns bool, orders []Order) []Order {
 	for _, t := range slices.Clone(c.relocating) {
--- a/internal/batch/sched/relocate_test.go
+++ b/internal/batch/sched/relocate_test.go
@@ -210,3 +210,85 @@
 		})
 	}
 }
+
+// Guards against new long-running jobs that take the resources which the tasks of a draining worker will need: announced 5 s
+// before, the departure then ends these tasks.
+func TestNewJobsLeaveRoomForDepartingTasks(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		longRunning bool // the job that comes in
+		wantStart   bool
+	}{
+		{"long-running job", true, false},
+		{"job that ends before the departure", false, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newHarness(t, 1, 2).openWorkers()
+			b.core.AddJob(b.now, longRunningJob("departing", 10000, ""))
+			first := b.planOrders(sched.VerbStart)[0]
+			b.poll(first.Incarnation.ID, sched.Report{Running: []sched.RunStatus{runStatus(first)}})
+			directory := members(2)
+			for i := range directory {
+				if directory[i].ID == first.Incarnation.ID {
+					directory[i].Draining, directory[i].DrainRemaining = true, 5*time.Second
+				}
+			}
+			b.core.UpdateDirectory(b.now, directory)
+			b.planOrders(sched.VerbStop)
+			b.core.AddJob(b.now, oneTaskJob("new", func(j *sched.Job) {
+				j.Steps[0].LongRunning, j.Steps[0].Size = tt.longRunning, wire.Size{CPU: 10000, Mem: 1000}
+			}))
+			if starts := b.planOrders(sched.VerbStart); (len(starts) == 1) != tt.wantStart {
+				t.Errorf("started %v on the only worker for the departing task, want a start: %v", starts, tt.wantStart)
+			}
+		})
+	}
+}
+
+// Guards against an interrupted task that stands still while resources are reserved for tasks that still run.
+func TestInterruptedTaskBeforeDepartingOnes(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		left time.Duration // until the draining worker may leave
+		busy bool          // the destination is full of a short task
+	}{
+		{"reserved against long-running tasks", 5 * time.Second, false},
+		{"held against all", 1500 * time.Millisecond, true},
+		{"reserved against long-running tasks, short task there", 5 * time.Second, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newHarness(t, 1, 3).openWorkers()
+			b.core.AddJob(b.now, longRunningJob("departing", 10000, "w0"))
+			b.core.AddJob(b.now, longRunningJob("failing", 10000, "w1"))
+			orders := map[string]sched.Order{}
+			for _, o := range b.planOrders(sched.VerbStart) {
+				orders[o.Task.Job] = o
+				b.poll(o.Incarnation.ID, sched.Report{Running: []sched.RunStatus{runStatus(o)}})
+			}
+			var short sched.Order
+			if tt.busy {
+				b.core.AddJob(b.now, oneTaskJob("short", func(j *sched.Job) {
+					j.Steps[0].Size, j.Steps[0].RequiredLabel = wire.Size{CPU: 16000, Mem: 1000}, "w2"
+				}))
+				short = b.planOrders(sched.VerbStart)[0]
+			}
+			// From now on both tasks may run on w2, and only there.
+			directory := drainingMembers(3, 1, tt.left)
+			directory[1].Labels = []string{"none"}
+			directory[2].Labels = []string{"w0", "w1", "w2"}
+			b.core.UpdateDirectory(b.now, directory)
+			if stops := b.planOrders(sched.VerbStop); len(stops) != 0 {
+				t.Fatalf("stops %v, want none", stops)
+			}
+			b.poll("w1", sched.Report{Finished: []sched.FinishedRun{finishedRun(1, orders["failing"], sched.EndStopped)}})
+			starts := b.planOrders(sched.VerbStart)
+			if tt.busy {
+				b.poll("w2", sched.Report{Finished: []sched.FinishedRun{finishedRun(1, short, sched.EndDone)}})
+				starts = b.planOrders(sched.VerbStart)
+			}
+			if len(starts) != 1 || starts[0].Task.Job != "failing" {
+				t.Errorf("started %v, want the interrupted task", starts)
+			}
+		})
+	}
+}
--- a/internal/batch/sched/reserve.go
+++ b/internal/batch/sched/reserve.go
@@ -49,6 +49,9 @@
 	for _, candidate := range candidates[:min(n, len(candidates))] {
 		candidate.worker.reserved = reservation{c.planNumber, s.spec.Size}
 	}
+	if s.precedence.continuity == interrupted {
+		c.yieldRelocations(now, s, max(0, n-len(candidates)))
+	}
 }
 
 // fitsIn returns the expected time until enough of a worker's tasks have ended for a size to fit, and whether it will fit at
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -113,8 +113,9 @@
 	bestEffortCPU int             // millicores declared by best-effort runs
 	longRunning   wire.Size       // declared size of long-running runs that are not best-effort
 	reserved      reservation     // resources kept free for a task that waits for others to end
-	incoming      wire.Size       // reserved for tasks that are being moved here
-	incomingTasks []*task         // these tasks
+	incoming      wire.Size       // reserved against long-running tasks for those that are to be moved here
+	held          wire.Size       // the part of it that is reserved against all tasks
+	incomingTasks []*task         // the tasks that are to be moved here
 	clock         clockReading    // newest reading of the worker's clock
 	pollWait      time.Duration   // PollRequest.Wait of the newest poll
 	answerDelay   time.Duration   // how much longer than its wait the newest answered poll took, if that is more than contactSlack
@@ -180,10 +181,10 @@
 	relocationTriedAt time.Time // when a destination was last searched for
 }
 
-// free returns the capacity that is neither allocated to runs nor reserved for tasks that are being moved here. It is
-// negative if such a task has to wait for others to end.
+// free returns the capacity that is neither allocated to runs nor held for tasks that are to be moved here. It is negative if
+// such a task has to wait for others to end.
 func (w *worker) free() wire.Size {
-	return w.unallocated().Minus(w.incoming)
+	return w.unallocated().Minus(w.held)
 }
 
 // unallocated returns the capacity that is not allocated to runs. Best-effort runs take memory and accelerators of it, but
