--- a/internal/batch/sched/relocate.go
+++ b/internal/batch/sched/relocate.go
@@ -155,18 +155,10 @@
 
 // earliestDestination returns the worker on which a long-running task is expected to fit first, or nil.
 func (c *Core) earliestDestination(now time.Time, t *task) *worker {
-	s := t.step
 	var earliest *worker
 	var least time.Duration
-	for _, w := range c.workersByID {
-		if c.reserveScans >= maxReserveScans {
-			break
-		}
-		if w.Service != s.job.Service || w.reserved.plan == c.planNumber || !w.fitsBeside(s.spec.Size) || !w.eligible(now, s) {
-			continue
-		}
-		c.reserveScans++
-		if freeIn, ok := c.fitsIn(now, w, s.spec.Size); ok && (earliest == nil || freeIn < least) {
+	for w, freeIn := range c.reservable(now, t.step) {
+		if earliest == nil || freeIn < least {
 			earliest, least = w, freeIn
 		}
 	}
--- a/internal/batch/sched/reserve.go
+++ b/internal/batch/sched/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -32,17 +33,8 @@
 // enough for a large task, although the long-running tasks would leave enough for it.
 func (c *Core) reserveWorkers(now time.Time, s *stepInstance, n int) {
 	candidates := c.candidateBuf[:0]
-	for _, w := range c.workersByID {
-		if c.reserveScans >= maxReserveScans {
-			break
-		}
-		if w.Service != s.job.Service || w.reserved.plan == c.planNumber || !w.fitsBeside(s.spec.Size) || !w.eligible(now, s) {
-			continue
-		}
-		c.reserveScans++
-		if freeIn, ok := c.fitsIn(now, w, s.spec.Size); ok {
-			candidates = append(candidates, reserveCandidate{w, freeIn})
-		}
+	for w, freeIn := range c.reservable(now, s) {
+		candidates = append(candidates, reserveCandidate{w, freeIn})
 	}
 	c.candidateBuf = candidates
 	slices.SortStableFunc(candidates, func(a, b reserveCandidate) int { return cmp.Compare(a.freeIn, b.freeIn) })
@@ -54,6 +46,25 @@
 	}
 }
 
+// reservable returns the workers on which a task of a long-running step will fit once tasks that aren't long-running have ended,
+// with the expected time until then. Workers with a reservation in this plan are left out.
+func (c *Core) reservable(now time.Time, s *stepInstance) iter.Seq2[*worker, time.Duration] {
+	return func(yield func(*worker, time.Duration) bool) {
+		for _, w := range c.workersByID {
+			if c.reserveScans >= maxReserveScans {
+				return
+			}
+			if w.Service != s.job.Service || w.reserved.plan == c.planNumber || !w.fitsBeside(s.spec.Size) || !w.eligible(now, s) {
+				continue
+			}
+			c.reserveScans++
+			if freeIn, ok := c.fitsIn(now, w, s.spec.Size); ok && !yield(w, freeIn) {
+				return
+			}
+		}
+	}
+}
+
 // fitsIn returns the expected time until enough of a worker's tasks have ended for a size to fit, and whether it will fit at
 // all beside the long-running tasks.
 func (c *Core) fitsIn(now time.Time, w *worker, size wire.Size) (time.Duration, bool) {
