--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -146,7 +146,7 @@
 			feasible = c.findFeasible(now, s, "")
 		}
 		i := feasible.best(t)
-		if i < 0 && s.precedence.continuity == interrupted && s.spec.LongRunning {
+		if i < 0 && s.precedence.interrupted() {
 			if w := c.takeReserved(now, s); w != nil {
 				orders = append(orders, c.startRun(now, t, w, t.nextRunNumber(c.opts.Term)))
 				continue
--- a/internal/batch/sched/reserve.go
+++ b/internal/batch/sched/reserve.go
@@ -27,7 +27,8 @@
 
 // reserveWorkers reserves resources for n tasks of a long-running step that found no worker, each on a worker where it will
 // fit once tasks that aren't long-running have ended; it prefers the workers where that is soonest. Steps that are placed
-// later in the same plan leave the reserved resources free.
+// later in the same plan leave the reserved resources free. If there are too few workers, an interrupted step takes those
+// that are reserved for tasks which still run.
 //
 // The failure it guards against: smaller tasks take the resources that are freed bit by bit, so that no worker ever has
 // enough for a large task, although the long-running tasks would leave enough for it.
@@ -41,7 +42,7 @@
 	for _, candidate := range candidates[:min(n, len(candidates))] {
 		candidate.worker.reserved = reservation{c.planNumber, s.spec.Size}
 	}
-	if s.precedence.continuity == interrupted {
+	if s.precedence.interrupted() {
 		c.yieldRelocations(now, s, max(0, n-len(candidates)))
 	}
 }
--- a/internal/batch/sched/waitqueue.go
+++ b/internal/batch/sched/waitqueue.go
@@ -49,6 +49,9 @@
 	timeKey    int64      // see waitQueue.precedence; Unix nanoseconds, negated where the newest comes first
 }
 
+// interrupted reports whether it is that of a long-running step with an interrupted task.
+func (p precedence) interrupted() bool { return !p.batch && p.continuity == interrupted }
+
 // compare returns a negative number if p comes before q, a positive one if after, and 0 if they are equal.
 func (p precedence) compare(q precedence) int {
 	if p.batch != q.batch {
@@ -125,7 +128,7 @@
 	for _, s := range w.added {
 		s.queuedAt = now
 		if s.job.restored && s.job.started && s.interruptedAt.IsZero() {
-			s.interruptedAt = now
+			s.interruptedAt = now // its tasks have run under the former holder
 		}
 		s.precedence = w.precedence(now, s)
 	}
