batch/sched: the search for reservations that yield stands once

An interrupted task looked for reservations to take in two loops with the same conditions, two places asked in the same words whether a former run of a task may exist, and the tests set draining workers and the same jobs by hand four times.

No assertion, bound or case is changed, nor any behaviour.

--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -152,7 +152,7 @@
 	soleRunSeen   bool        // its only run was seen alive in this term, so no run that a former holder started can be elsewhere
 	avoidWorker   string      // id of the worker on which it failed or from which it was moved; empty: none
 	stalledRuns   int         // runs that were moved as stalled
-	relocation    *relocation // its move off a draining worker; nil: none
+	relocation    *relocation // its planned restart on another worker; nil: none
 	// heldSuccess is the worker that has reported a success while a newer start was in flight; nil: none.
 	heldSuccess *worker
 }
--- a/internal/batch/sched/events.go
+++ b/internal/batch/sched/events.go
@@ -88,11 +88,11 @@
 }
 
 // recordDraining records the event that a worker is first read as draining.
-func (c *Core) recordDraining(w *worker, remaining time.Duration) {
+func (c *Core) recordDraining(w *worker) {
 	if len(c.unreportedDraining) >= maxEvents {
 		return
 	}
-	e := WorkerDraining{Worker: w.ID, Remaining: remaining}
+	e := WorkerDraining{Worker: w.ID, Remaining: w.DrainRemaining}
 	for _, r := range w.runList {
 		if r.task != nil && r.task.step.spec.LongRunning {
 			e.LongRunning++
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -76,7 +76,7 @@
 		w.drainUntil = time.Time{}
 	case w.drainUntil.IsZero():
 		w.drainUntil = now.Add(m.DrainRemaining)
-		c.recordDraining(w, m.DrainRemaining)
+		c.recordDraining(w)
 	}
 	w.evacuated = c.evacuatedZones[m.Zone]
 }
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -66,6 +66,11 @@
 	return false
 }
 
+// mayRunElsewhere reports whether a run of the task that a former holder started may exist unseen, if former runs are possible.
+func (t *task) mayRunElsewhere(formerRuns bool) bool {
+	return formerRuns && t.step.job.restored && !t.soleRunSeen
+}
+
 // placementClass is what decides, besides its size, on which workers a task may be placed.
 type placementClass struct {
 	bestEffort bool
--- a/internal/batch/sched/relocate.go
+++ b/internal/batch/sched/relocate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -52,7 +53,7 @@
 			p = precedence{continuity: interrupted, timeKey: w.clock.receivedAt.UnixNano()}
 		}
 		for _, r := range w.runList {
-			if r.relocatable() && !(formerRuns && r.task.step.job.restored && !r.task.soleRunSeen) {
+			if r.relocatable() && !r.task.mayRunElsewhere(formerRuns) {
 				p.priority = r.task.step.job.Priority
 				all = append(all, departure{r, p})
 			}
@@ -234,23 +235,15 @@
 // takeReserved returns a worker where an interrupted task fits in place of one that still runs on a draining worker, and gives
 // up the reservation for that one. It returns nil if there is none.
 func (c *Core) takeReserved(now time.Time, s *stepInstance) *worker {
-	for _, t := range c.relocating {
-		rel := t.relocation
-		if !t.mayYield() {
-			continue
-		}
-		dest, size := rel.dest, s.spec.Size.Minus(t.relocationSize())
-		if dest.Service != s.job.Service || !dest.eligible(now, s) || !dest.respectsReservation(c.planNumber, s.spec) || c.lane(dest).full() || !dest.fitsBeside(size) {
-			continue
+	for t, dest := range c.yielding(now, s) {
+		needed := s.spec.Size
+		if t.relocation.held {
+			needed = needed.Minus(t.relocationSize())
 		}
-		if !rel.held {
-			size = s.spec.Size
-		}
-		if !dest.free().Covers(size) {
-			continue
+		if dest.respectsReservation(c.planNumber, s.spec) && !c.lane(dest).full() && dest.free().Covers(needed) {
+			c.cancelRelocation(t)
+			return dest
 		}
-		c.cancelRelocation(t)
-		return dest
 	}
 	return nil
 }
@@ -258,30 +251,42 @@
 // yieldRelocations gives up the relocations of n tasks that still run on draining workers, and reserves the resources for an
 // interrupted step, where its tasks will fit once tasks that aren't long-running have ended.
 func (c *Core) yieldRelocations(now time.Time, s *stepInstance, n int) {
-	for _, t := range slices.Clone(c.relocating) {
+	for t, dest := range c.yielding(now, s) {
 		if n == 0 {
 			return
 		}
-		dest := t.relocation.dest
-		if !t.mayYield() || dest.Service != s.job.Service || dest.reserved.plan == c.planNumber || !dest.eligible(now, s) || !dest.fitsBeside(s.spec.Size.Minus(t.relocationSize())) {
-			continue
+		if dest.reserved.plan != c.planNumber {
+			c.cancelRelocation(t)
+			dest.reserved = reservation{c.planNumber, s.spec.Size}
+			n--
 		}
-		c.cancelRelocation(t)
-		dest.reserved = reservation{c.planNumber, s.spec.Size}
-		n--
 	}
 }
 
-// mayYield reports whether a task that is to be moved still runs, so that an interrupted one goes before it.
-func (t *task) mayYield() bool {
-	return t.departing() && t.run.worker.contact == ContactGood
+// yielding returns the tasks with reserved resources that still run on draining workers, each with its destination, where a
+// task of an interrupted step fits instead beside the long-running ones.
+func (c *Core) yielding(now time.Time, s *stepInstance) iter.Seq2[*task, *worker] {
+	return func(yield func(*task, *worker) bool) {
+		for _, t := range slices.Clone(c.relocating) {
+			if !t.departing() || t.run.worker.contact != ContactGood {
+				continue
+			}
+			dest := t.relocation.dest
+			if dest.Service != s.job.Service || !dest.eligible(now, s) || !dest.fitsBeside(s.spec.Size.Minus(t.relocationSize())) {
+				continue
+			}
+			if !yield(t, dest) {
+				return
+			}
+		}
+	}
 }
 
 // startRelocated appends the starts of the relocated tasks whose runs have ended.
 func (c *Core) startRelocated(now time.Time, formerRuns bool, orders []Order) []Order {
 	for _, t := range slices.Clone(c.relocating) {
 		dest := t.relocation.dest
-		if t.run != nil || formerRuns && t.step.job.restored && !t.soleRunSeen || c.lane(dest).full() {
+		if t.run != nil || t.mayRunElsewhere(formerRuns) || c.lane(dest).full() {
 			continue
 		}
 		if !c.startLimiter.allows(1) {
--- a/internal/batch/sched/relocate_test.go
+++ b/internal/batch/sched/relocate_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -18,11 +20,18 @@
 	})
 }
 
-// drainingMembers returns n workers of which the first ones drain.
-func drainingMembers(n, draining int, remaining time.Duration) []sched.Member {
+// shortJob returns a job with one task of a quarter of a worker.
+func shortJob(id string, at time.Time) *sched.Job {
+	return oneTaskJob(id, func(j *sched.Job) { j.Steps[0].Size, j.AcceptedAt = wire.Size{CPU: 4000, Mem: 4000}, at })
+}
+
+// drainingMembers returns n workers of which those with the given ids drain.
+func drainingMembers(n int, remaining time.Duration, ids ...string) []sched.Member {
 	all := members(n)
-	for i := range draining {
-		all[i].Draining, all[i].DrainRemaining = true, remaining
+	for i := range all {
+		if slices.Contains(ids, all[i].ID) {
+			all[i].Draining, all[i].DrainRemaining = true, remaining
+		}
 	}
 	return all
 }
@@ -60,21 +69,12 @@
 				origin[o.Task.Job] = o.Incarnation.ID
 				runs.start(o, time.Hour)
 			}
-			directory := members(workers)
-			for i := range directory {
-				for _, id := range origin {
-					if directory[i].ID == id {
-						directory[i].Draining, directory[i].DrainRemaining = true, tt.notice
-					}
-				}
-			}
+			directory := drainingMembers(workers, tt.notice, slices.Collect(maps.Values(origin))...)
 			moved := map[string]string{}
 			for n := 0; b.now.Sub(epoch()) < announced+tt.notice; n++ {
 				now := b.now.Sub(epoch())
 				if n%int(tt.interval/tick) == 0 {
-					b.core.AddJob(b.now, oneTaskJob(fmt.Sprintf("short%d", n), func(j *sched.Job) {
-						j.Steps[0].Size, j.AcceptedAt = wire.Size{CPU: 4000, Mem: 4000}, b.now
-					}))
+					b.core.AddJob(b.now, shortJob(fmt.Sprintf("short%d", n), b.now))
 				}
 				if now >= announced {
 					b.core.UpdateDirectory(b.now, directory)
@@ -124,9 +124,7 @@
 	for n := 0; b.now.Sub(epoch()) < end; n++ {
 		now := b.now.Sub(epoch())
 		if n%int(interval/tick) == 0 {
-			b.core.AddJob(b.now, oneTaskJob(fmt.Sprintf("short%d", n), func(j *sched.Job) {
-				j.Steps[0].Size, j.AcceptedAt = wire.Size{CPU: 4000, Mem: 4000}, b.now
-			}))
+			b.core.AddJob(b.now, shortJob(fmt.Sprintf("short%d", n), b.now))
 		}
 		if now >= lostAt {
 			b.core.PollFailed(b.now, lost, 1)
@@ -158,13 +156,7 @@
 	leaving, other := first.Incarnation.ID, otherWorker(first)
 	b.poll(leaving, sched.Report{Running: []sched.RunStatus{runStatus(first)}})
 	b.poll(other, sched.Report{})
-	directory := members(2)
-	for i := range directory {
-		if directory[i].ID == leaving {
-			directory[i].Draining, directory[i].DrainRemaining = true, 500*time.Millisecond
-		}
-	}
-	b.core.UpdateDirectory(b.now, directory)
+	b.core.UpdateDirectory(b.now, drainingMembers(2, 500*time.Millisecond, leaving))
 	if stops := b.planOrders(sched.VerbStop); len(stops) != 1 {
 		t.Fatalf("stops %v, want that of the task on the draining worker", stops)
 	}
@@ -195,7 +187,7 @@
 			first := b.planOrders(sched.VerbStart)[0]
 			b.poll("w0", sched.Report{Running: []sched.RunStatus{runStatus(first)}})
 			// The label is shared from now on.
-			directory := drainingMembers(2, 1, time.Second)
+			directory := drainingMembers(2, time.Second, "w0")
 			directory[1].Labels = []string{"w0", "w1"}
 			b.core.UpdateDirectory(b.now, directory)
 			b.planOrders(sched.VerbStop)
@@ -227,13 +219,7 @@
 			b.core.AddJob(b.now, longRunningJob("departing", 10000, ""))
 			first := b.planOrders(sched.VerbStart)[0]
 			b.poll(first.Incarnation.ID, sched.Report{Running: []sched.RunStatus{runStatus(first)}})
-			directory := members(2)
-			for i := range directory {
-				if directory[i].ID == first.Incarnation.ID {
-					directory[i].Draining, directory[i].DrainRemaining = true, 5*time.Second
-				}
-			}
-			b.core.UpdateDirectory(b.now, directory)
+			b.core.UpdateDirectory(b.now, drainingMembers(2, 5*time.Second, first.Incarnation.ID))
 			b.planOrders(sched.VerbStop)
 			b.core.AddJob(b.now, oneTaskJob("new", func(j *sched.Job) {
 				j.Steps[0].LongRunning, j.Steps[0].Size = tt.longRunning, wire.Size{CPU: 10000, Mem: 1000}
@@ -273,7 +259,7 @@
 				short = b.planOrders(sched.VerbStart)[0]
 			}
 			// From now on both tasks may run on w2, and only there.
-			directory := drainingMembers(3, 1, tt.left)
+			directory := drainingMembers(3, tt.left, "w0")
 			directory[1].Labels = []string{"none"}
 			directory[2].Labels = []string{"w0", "w1", "w2"}
 			b.core.UpdateDirectory(b.now, directory)
--- a/internal/batch/sched/unplaced_test.go
+++ b/internal/batch/sched/unplaced_test.go
@@ -50,8 +50,7 @@
 // the long-running tasks leave no place anywhere.
 func TestUnplacedFitsBeside(t *testing.T) {
 	b := newHarness(t, 1, 3).openWorkers()
-	long := func(j *sched.Job) { j.Steps[0].LongRunning, j.Steps[0].Size = true, wire.Size{CPU: 10000, Mem: 1000} }
-	b.core.AddJob(b.now, oneTaskJob("long-w0", func(j *sched.Job) { long(j); j.Steps[0].RequiredLabel = "w0" }))
+	b.core.AddJob(b.now, longRunningJob("long-w0", 10000, "w0"))
 	for _, id := range []string{"w1", "w2"} {
 		b.core.AddJob(b.now, oneTaskJob("big-"+id, func(j *sched.Job) { j.Steps[0].Size, j.Steps[0].RequiredLabel = wire.Size{CPU: 15500, Mem: 1000}, id }))
 	}
@@ -59,7 +58,7 @@
 	for _, o := range b.planOrders(sched.VerbStart) {
 		reports[o.Incarnation.ID] = sched.Report{Running: []sched.RunStatus{runStatus(o)}}
 	}
-	b.core.AddJob(b.now, oneTaskJob("late", long))
+	b.core.AddJob(b.now, longRunningJob("late", 10000, ""))
 	for range 12 {
 		b.advance(100 * time.Millisecond)
 		for _, m := range members(3) {
--- a/internal/batch/sched/waitqueue_test.go
+++ b/internal/batch/sched/waitqueue_test.go
@@ -57,12 +57,9 @@
 // Guards against a long-running task that is lost with its worker and restarted only after the jobs that came in while the
 // worker's lease still ran: the task has stood still for longer than any of them has waited.
 func TestInterruptedTaskBeforeNewJobs(t *testing.T) {
-	longRunning := func(id string) *sched.Job {
-		return oneTaskJob(id, func(j *sched.Job) { j.Steps[0].LongRunning, j.Steps[0].Size.CPU = true, 16000 })
-	}
 	b := newHarness(t, 1, 2).openWorkers()
-	b.core.AddJob(b.now, longRunning("lost"))
-	b.core.AddJob(b.now, longRunning("beside"))
+	b.core.AddJob(b.now, longRunningJob("lost", 16000, ""))
+	b.core.AddJob(b.now, longRunningJob("beside", 16000, ""))
 	orders := map[string]sched.Order{}
 	for _, o := range b.planOrders(sched.VerbStart) {
 		orders[o.Task.Job] = o
@@ -74,7 +71,7 @@
 		b.advance(time.Second)
 		b.poll(beside, sched.Report{Running: []sched.RunStatus{runStatus(orders["beside"])}})
 		if i == 0 {
-			b.core.AddJob(b.now, longRunning("new"))
+			b.core.AddJob(b.now, longRunningJob("new", 16000, ""))
 		}
 		if starts := b.planOrders(sched.VerbStart); len(starts) != 0 {
 			t.Fatalf("started %v while no worker is free, want none", starts)
