review: a holder that its peers back beside another one

Cause: a holder that the store doesn't answer goes on while more than half of its followers say that it doesn't answer them either. In a cut between two regions that is so on the side without the store, if most hosts stand there, while a host on the other side takes over alone and waits only for leases that count from the store's last word.

--- /dev/null
+++ b/review/standin/store.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"bramleysail.example/bramleysail/internal/fake/txkv"
+	"bramleysail.example/bramleysail/platform/fake"
+)
+
+// platformStore serves the project's own stand-in of the platform's store to the hosts, to each at an address of its own.
+type platformStore struct {
+	service *txkv.Service
+	net     *network
+	zone    string // in which the store stands
+	rec     *record
+
+	mu       sync.Mutex
+	answered int // writes under a condition that were answered
+	lost     int // writes whose answer was lost
+	// lateWrite, if set, says whether a write of the given keys gets no answer and is done later, and after which time.
+	lateWrite func(keys string) (time.Duration, bool)
+}
+
+// serve serves the store to host j, which stands in a zone.
+func (s *platformStore) serve(j int, zone string) error {
+	l, err := net.Listen("tcp", s.net.storeView(j))
+	if err != nil {
+		return err
+	}
+	inner := fake.NewStoreHandler(s.service)
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.handle(w, r, inner, j, zone) }))
+	}()
+	return nil
+}
+
+// handle passes on a call and its answer, with the addresses in the values translated. A cut holds both up.
+func (s *platformStore) handle(w http.ResponseWriter, r *http.Request, inner http.Handler, j int, zone string) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	body = translateValues(body, viewPrefix(j), ownPrefix)
+	s.awaitPath(r, zone)
+	if r.URL.Path == "/kv-txn" && s.loseWrite(r, inner, body, j) {
+		<-r.Context().Done() // no answer, and the connection returns nothing further
+		panic(http.ErrAbortHandler)
+	}
+	answer := s.call(r, inner, body)
+	s.awaitPath(r, zone)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(answer.code)
+	_, _ = w.Write(translateValues(answer.body.Bytes(), ownPrefix, viewPrefix(j)))
+}
+
+// awaitPath waits until the caller's zone and the store reach each other. It ends the call if the caller leaves meanwhile.
+func (s *platformStore) awaitPath(r *http.Request, zone string) {
+	for {
+		ok, healed := s.net.reaches(zone, s.zone)
+		if ok {
+			return
+		}
+		select {
+		case <-healed:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// loseWrite reports whether the answer of a write is lost, and has the write done later if so.
+func (s *platformStore) loseWrite(r *http.Request, inner http.Handler, body []byte, j int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lateWrite != nil {
+		if after, late := s.lateWrite(decodedKeys(body)); late {
+			s.lost++
+			s.rec.add("store: a write of host %d gets no answer and is done %v later: %s", j, after, decodedKeys(body))
+			late := r.Clone(context.Background())
+			time.AfterFunc(after, func() {
+				answer := s.call(late, inner, body)
+				s.rec.add("store: the late write of host %d is carried out: %d", j, answer.code)
+			})
+			return true
+		}
+	}
+	s.answered++
+	return false
+}
+
+// decodedKeys returns the keys that a write sets, separated by spaces.
+func decodedKeys(body []byte) string {
+	var in struct {
+		SetKeys []struct{ Key string }
+	}
+	_ = json.Unmarshal(body, &in)
+	var keys []string
+	for _, k := range in.SetKeys {
+		keys = append(keys, k.Key)
+	}
+	return strings.Join(keys, " ")
+}
+
+// call makes a call of the store and returns the answer.
+func (s *platformStore) call(r *http.Request, inner http.Handler, body []byte) *answerBuffer {
+	in := r.Clone(r.Context())
+	in.Body = io.NopCloser(bytes.NewReader(body))
+	answer := &answerBuffer{header: http.Header{}, code: http.StatusOK}
+	inner.ServeHTTP(answer, in)
+	return answer
+}
+
+// answerBuffer keeps an answer.
+type answerBuffer struct {
+	header http.Header
+	code   int
+	body   bytes.Buffer
+}
+
+func (a *answerBuffer) Header() http.Header         { return a.header }
+func (a *answerBuffer) WriteHeader(code int)        { a.code = code }
+func (a *answerBuffer) Write(b []byte) (int, error) { return a.body.Write(b) }
+
+// translateValues replaces a prefix of addresses in all values of a body, which are base64 in JSON.
+func translateValues(body []byte, from, to string) []byte {
+	var doc any
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.UseNumber()
+	if d.Decode(&doc) != nil {
+		return body
+	}
+	out, err := json.Marshal(translateIn(doc, from, to))
+	if err != nil {
+		return body
+	}
+	return out
+}
+
+// translateIn does the same for a decoded JSON value.
+func translateIn(doc any, from, to string) any {
+	switch v := doc.(type) {
+	case []any:
+		for i := range v {
+			v[i] = translateIn(v[i], from, to)
+		}
+	case map[string]any:
+		for key, inner := range v {
+			text, isText := inner.(string)
+			if key != "value" || !isText {
+				v[key] = translateIn(inner, from, to)
+				continue
+			}
+			if raw, err := base64.StdEncoding.DecodeString(text); err == nil {
+				v[key] = base64.StdEncoding.EncodeToString(bytes.ReplaceAll(raw, []byte(from), []byte(to)))
+			}
+		}
+	}
+	return doc
+}
