--- a/review/standin/cancel.go
+++ b/review/standin/cancel.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,28 +10,50 @@
 	"time"
 )
 
-// Times of the case cancel.
+// Times of the case cancel, the first three since the beginning of the outage.
 const (
-	cancelPatience  = 400 * time.Millisecond // of the caller that hands the job in
-	cancelLateWrite = 3 * time.Second        // pages: 1 to 6 s
-	cancelLimit     = 3 * time.Second        // cancel_ms
-	cancelWatched   = 20 * time.Second       // after the cancelling was acknowledged
+	cancelHandIn   = 100 * time.Millisecond  // when the job is handed in
+	cancelOutage   = 3500 * time.Millisecond // how long the store is down
+	cancelSent     = 3600 * time.Millisecond // when the caller, who has been told that the outcome is unknown, cancels the job
+	cancelSettle   = 3 * time.Second         // before the outage
+	cancelRetry    = time.Second             // between two attempts to cancel, as the answers ask for
+	cancelTaskTime = 6 * time.Second
+	cancelLimit    = 3 * time.Second // cancel_ms
+	cancelWatched  = 20 * time.Second
+	leasePause     = 100 * time.Millisecond // between two renewals of the paused leases
 )
 
 func init() { cases["cancel"] = playCancel }
 
-// setLateWrite sets the rule for writes that get no answer.
-func (s *platformStore) setLateWrite(rule func(keys string) (time.Duration, bool)) {
+// setDown begins or ends an outage of the store, in which it is silent and leases pause.
+func (s *platformStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lateWrite = rule
+	s.down = down
+	if !down {
+		close(s.isUp)
+		return
+	}
+	s.isUp = make(chan struct{})
+	go s.pauseLeases(s.isUp)
 }
 
-// writes returns how many writes were answered, and of how many the answer was lost.
-func (s *platformStore) writes() (answered, lost int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.answered, s.lost
+// pauseLeases keeps all leases that haven't ended while the store is down.
+func (s *platformStore) pauseLeases(isUp <-chan struct{}) {
+	client := s.service.Client(nil)
+	for {
+		s.mu.Lock()
+		leases := s.leases
+		s.mu.Unlock()
+		for _, id := range leases {
+			_ = client.RenewLease(context.Background(), id) // fails if it has ended
+		}
+		select {
+		case <-isUp:
+			return
+		case <-time.After(leasePause):
+		}
+	}
 }
 
 // unasked checks the rule UNASKED for a job whose cancelling was acknowledged at a time: no task starts later than cancelMs
@@ -55,61 +78,52 @@
 	return broken
 }
 
-// playCancel plays a caller that leaves while its job is handed in and then cancels the job, as one write of the store gets
-// no answer and is done late.
+// playCancel plays an outage of the store in which a caller hands a job in and, as the outcome is unknown, cancels it once
+// the store is back.
 func playCancel(rec *record, trouble bool) ([]string, error) {
 	const id = "5c0e7a21d94b36f8"
-	d, err := newDeployment(rec, []string{"a", "b", "c"}, 6, "store", func(task string) time.Duration {
-		if strings.HasPrefix(task, id) {
-			return 6 * time.Second
-		}
-		return time.Second
-	})
+	d, err := newDeployment(rec, []string{"a", "b", "c"}, 6, "store", func(string) time.Duration { return cancelTaskTime })
 	if d != nil {
 		defer d.stop()
 	}
 	if err != nil {
 		return nil, err
 	}
-	for _, other := range []string{"5c0e7a21d94b3600", "5c0e7a21d94b3601", "5c0e7a21d94b3602", "5c0e7a21d94b3603"} {
-		if !d.submit(1, other, []step{{Count: 2, CPU: 4000, MemMb: 8000, EstimateMs: 1000}}) {
-			return nil, errors.New("a job wasn't accepted before the trouble")
-		}
-	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(cancelSettle)
+	start := time.Now()
+	at := func(since time.Duration) { time.Sleep(time.Until(start.Add(since))) }
 	if trouble {
-		lost := false
-		d.store.setLateWrite(func(keys string) (time.Duration, bool) {
-			if lost || !strings.Contains(keys, "job/"+id) {
-				return 0, false
-			}
-			lost = true
-			return cancelLateWrite, true
+		rec.add("the store is down")
+		d.store.setDown(true)
+		time.AfterFunc(cancelOutage, func() {
+			d.store.setDown(false)
+			rec.add("the store is back")
 		})
 	}
 	body, err := json.Marshal(map[string]any{"spec": "spec of " + id, "jobSteps": []step{
-		{Count: 2, CPU: 4000, MemMb: 8000, EstimateMs: 6000}, {Count: 2, CPU: 4000, MemMb: 8000, EstimateMs: 6000, After: []int{0}},
+		{Count: 2, CPU: 4000, MemMb: 8000, EstimateMs: cancelTaskTime.Milliseconds()},
+		{Count: 2, CPU: 4000, MemMb: 8000, EstimateMs: cancelTaskTime.Milliseconds(), After: []int{0}},
 	}})
 	if err != nil {
 		return nil, err
 	}
-	if code, _ := d.ask(http.MethodPost, 1, id, body, cancelPatience); trouble == (code != 0) {
-		return nil, errors.New("the caller that hands the job in was answered, or wasn't, against the plan of the case")
+	at(cancelHandIn)
+	if code, _ := d.ask(http.MethodPost, 1, id, body, deadline); trouble == (code/100 == 2) {
+		return nil, fmt.Errorf("handing the job in was answered %d, against the plan of the case", code)
 	}
+	at(cancelSent)
 	var acked time.Time
 	for n := 0; acked.IsZero(); n++ {
 		if n == 10 {
 			return nil, errors.New("the cancelling wasn't acknowledged")
 		}
-		if code, _ := d.ask(http.MethodDelete, 1+n%3, id, nil, deadline); code/100 == 2 || code == http.StatusGone {
+		if code, _ := d.ask(http.MethodDelete, 1, id, nil, deadline); code/100 == 2 || code == http.StatusGone {
 			acked = time.Now()
 		} else {
-			time.Sleep(300 * time.Millisecond)
+			time.Sleep(cancelRetry)
 		}
 	}
 	time.Sleep(cancelWatched)
 	d.ask(http.MethodGet, 1, id, nil, deadline)
-	answered, lost := d.store.writes()
-	rec.add("store: %d writes answered, %d not", answered, lost)
 	return d.ledger.unasked(rec, id, acked), nil
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -2,15 +2,13 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/base64"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
-	"strings"
+	"strconv"
 	"sync"
-	"time"
 
 	"bramleysail.example/bramleysail/internal/fake/txkv"
 	"bramleysail.example/bramleysail/platform/fake"
@@ -23,11 +21,10 @@
 	zone    string // in which the store stands
 	rec     *record
 
-	mu       sync.Mutex
-	answered int // writes under a condition that were answered
-	lost     int // writes whose answer was lost
-	// lateWrite, if set, says whether a write of the given keys gets no answer and is done later, and after which time.
-	lateWrite func(keys string) (time.Duration, bool)
+	mu     sync.Mutex
+	down   bool          // calls that arrive get no answer
+	isUp   chan struct{} // closed when the store isn't down any more
+	leases []string      // opened so far
 }
 
 // serve serves the store to host j, which stands in a zone.
@@ -51,12 +48,13 @@
 	}
 	body = translateValues(body, viewPrefix(j), ownPrefix)
 	s.awaitPath(r, zone)
-	if r.URL.Path == "/kv-txn" && s.loseWrite(r, inner, body, j) {
-		<-r.Context().Done() // no answer, and the connection returns nothing further
+	if down, _ := s.state(); down {
+		<-r.Context().Done() // not carried out, and the connection returns nothing further
 		panic(http.ErrAbortHandler)
 	}
 	answer := s.call(r, inner, body)
 	s.awaitPath(r, zone)
+	s.noteLease(r, answer)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(answer.code)
 	_, _ = w.Write(translateValues(answer.body.Bytes(), ownPrefix, viewPrefix(j)))
@@ -77,37 +75,24 @@
 	}
 }
 
-// loseWrite reports whether the answer of a write is lost, and has the write done later if so.
-func (s *platformStore) loseWrite(r *http.Request, inner http.Handler, body []byte, j int) bool {
+// state reports whether the store is down, and returns a channel that is closed when it isn't any more.
+func (s *platformStore) state() (down bool, isUp <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lateWrite != nil {
-		if after, late := s.lateWrite(decodedKeys(body)); late {
-			s.lost++
-			s.rec.add("store: a write of host %d gets no answer and is done %v later: %s", j, after, decodedKeys(body))
-			late := r.Clone(context.Background())
-			time.AfterFunc(after, func() {
-				answer := s.call(late, inner, body)
-				s.rec.add("store: the late write of host %d is carried out: %d", j, answer.code)
-			})
-			return true
-		}
-	}
-	s.answered++
-	return false
+	return s.down, s.isUp
 }
 
-// decodedKeys returns the keys that a write sets, separated by spaces.
-func decodedKeys(body []byte) string {
-	var in struct {
-		SetKeys []struct{ Key string }
+// noteLease notes a lease that was opened.
+func (s *platformStore) noteLease(r *http.Request, answer *answerBuffer) {
+	var out struct {
+		Lease uint64 `json:"lease"`
 	}
-	_ = json.Unmarshal(body, &in)
-	var keys []string
-	for _, k := range in.SetKeys {
-		keys = append(keys, k.Key)
+	if r.URL.Path != "/kv-lease" || json.Unmarshal(answer.body.Bytes(), &out) != nil {
+		return
 	}
-	return strings.Join(keys, " ")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases = append(s.leases, strconv.FormatUint(out.Lease, 10))
 }
 
 // call makes a call of the store and returns the answer.
