--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -201,12 +201,11 @@
 		return
 	}
 	r.mu.Lock()
-	quiet := len(r.finished) == 0
 	changed := r.changed
 	r.mu.Unlock()
 	if req.URL.Path == "/hold" {
 		code, answer := r.carryOut("/hold", in, j)
-		if code == http.StatusOK && in.WaitMs > 0 && (quiet || answer["finished"] == nil) {
+		if code == http.StatusOK && in.WaitMs > 0 && len(answer["finished"].([][]any)) == 0 {
 			t := time.NewTimer(time.Duration(in.WaitMs) * time.Millisecond)
 			select {
 			case <-changed:
@@ -308,14 +307,11 @@
 		}
 		running = append(running, []any{run.task, run.number, "", percent, 1000})
 	}
-	answer["running"], answer["finished"] = running, nil
 	finished := [][]any{}
 	for _, f := range r.finished[:min(len(r.finished), maxEnds)] {
 		finished = append(finished, []any{f.number, f.task, f.run, f.how, ""})
 	}
-	if len(finished) > 0 {
-		answer["finished"] = finished
-	}
+	answer["running"], answer["finished"] = running, finished
 }
 
 // begins begins a run. The caller holds r.mu.
