--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -58,6 +58,7 @@
 		return nil, err
 	}
 	d.writeConfig()
+	go d.store.removeSilent()
 	for j := 1; j < len(d.zones); j++ {
 		if err := d.store.serve(j, d.zones[j]); err != nil {
 			return d, err
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -10,15 +10,12 @@
 	"strings"
 	"sync"
 	"time"
-
-	"bramleysail.example/bramleysail/internal/fake/txkv"
 )
 
 // What the pages say of runners.
 const (
-	heartbeat  = 1500 * time.Millisecond // heartbeatMs
-	maxEnds    = 500                     // ends in an answer
-	holdMax    = 10 * time.Second        // holdMaxMs
+	maxEnds    = 500              // ends in an answer
+	holdMax    = 10 * time.Second // holdMaxMs
 	leaseCheck = 10 * time.Millisecond
 )
 
@@ -28,7 +25,7 @@
 	number         int
 	zones          []string // of the hosts, by number
 	net            *network
-	store          *txkv.Service
+	store          *platformStore
 	ledger         *ledger
 	rec            *record
 	taskTime       func(task string) time.Duration // how long a task works; 0: until it is stopped
@@ -123,7 +120,7 @@
 		"clockMs": r.clock().Milliseconds(), "seq": r.seq, "born": r.born,
 	})
 	if err == nil {
-		r.store.Put("servers/"+r.id, entry)
+		r.store.writeEntry(r.zone, "servers/"+r.id, entry)
 	}
 }
 
@@ -338,6 +335,6 @@
 func newRunner(k int, zone string, d *deployment) *runner {
 	return &runner{
 		id: fmt.Sprintf("i-%010x", 0x1c002de080+int64(k)), zone: zone, rack: "r-" + zone, number: k, zones: d.zones, net: d.net,
-		store: d.store.service, ledger: d.ledger, rec: d.rec, taskTime: d.taskTime,
+		store: d.store, ledger: d.ledger, rec: d.rec, taskTime: d.taskTime,
 	}
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"bramleysail.example/bramleysail/internal/fake/txkv"
 	"bramleysail.example/bramleysail/platform/fake"
@@ -25,6 +26,46 @@
 	down   bool          // calls that arrive get no answer
 	isUp   chan struct{} // closed when the store isn't down any more
 	leases []string      // opened so far
+
+	beats map[string]time.Time // when each runner last wrote its entry, by key
+}
+
+// What the pages say of the runners' entries.
+const (
+	heartbeat   = 1500 * time.Millisecond // heartbeatMs
+	missedBeats = 3                       // heartbeat intervals of silence after which an entry is removed
+)
+
+// writeEntry writes the entry of a runner that stands in a zone. While the runner doesn't reach the store, or the store is
+// down, nothing is written.
+func (s *platformStore) writeEntry(zone, key string, value []byte) {
+	reached, _ := s.net.reaches(zone, s.zone)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !reached || s.down {
+		return
+	}
+	if s.beats == nil {
+		s.beats = map[string]time.Time{}
+	}
+	s.beats[key] = time.Now()
+	s.service.Put(key, value)
+}
+
+// removeSilent removes the entries of runners that have been silent for too long. Those that the outage of the store keeps
+// from writing stay.
+func (s *platformStore) removeSilent() {
+	for range time.Tick(heartbeat / 10) {
+		s.mu.Lock()
+		for key, at := range s.beats {
+			if !s.down && time.Since(at) > missedBeats*heartbeat {
+				delete(s.beats, key)
+				s.service.RemoveKey(key)
+				s.rec.add("store: the entry %s is removed", key)
+			}
+		}
+		s.mu.Unlock()
+	}
 }
 
 // serve serves the store to host j, which stands in a zone.
@@ -53,6 +94,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := s.call(r, inner, body)
+	if down, _ := s.state(); down { // a watch that waited as the outage began
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	s.awaitPath(r, zone)
 	s.noteLease(r, answer)
 	w.Header().Set("Content-Type", "application/json")
