proc/front: calls to other entry processes stand behind an interface

Cause: whether two hosts act as the holder in a partition couldn't be tested without real time and connections, as the peer monitor called net/rpc itself and a process couldn't be made without listeners.

Change: peerClient with its implementation linkClient; newProcess and runElection, from Start. No behaviour, assertion or bound is changed.

--- a/internal/proc/front/agents_test.go
+++ b/internal/proc/front/agents_test.go
@@ -340,8 +340,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	wg.Go(func() { elector.Run(ctx, func(*lead.Tenure) {}) })
-	m := &peerMonitor{elector: elector, links: &link.Set{}}
-	defer m.links.CloseExcept(nil)
+	links := &link.Set{}
+	m := &peerMonitor{elector: elector, peers: linkClient{links}}
+	defer links.CloseExcept(nil)
 	wg.Go(func() { m.sendHeartbeats(ctx, "self:1", "self", time.Hour) })
 	store.Put("lead/holder", []byte(fmt.Sprintf(`{"name":"next","addr":%q,"term":2}`, lis.Addr().String())))
 	select {
--- a/internal/proc/front/forward.go
+++ b/internal/proc/front/forward.go
@@ -232,14 +232,6 @@
 	return nil
 }
 
-// FollowerStatus is a follower's answer to a holder that doesn't reach the store, or that has more workers than it has
-// capacity for.
-type FollowerStatus struct {
-	Failing bool  // the store doesn't answer the follower either
-	Term    int64 // of the newest holder that the follower knows of
-	Carries int   // how many workers the follower would handle as the holder; 0: not known, or none because it is stopping
-}
-
 // Outlook reports this process's status as a follower. The argument isn't used.
 func (p *Peer) Outlook(_ int, status *FollowerStatus) error {
 	ctx, cancel := context.WithTimeout(context.Background(), storeProbeTimeout)
--- a/internal/proc/front/handover.go
+++ b/internal/proc/front/handover.go
@@ -33,12 +33,6 @@
 	resignTimeout = time.Second
 )
 
-// followerReply is a follower's reply to the holder.
-type followerReply struct {
-	addr string // of the follower's peer interface
-	FollowerStatus
-}
-
 // chooseSuccessor returns the follower to hand over to: the one with the most capacity among those that reach the store
 // and know of no newer term. It returns false if the holder's capacity suffices for its workers or isn't known, or if
 // that follower has less than minCapacityGain times the holder's capacity.
--- a/internal/proc/front/peers.go
+++ b/internal/proc/front/peers.go
@@ -46,7 +46,7 @@
 // have been replaced, and the leases of all tasks on all workers would expire.
 type peerMonitor struct {
 	elector  *lead.Elector // knows who the holder is
-	links    *link.Set     // connections to other entry processes
+	peers    peerClient    // calls other entry processes
 	capacity func() int    // returns how many workers this process would handle as the holder; 0: not known, or none
 	limits   agent.Limits  // of this process as an agent
 
@@ -131,8 +131,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-		l := m.links.Get(h.Addr)
-		err := m.sendHeartbeat(callCtx, l, selfAddr)
+		err := m.peers.Announce(callCtx, h.Addr, agent.Candidate{Addr: selfAddr, Limits: m.limits})
 		cancel()
 		if err == nil {
 			misses = 0
@@ -145,20 +144,11 @@
 		m.setIsolated(m.probeIsolation(ctx))
 		if misses++; misses >= maxMissedHeartbeats && errors.Is(err, link.ErrAnswerLost) {
 			misses = 0
-			l.Reset()
+			m.peers.Reset(h.Addr)
 		}
 	}
 }
 
-// sendHeartbeat sends one heartbeat with this process's limits. A holder of an older build takes only the address.
-func (m *peerMonitor) sendHeartbeat(ctx context.Context, l *link.Link, selfAddr string) error {
-	_, err := link.Call[agent.Candidate, int](ctx, l, "Peer.Announce", agent.Candidate{Addr: selfAddr, Limits: m.limits})
-	if link.LacksMethod(err) {
-		_, err = link.Call[string, int](ctx, l, "Peer.Follow", selfAddr)
-	}
-	return err
-}
-
 // awaitHeartbeat waits for the interval or until changed is closed, and reports whether ctx has not ended.
 func awaitHeartbeat(ctx context.Context, changed <-chan struct{}, interval time.Duration) bool {
 	t := time.NewTimer(interval)
@@ -256,7 +246,7 @@
 	results := make(chan *followerReply, len(addrs))
 	for _, addr := range addrs {
 		go func() {
-			status, err := link.Call[int, FollowerStatus](ctx, m.links.Get(addr), "Peer.Outlook", 0)
+			status, err := m.peers.Outlook(ctx, addr)
 			if err != nil {
 				results <- nil
 				return
--- a/internal/proc/front/process.go
+++ b/internal/proc/front/process.go
@@ -79,10 +79,6 @@
 // Start starts an entry process with the given settings. It returns an error if an address of the settings can't be
 // listened on.
 func Start(settings conf.HostSettings, adapters Adapters, log logr.Logger) (*Process, error) {
-	p := &Process{settings: settings, adapters: adapters, log: log, speed: speedMonitor{timeComputation: adapters.TimeComputation}, listenerFailed: make(chan struct{})}
-	if adapters.TimeComputation == nil {
-		p.speed.timeComputation = timeFixedComputation
-	}
 	var listeners []net.Listener
 	for _, addr := range []string{settings.Listen.Peer, settings.Listen.Caller, settings.Listen.Ready, settings.MetricsAddr} {
 		l, err := net.Listen("tcp", addr)
@@ -94,18 +90,9 @@
 		}
 		listeners = append(listeners, l)
 	}
-	p.callerAddr = listeners[1].Addr().String()
-	var scope tally.Scope
-	scope, p.metricsHandler, p.metricsCloser = telem.NewMetrics()
-	p.forwarder = &Forwarder{log: log, name: settings.Name, scope: scope, links: link.Set{WrapConn: adapters.Meter.Wrap(meter.Peers)}}
-	p.elector = lead.New(lead.Options{
-		Store: adapters.Store, Name: settings.Name, Addr: listeners[0].Addr().String(),
-		LeaseTTL: max(drive.HolderLease, conf.Milliseconds(settings.Store.MinLeaseMillis)), Log: log, HolderAlive: p.holderAlive,
-		Capacity: p.capacity,
-	})
-	p.forwarder.elector = p.elector
-	p.monitor = &peerMonitor{elector: p.elector, links: &p.forwarder.links, capacity: p.offeredCapacity, limits: agentLimits(settings.Limit)}
-	p.forwarder.monitor = p.monitor
+	scope, metricsHandler, metricsCloser := telem.NewMetrics()
+	p := newProcess(settings, adapters, log, scope, listeners[0].Addr().String())
+	p.callerAddr, p.metricsHandler, p.metricsCloser = listeners[1].Addr().String(), metricsHandler, metricsCloser
 	var err error
 	if p.peerServer, err = link.NewServer("Peer", &Peer{p.forwarder, p.monitor}); err != nil {
 		return nil, err
@@ -121,16 +108,41 @@
 	p.serveListener(adapters.Meter.Listen(listeners[1], meter.Callers), p.closeUnlessReady(adapters.CallerHandler(p.forwarder)))
 	p.serveListener(listeners[2], adapters.ReadinessHandler(p.Ready))
 	p.serveListener(listeners[3], p.metricsHandler)
-	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
-	p.wg.Go(func() { p.elector.Run(ctx, p.runTenure) })
-	p.wg.Go(func() { p.monitor.sendHeartbeats(ctx, listeners[0].Addr().String(), settings.Name, heartbeatInterval) })
+	ctx := p.runElection(listeners[0].Addr().String())
 	p.wg.Go(func() { p.speed.run(ctx) })
 	p.wg.Go(func() { adapters.Meter.Run(ctx, settings.Limit.LinkMbps, log, scope) })
 	log.Info("start", "zone", settings.Zone, "carries", p.capacity(), "caller", listeners[1].Addr(), "peer", listeners[0].Addr())
 	return p, nil
 }
 
+// newProcess returns a process that isn't running, with a peer interface at addr.
+func newProcess(settings conf.HostSettings, adapters Adapters, log logr.Logger, scope tally.Scope, addr string) *Process {
+	p := &Process{settings: settings, adapters: adapters, log: log, speed: speedMonitor{timeComputation: adapters.TimeComputation}, listenerFailed: make(chan struct{})}
+	if adapters.TimeComputation == nil {
+		p.speed.timeComputation = timeFixedComputation
+	}
+	p.forwarder = &Forwarder{log: log, name: settings.Name, scope: scope, links: link.Set{WrapConn: adapters.Meter.Wrap(meter.Peers)}}
+	p.elector = lead.New(lead.Options{
+		Store: adapters.Store, Name: settings.Name, Addr: addr,
+		LeaseTTL: max(drive.HolderLease, conf.Milliseconds(settings.Store.MinLeaseMillis)), Log: log, HolderAlive: p.holderAlive,
+		Capacity: p.capacity,
+	})
+	p.forwarder.elector = p.elector
+	p.monitor = &peerMonitor{elector: p.elector, peers: linkClient{&p.forwarder.links}, capacity: p.offeredCapacity, limits: agentLimits(settings.Limit)}
+	p.forwarder.monitor = p.monitor
+	return p
+}
+
+// runElection starts the elector and the heartbeats of a process with a peer interface at addr, and returns a context that
+// ends when the process is to stop them.
+func (p *Process) runElection(addr string) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.wg.Go(func() { p.elector.Run(ctx, p.runTenure) })
+	p.wg.Go(func() { p.monitor.sendHeartbeats(ctx, addr, p.settings.Name, heartbeatInterval) })
+	return ctx
+}
+
 // serveListener starts an HTTP server on a listener.
 func (p *Process) serveListener(l net.Listener, handler http.Handler) {
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
@@ -179,7 +191,7 @@
 func (p *Process) holderAlive(ctx context.Context, holder lead.Holder) bool {
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
-	alive, err := link.Call[int, bool](ctx, p.forwarder.links.Get(holder.Addr), "Peer.Alive", 0)
+	alive, err := p.monitor.peers.Alive(ctx, holder.Addr)
 	return err == nil && alive
 }
 
