front, lead, sched: a successor waits until the former holder's followers can't back it

Cause: the holder goes on by a majority of its followers; its successor claims by the store alone and counted the former leases from its claim, while the followers went on to extend them. Neither decision asks anybody who takes part in the other.

Ruled out: a majority that counts the holder, or all hosts, doesn't bind a claim that asks nobody; a longer wait is outlasted by a longer cut.

Change: the holder's voters, followers by a process id, stand under lead/voters, fenced by the chain, and go over to the successor in its claim. More than half of them confirm the holder. A process keeps the newest term that it knows and confirms no older one; its heartbeat tells the new holder so, which asks those who stay silent. Once half of the former voters have promised, or the former holder itself, the successor counts the former leases from then; before, tasks that it doesn't see are withheld. A worker that has answered it is fenced and needs no release. A holder that hears of a newer term ends its tenure.

--- a/internal/batch/drive/load.go
+++ b/internal/batch/drive/load.go
@@ -31,6 +31,7 @@
 func (h *Holder) loadState(start time.Time) ([]*prefixWatch, error) {
 	core := sched.New(sched.Options{
 		WorkerLease: h.opt.WorkerLease, MaxWorkerLease: h.opt.MaxWorkerLease, MaxStopTime: h.opt.MaxStopTime, MaxUnconfirmed: h.opt.MaxUnconfirmed, Term: h.opt.Tenure.Term(),
+		AwaitRelease: true,
 	}, start)
 	core.BeginRestore()
 	watches, stored := h.newWatches(), &storedJobs{}
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -156,9 +156,13 @@
 	}
 }
 
-// updateConfirmation tells the core when the store and the peers last confirmed this holder. The caller holds h.mu.
+// updateConfirmation tells the core when the store and the peers last confirmed this holder, and since when they can't
+// confirm a former one. The caller holds h.mu.
 func (h *Holder) updateConfirmation() {
 	h.core.ConfirmHolder(h.opt.Tenure.ConfirmedAt())
+	if at := h.opt.Tenure.FormerReleasedAt(); !at.IsZero() {
+		h.core.ReleaseFormerHolders(at)
+	}
 	if h.opt.PeersConfirmedAt != nil {
 		h.core.ConfirmHolderByPeers(h.opt.PeersConfirmedAt())
 	}
--- a/internal/batch/drive/status.go
+++ b/internal/batch/drive/status.go
@@ -52,7 +52,7 @@
 	s.setGauges(h.opt.Tenure.Term(), stats, s.maxPlanLag)
 	switch {
 	case s.withheld == 0 && stats.WithheldTasks > 0:
-		h.log.Info("holds back", "tasks", stats.WithheldTasks, "unheard", stats.WorkersUnheard, "workers", stats.WorkersInContact+stats.WorkersLost+stats.WorkersUnheard, "left", stats.WithheldFor)
+		h.log.Info("holds back", "tasks", stats.WithheldTasks, "unheard", stats.WorkersUnheard, "workers", stats.WorkersInContact+stats.WorkersLost+stats.WorkersUnheard, "left", stats.WithheldFor, "unreleased", stats.AwaitsRelease)
 	case s.withheld > 0 && stats.WithheldTasks == 0:
 		h.log.Info("holds nothing back", "tasks", s.withheld, "unheard", stats.WorkersUnheard)
 	}
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -14,6 +14,9 @@
 	MaxStopTime    time.Duration // longest time that a worker takes to stop a run
 	MaxUnconfirmed time.Duration // how long after a confirmation tasks are started and leases granted
 	Term           int64         // this holder's term; the high part of every run number
+	// AwaitRelease means that former holders may act until ReleaseFormerHolders is called. Otherwise, they have ceased
+	// to when the term begins.
+	AwaitRelease bool
 }
 
 // Core keeps the jobs, workers and runs during one term of a holder.
@@ -21,6 +24,7 @@
 	opts             Options
 	config           Config    // in force
 	termStart        time.Time // when this holder's term began
+	formerConfirmed  time.Time // when a former holder can have been confirmed last; unbounded: it may still be
 	confirmedByStore time.Time // when the store last confirmed this holder
 	confirmedByPeers time.Time // when its peers last did
 	// When the reads of the directory and of the operators' intent that are in use began; zero: not known.
@@ -70,9 +74,14 @@
 // New returns a Core for a term that begins at now. It starts no tasks and grants no leases before its first confirmation.
 func New(opt Options, now time.Time) *Core {
 	opt.MaxWorkerLease = max(opt.MaxWorkerLease, opt.WorkerLease)
+	formerConfirmed := now
+	if opt.AwaitRelease {
+		formerConfirmed = unbounded
+	}
 	return &Core{
 		opts:              opt,
 		termStart:         now,
+		formerConfirmed:   formerConfirmed,
 		jobs:              map[string]*job{},
 		endedJobs:         map[string]endedJob{},
 		workers:           map[string]*worker{},
@@ -184,10 +193,49 @@
 	}
 }
 
-// formerLeasesEnd returns when every lease that a former holder granted to workers has ended: these leases count
-// from the former holder's last confirmation, which is older than this holder's term.
+// unbounded stands for a time that isn't known yet and later than all others.
+var unbounded = time.Unix(1<<40, 0)
+
+// ReleaseFormerHolders records that since a time no former holder can be confirmed, by the store or by its peers. Only
+// the first call counts.
+func (c *Core) ReleaseFormerHolders(at time.Time) {
+	if c.formerConfirmed.Equal(unbounded) {
+		c.formerConfirmed = latest(at, c.termStart)
+	}
+}
+
+// formerStopped returns when every former holder has ceased to act, or unbounded.
+func (c *Core) formerStopped() time.Time {
+	if c.formerConfirmed.Equal(unbounded) {
+		return unbounded
+	}
+	return c.formerConfirmed.Add(c.opts.MaxUnconfirmed)
+}
+
+// formerLeasesEnd returns when every lease that a former holder granted to workers has ended, or unbounded: these leases
+// count from the former holder's last confirmation.
 func (c *Core) formerLeasesEnd() time.Time {
-	return c.termStart.Add(c.expiryBound(c.opts.WorkerLease))
+	if c.formerConfirmed.Equal(unbounded) {
+		return unbounded
+	}
+	return c.formerConfirmed.Add(c.expiryBound(c.opts.WorkerLease))
+}
+
+// leaseEnd returns when every lease on a worker has ended unless it is renewed, or unbounded.
+func (c *Core) leaseEnd(w *worker) time.Time {
+	if w.formerLease {
+		return latest(w.leaseExpiry, c.formerLeasesEnd())
+	}
+	return w.leaseExpiry
+}
+
+// boundFormerLease bounds the former holder's lease on a worker that has answered this holder: the worker is fenced, so
+// that a former holder which still acts can't renew its lease any more.
+func (c *Core) boundFormerLease(now time.Time, w *worker) {
+	if w.formerLease && c.formerConfirmed.Equal(unbounded) {
+		w.formerLease = false
+		w.leaseExpiry = latest(w.leaseExpiry, now.Add(c.expiryBound(c.opts.WorkerLease)))
+	}
 }
 
 // expiryBound returns the longest time from a reading of a worker's clock until that clock has advanced by d and
@@ -198,8 +246,8 @@
 
 // mayAct reports whether this holder may start tasks and renew leases. A holder that is cut off
 // doesn't know of its successor. The successor waits until all that the former holder started or
-// renewed must have ended. If the store is down for everyone, there is no successor and work
-// continues.
+// renewed must have ended. If the store is down for everyone, peers confirm this holder and work
+// continues; those that have confirmed it let a successor wait.
 func (c *Core) mayAct(now time.Time) bool {
 	return c.confirmationAge(now) < c.opts.MaxUnconfirmed
 }
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -53,7 +53,7 @@
 	}
 	if w == nil {
 		c.trackedVersion++
-		w = &worker{runs: map[runKey]*run{}, leaseExpiry: c.formerLeasesEnd()}
+		w = &worker{runs: map[runKey]*run{}, formerLease: true}
 		c.workers[m.ID] = w
 		w.ID = m.ID
 		c.insertByID(w)
@@ -102,7 +102,7 @@
 	w.StartedAt = startedAt
 	c.trackedVersion++
 	c.noteOrderDue(w)
-	w.leaseExpiry = now
+	w.leaseExpiry, w.formerLease = now, false
 	w.restarted, w.inventoryComplete = true, false
 	w.ackedSeq, w.handledSeq, w.releasedSeq, w.pendingAcks = 0, 0, 0, nil
 	w.contact = ContactNone
@@ -138,7 +138,7 @@
 		c.releaseLost(r, ReleasedGone)
 	}
 	w.contact = ContactLost
-	w.leaseExpiry = now
+	w.leaseExpiry, w.formerLease = now, false
 	c.expireLeases(now)
 }
 
@@ -158,7 +158,7 @@
 func (c *Core) expireLeases(now time.Time) {
 	var gone []*worker
 	for _, w := range c.workersByID {
-		if w.contact == ContactGood || now.Before(w.leaseExpiry) || c.confirmedByStore.Before(w.leaseExpiry) {
+		if end := c.leaseEnd(w); w.contact == ContactGood || now.Before(end) || c.confirmedByStore.Before(end) {
 			continue
 		}
 		if kept := c.releaseExpiredRuns(now, w); !w.listed && !kept {
@@ -184,7 +184,7 @@
 		}
 		c.releaseLost(r, ReleasedLease)
 	}
-	c.setExpired(w, !mayBeLonger && (!w.restarted || now.Sub(w.leaseExpiry) >= c.lateOrderWait()))
+	c.setExpired(w, !mayBeLonger && (!w.restarted || now.Sub(c.leaseEnd(w)) >= c.lateOrderWait()))
 	return kept
 }
 
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -59,7 +59,7 @@
 // may have been renewed by this holder while it loaded the state, when it didn't handle their reports.
 func (c *Core) formerRunsPossible(now time.Time) bool {
 	for _, w := range c.workersByID {
-		if w.inherited && !w.inventoryComplete && now.Before(latest(w.leaseExpiry, c.formerLeasesEnd())) {
+		if w.inherited && !w.inventoryComplete && now.Before(latest(c.leaseEnd(w), c.formerLeasesEnd())) {
 			return true
 		}
 	}
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -186,6 +186,7 @@
 		return nil
 	}
 	c.extendExpiry(now, w)
+	c.boundFormerLease(now, w)
 	c.noteOrderDue(w)
 	w.contact = ContactGood
 	w.clock = w.clock.update(sent, now, rep.Clock)
@@ -275,7 +276,7 @@
 // A reported run counts as the only run of its task once the former holder has certainly stopped acting. Before that,
 // each of two holders may see the run end and start the task on a worker that the other does not reach.
 func (c *Core) recordRunning(sent, now time.Time, w *worker, rep Report) map[runKey]bool {
-	formerHolderStopped := !sent.Before(c.termStart.Add(c.opts.MaxUnconfirmed))
+	formerHolderStopped := !sent.Before(c.formerStopped())
 	listed := make(map[runKey]bool, len(rep.Running))
 	for _, status := range rep.Running {
 		id, err := ParseTaskID(status.Task)
--- a/internal/batch/sched/relocate.go
+++ b/internal/batch/sched/relocate.go
@@ -45,7 +45,7 @@
 func (c *Core) departures(now time.Time, formerRuns bool) []departure {
 	var all []departure
 	for _, w := range c.workersByID {
-		if !w.departs() && !w.leaseEnds(now) {
+		if !w.departs() && !c.leaseEnds(now, w) {
 			continue
 		}
 		p := precedence{continuity: departing, timeKey: w.drainUntil.UnixNano()}
@@ -77,8 +77,9 @@
 }
 
 // leaseEnds reports whether the runs of a worker that is out of contact are about to be released, as its lease expires.
-func (w *worker) leaseEnds(now time.Time) bool {
-	return w.contact == ContactLost && now.Add(relocationLead).After(w.leaseExpiry) && now.Before(w.leaseExpiry.Add(maxLeaseOverrun))
+func (c *Core) leaseEnds(now time.Time, w *worker) bool {
+	end := c.leaseEnd(w)
+	return w.contact == ContactLost && now.Add(relocationLead).After(end) && now.Before(end.Add(maxLeaseOverrun))
 }
 
 // relocatable reports whether a run is that of a long-running task which can be moved by itself.
@@ -102,7 +103,7 @@
 	if rel == nil || rel.held && !rel.fits() {
 		rel = c.chooseDestination(now, r)
 	}
-	if rel == nil || !r.worker.departsSoon(now) && !r.worker.leaseEnds(now) {
+	if rel == nil || !r.worker.departsSoon(now) && !c.leaseEnds(now, r.worker) {
 		return orders
 	}
 	if !rel.held {
@@ -229,7 +230,7 @@
 		return true
 	}
 	// While the worker has left and its lease goes on for longer, the resources would stay unused.
-	return t.run == rel.run && (rel.run.worker.departs() || rel.run.worker.leaseEnds(now))
+	return t.run == rel.run && (rel.run.worker.departs() || c.leaseEnds(now, rel.run.worker))
 }
 
 // takeReserved returns a worker where an interrupted task fits in place of one that still runs on a draining worker, and gives
--- a/internal/batch/sched/stats.go
+++ b/internal/batch/sched/stats.go
@@ -8,7 +8,8 @@
 	WorkersLost      int           // workers that didn't answer their last poll
 	WorkersUnheard   int           // workers that this holder hasn't heard from yet
 	WithheldTasks    int           // tasks not started as a worker out of contact may still run them
-	WithheldFor      time.Duration // longest time for which they are still withheld
+	WithheldFor      time.Duration // longest time for which they are still withheld; 0 while AwaitsRelease
+	AwaitsRelease    bool          // a former holder may still act
 	ConfirmationAge  time.Duration // time since this process was last confirmed as the holder
 	DirectoryAge     time.Duration // age of the directory read in use at the store's last confirmation of this holder
 	IntentAge        time.Duration // the same for the read of the operators' intent
@@ -55,7 +56,9 @@
 	if !c.formerRunsPossible(now) {
 		return s
 	}
-	s.WithheldFor = max(c.formerLeasesEnd().Sub(now), 0)
+	if s.AwaitsRelease = c.formerConfirmed.Equal(unbounded); !s.AwaitsRelease {
+		s.WithheldFor = max(c.formerLeasesEnd().Sub(now), 0)
+	}
 	for _, st := range c.waitQueue.all() {
 		if st.job.restored && !st.job.state.Final() {
 			s.WithheldTasks += st.unseenTasks()
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -99,7 +99,8 @@
 	inherited         bool          // tracked at the takeover; orders of the former holder may have gone to any incarnation
 	contact           Contact       // result of the last poll
 	leaseUntil        time.Duration // end of the lease granted to this incarnation, on the worker's clock
-	leaseExpiry       time.Time     // time by which all of its runs have ended unless the lease is renewed
+	leaseExpiry       time.Time     // when the lease granted by this holder has expired; see Core.leaseEnd
+	formerLease       bool          // leases of a former holder may be in force until Core.formerLeasesEnd
 	ackedSeq          int64         // ends up to this number are stored and may be acknowledged
 	handledSeq        int64         // ends up to this number have been handled
 	releasedSeq       int64         // ends up to this number may be of runs that a lease expiry has released
--- a/internal/ctrl/lead/elector.go
+++ b/internal/ctrl/lead/elector.go
@@ -24,6 +24,7 @@
 	keyHolder    = keyPrefix + "holder" // the Holder, in JSON; bound to the holder's lease
 	keyTerm      = keyPrefix + "term"   // the newest term
 	keyLoad      = keyPrefix + "load"   // the load of the newest holder; see LoadWrite
+	keyVoters    = keyPrefix + "voters" // the electorates of the newest holder and of former ones that aren't released, in JSON
 	keyLastWrite = "chain"              // the writeID of the holder's last write, in JSON
 )
 
@@ -77,10 +78,12 @@
 
 // Elector keeps track of the holder and claims to be the holder when there is none.
 type Elector struct {
-	opt Options
+	opt  Options
+	self Voter
 
 	mu             sync.Mutex
 	holder         Holder        // as far as is known here
+	newestTerm     int64         // newest term known here; see Promise
 	stored         storedState   // as last read
 	formerHolder   Holder        // holder before its key was deleted
 	tenure         *Tenure       // nil: this process isn't the holder
@@ -95,6 +98,9 @@
 	term    int64
 	termRev uint64 // revision of the term's key; 0: there has been no holder yet
 	load    int    // 0: not known
+
+	electorates    []Electorate // by term
+	electoratesRev uint64       // revision of the electorates' key; 0: there are none
 }
 
 // New returns an Elector, which does nothing until Run is called.
@@ -102,9 +108,12 @@
 	if opt.Capacity == nil {
 		opt.Capacity = func() int { return 0 }
 	}
-	return &Elector{opt: opt, changed: make(chan struct{})}
+	return &Elector{opt: opt, self: newVoter(opt.Addr), changed: make(chan struct{})}
 }
 
+// Self returns this process as a voter.
+func (e *Elector) Self() Voter { return e.self }
+
 // Holder returns the holder as far as is known here, and a channel that is closed when the known holder changes.
 func (e *Elector) Holder() (Holder, <-chan struct{}) {
 	e.mu.Lock()
@@ -112,6 +121,31 @@
 	return e.holder, e.changed
 }
 
+// NewestTerm returns the newest term that is known here. This process doesn't confirm the holder of an older one.
+func (e *Elector) NewestTerm() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.newestTerm
+}
+
+// Promise records that a process has become the holder with a term. This process will not confirm the holder of an older
+// term any more, and if it is that holder, its tenure ends: its successor's claim makes its writes fail.
+func (e *Elector) Promise(term int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.promise(term)
+}
+
+// promise is Promise. The caller holds e.mu.
+func (e *Elector) promise(term int64) {
+	e.newestTerm = max(e.newestTerm, term)
+	if e.tenure != nil && e.tenure.claim.Term < e.newestTerm {
+		e.opt.Log.Info("newer term", "term", e.tenure.claim.Term, "newer", e.newestTerm)
+		e.tenure.cancel()
+		e.tenure = nil
+	}
+}
+
 // StoreFailing reports whether this process's last call to the store failed.
 func (e *Elector) StoreFailing() bool {
 	e.mu.Lock()
@@ -155,6 +189,7 @@
 	if e.holder == h {
 		return
 	}
+	e.promise(h.Term)
 	if h.Name == "" {
 		e.formerHolder = e.holder
 	}
@@ -217,6 +252,12 @@
 				e.opt.Log.Error(err, "cannot decode the load, treating it as unknown")
 				stored.load = 0
 			}
+		case keyVoters:
+			stored.electoratesRev = entry.Rev
+			if stored.electorates, err = decodeElectorates(entry.Value); err != nil {
+				e.opt.Log.Error(err, "cannot decode the electorates")
+				return 0, err
+			}
 		}
 	}
 	e.mu.Lock()
@@ -425,12 +466,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "lead")
 	}
+	electorates := claimElectorates(stored.electorates, e.self, h.Term)
 	sent := time.Now()
 	rev, err := e.opt.Store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: keyHolder}, {Key: keyTerm, Rev: stored.termRev}},
+		Conditions: []store.Condition{{Key: keyHolder}, {Key: keyTerm, Rev: stored.termRev}, {Key: keyVoters, Rev: stored.electoratesRev}},
 		Writes: []store.Write{
 			{Key: keyHolder, Value: value, Lease: lease},
 			{Key: keyTerm, Value: term},
+			{Key: keyVoters, Value: encodeElectorates(electorates)},
 			{Key: keyLastWrite, Value: writeID{h.ClaimID, 0}.encode()},
 		},
 	})
@@ -441,7 +484,11 @@
 		return nil, err
 	}
 	tctx, cancel := context.WithCancel(ctx)
-	return &Tenure{elector: e, claim: h, leaseID: lease, claimRev: rev, lastWriteRev: rev, ctx: tctx, cancel: cancel, confirmedAt: sent, claimLoad: stored.load, claimedAt: sent, keyDeleted: make(chan struct{}, 1), writeSlot: make(chan struct{}, 1)}, nil
+	return &Tenure{
+		elector: e, claim: h, claimRev: rev, claimLoad: stored.load, claimedAt: sent, keyDeleted: make(chan struct{}, 1), ctx: tctx, cancel: cancel,
+		writeSlot: make(chan struct{}, 1), lastWriteRev: rev,
+		leaseID: lease, confirmedAt: sent, electorates: newTenureElectorates(electorates, sent),
+	}, nil
 }
 
 // resolveClaim finds out whether a claim whose call got no answer took effect, and returns its revision if it did.
--- a/internal/ctrl/lead/tenure.go
+++ b/internal/ctrl/lead/tenure.go
@@ -55,6 +55,7 @@
 	mu          sync.Mutex
 	leaseID     string    // lease that the holder's key is bound to
 	confirmedAt time.Time // see ConfirmedAt
+	electorates tenureElectorates
 }
 
 // Context returns a context that ends with the tenure.
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -452,6 +452,20 @@
 	return n
 }
 
+// RunningTasks returns the tasks that run, once for each run.
+func (f *Fleet) RunningTasks() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var tasks []string
+	for _, w := range f.workers {
+		f.expireLease(w)
+		for name := range w.runs {
+			tasks = append(tasks, name)
+		}
+	}
+	return tasks
+}
+
 // ExpiredRuns returns the number of runs ended by lease expiry.
 func (f *Fleet) ExpiredRuns() int {
 	f.mu.Lock()
--- a/internal/proc/front/agents_test.go
+++ b/internal/proc/front/agents_test.go
@@ -359,7 +359,7 @@
 // reads the jobs.
 func TestFollowerRecordedBeforeHolder(t *testing.T) {
 	m := &peerMonitor{}
-	p := &Peer{&Forwarder{}, m}
+	p := &Peer{&Forwarder{elector: lead.New(lead.Options{})}, m}
 	begun := time.Now()
 	if err := p.Follow("a", new(int)); err == nil {
 		t.Error("a process that isn't the holder answered as the holder")
--- a/internal/proc/front/forward.go
+++ b/internal/proc/front/forward.go
@@ -10,7 +10,6 @@
 	tally "github.com/uber-go/tally/v4"
 
 	"bramleysail.example/bramleysail/internal/base/wait"
-	"bramleysail.example/bramleysail/internal/batch/agent"
 	"bramleysail.example/bramleysail/internal/batch/drive"
 	"bramleysail.example/bramleysail/internal/ctrl/lead"
 	"bramleysail.example/bramleysail/internal/peer/link"
@@ -219,26 +218,36 @@
 
 // Follow records a heartbeat of a follower of an older build, whose limits aren't known, like Announce.
 func (p *Peer) Follow(addr string, out *int) error {
-	return p.Announce(agent.Candidate{Addr: addr}, out)
+	return p.Announce(Heartbeat{Addr: addr}, out)
 }
 
 // Announce records a heartbeat of a follower. It returns an error if this process isn't the holder, or not yet: a new holder
 // may choose agents before it has read the jobs.
-func (p *Peer) Announce(f agent.Candidate, _ *int) error {
-	p.monitor.recordFollower(f, time.Now())
+func (p *Peer) Announce(h Heartbeat, _ *int) error {
+	p.monitor.recordFollower(h, time.Now())
+	p.forwarder.elector.Promise(h.Term)
 	if p.forwarder.localHolder() == nil {
 		return errNoHolder
 	}
 	return nil
 }
 
+// Promise makes this process confirm no holder of a term older than the given one. If it is that holder itself, its
+// tenure ends.
+func (p *Peer) Promise(term int64, out *Promise) error {
+	e := p.forwarder.elector
+	e.Promise(term)
+	*out = Promise{e.Self().ID, e.NewestTerm()}
+	return nil
+}
+
 // Outlook reports this process's status as a follower. The argument isn't used.
 func (p *Peer) Outlook(_ int, status *FollowerStatus) error {
 	ctx, cancel := context.WithTimeout(context.Background(), storeProbeTimeout)
 	defer cancel()
-	status.Failing = !p.forwarder.elector.ProbeStore(ctx)
-	h, _ := p.forwarder.elector.Holder()
-	status.Term = h.Term
+	e := p.forwarder.elector
+	status.Failing = !e.ProbeStore(ctx)
+	status.ID, status.Term = e.Self().ID, e.NewestTerm()
 	status.Carries = p.monitor.capacity()
 	return nil
 }
--- a/internal/proc/front/peers.go
+++ b/internal/proc/front/peers.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
-	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/batch/agent"
 	"bramleysail.example/bramleysail/internal/ctrl/lead"
 	"bramleysail.example/bramleysail/internal/peer/link"
@@ -28,23 +28,17 @@
 	heartbeatTimeout = 300 * time.Millisecond
 	// followerTTL is how long a follower counts after its last heartbeat, while the store confirms the holder.
 	followerTTL = 10 * time.Second
-	// storeSilentAfter is the time since the store's last confirmation after which the holder asks its followers.
-	storeSilentAfter = 600 * time.Millisecond
-	// peerConfirmInterval is the time between two rounds of asking the followers.
-	peerConfirmInterval = 500 * time.Millisecond
-	// storeProbeTimeout limits a follower's probe of the store. It is longer than a slow store takes to answer.
-	storeProbeTimeout = 500 * time.Millisecond
-	// peerQueryTimeout limits the wait for the followers' replies, each of which may include a probe of the store.
-	peerQueryTimeout = storeProbeTimeout + 200*time.Millisecond
 )
 
 // peerMonitor exchanges heartbeats and status with the other entry processes. As a follower, it sends heartbeats to the
 // holder and detects whether this process is isolated. As the holder, it asks its followers to confirm it while the
-// store doesn't answer: if the store answers none of them, there can be no successor, and the holder goes on.
+// store doesn't answer: if the store answers none of them, there can be no successor, and the holder goes on. As a new
+// holder, it collects the promises by which its followers confirm no former one any more.
 //
 // Without peer confirmation, the holder would have to stop during an outage of the store of some seconds, as it may
 // have been replaced, and the leases of all tasks on all workers would expire.
 type peerMonitor struct {
+	log      logr.Logger
 	elector  *lead.Elector // knows who the holder is
 	peers    peerClient    // calls other entry processes
 	capacity func() int    // returns how many workers this process would handle as the holder; 0: not known, or none
@@ -52,6 +46,8 @@
 
 	mu               sync.Mutex
 	heard            map[string]heartbeat // last heartbeat of each follower, by the address of its peer interface
+	promises         map[string]int64     // newest term that each process has promised, by the address of its peer interface
+	promiseCh        chan struct{}        // see promiseSignal; nil until needed
 	confirmedAt      time.Time            // when the followers last confirmed this process as the holder
 	holderAnsweredAt time.Time            // when the holder last answered this process
 	isolatedCh       chan struct{}        // closed while isolated is set; nil stands for an open channel
@@ -60,18 +56,19 @@
 
 // heartbeat is a received heartbeat.
 type heartbeat struct {
-	at     time.Time    // when it was received
-	limits agent.Limits // of its sender
+	Heartbeat
+	at time.Time // when it was received
 }
 
 // recordFollower records a heartbeat of a follower.
-func (m *peerMonitor) recordFollower(f agent.Candidate, now time.Time) {
+func (m *peerMonitor) recordFollower(h Heartbeat, now time.Time) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	if m.heard == nil {
 		m.heard = map[string]heartbeat{}
 	}
-	m.heard[f.Addr] = heartbeat{now, f.Limits}
+	m.heard[h.Addr] = heartbeat{h, now}
+	m.mu.Unlock()
+	m.recordPromise(h.Addr, Promise{h.ID, h.Term})
 }
 
 // followers returns the addresses of the followers whose last heartbeat was received at most followerTTL before the
@@ -101,7 +98,7 @@
 	var candidates []agent.Candidate
 	for addr, last := range m.heard {
 		if last.at.After(at) {
-			candidates = append(candidates, agent.Candidate{Addr: addr, Limits: last.limits})
+			candidates = append(candidates, agent.Candidate{Addr: addr, Limits: last.Limits})
 		}
 	}
 	return candidates
@@ -131,7 +128,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-		err := m.peers.Announce(callCtx, h.Addr, agent.Candidate{Addr: selfAddr, Limits: m.limits})
+		err := m.peers.Announce(callCtx, h.Addr, Heartbeat{Addr: selfAddr, Limits: m.limits, ID: m.elector.Self().ID, Term: m.elector.NewestTerm()})
 		cancel()
 		if err == nil {
 			misses = 0
@@ -208,57 +205,3 @@
 	defer m.mu.Unlock()
 	return time.Since(m.holderAnsweredAt) < holderReachableWindow
 }
-
-// confirmWithPeers asks the followers to confirm this holder while the store doesn't, until the tenure ends.
-func (m *peerMonitor) confirmWithPeers(t *lead.Tenure) {
-	for wait.For(t.Context(), peerConfirmInterval) {
-		now := time.Now()
-		if now.Sub(t.ConfirmedAt()) < storeSilentAfter {
-			continue
-		}
-		addrs := m.followers(t.ConfirmedAt())
-		if confirmedByPeers(t.Term(), m.queryFollowers(t.Context(), addrs, peerQueryTimeout), len(addrs)) {
-			m.mu.Lock()
-			m.confirmedAt = now
-			m.mu.Unlock()
-		}
-	}
-}
-
-// confirmedByPeers reports whether the followers confirm the holder of a term. More than half of them must reply that
-// the store doesn't answer them, and none may reply that it does or that it knows a newer term.
-//
-// A single follower that the store answers may have become the holder, or be about to. A majority that is cut off from
-// the store together with the current holder wouldn't know.
-func confirmedByPeers(term int64, replies []followerReply, followers int) bool {
-	for _, reply := range replies {
-		if !reply.Failing || reply.Term > term {
-			return false
-		}
-	}
-	return 2*len(replies) > followers
-}
-
-// queryFollowers asks followers for their status and returns the replies that arrive within the timeout.
-func (m *peerMonitor) queryFollowers(ctx context.Context, addrs []string, timeout time.Duration) []followerReply {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	results := make(chan *followerReply, len(addrs))
-	for _, addr := range addrs {
-		go func() {
-			status, err := m.peers.Outlook(ctx, addr)
-			if err != nil {
-				results <- nil
-				return
-			}
-			results <- &followerReply{addr, status}
-		}()
-	}
-	var replies []followerReply
-	for range addrs {
-		if reply := <-results; reply != nil {
-			replies = append(replies, *reply)
-		}
-	}
-	return replies
-}
--- a/internal/proc/front/process.go
+++ b/internal/proc/front/process.go
@@ -128,7 +128,7 @@
 		Capacity: p.capacity,
 	})
 	p.forwarder.elector = p.elector
-	p.monitor = &peerMonitor{elector: p.elector, peers: linkClient{&p.forwarder.links}, capacity: p.offeredCapacity, limits: agentLimits(settings.Limit)}
+	p.monitor = &peerMonitor{log: log, elector: p.elector, peers: linkClient{&p.forwarder.links}, capacity: p.offeredCapacity, limits: agentLimits(settings.Limit)}
 	p.forwarder.monitor = p.monitor
 	return p
 }
@@ -201,6 +201,8 @@
 	defer p.tenure.CompareAndSwap(t, nil)
 	defer p.forwarder.setLocalHolder(nil)
 	p.wg.Go(func() { p.monitor.confirmWithPeers(t) })
+	p.wg.Go(func() { p.monitor.keepVoters(t) })
+	p.wg.Go(func() { p.monitor.releaseFormer(t) })
 	client := agent.NewClient(t.Context(), agent.Options{
 		Direct: p.adapters.WorkerClient, Log: p.log, Scope: p.forwarder.scope, WrapConn: p.adapters.Meter.Wrap(meter.Agents),
 		LinkMbps: p.settings.Limit.LinkMbps, ReceivedBytes: p.adapters.Meter.Received,
