sched: the wait for former runs ends on a later word of the store

Tasks would run twice (TWICE), or again after their end was counted, seen in virtual time only: a second cut along another line makes the successor of a partition one that only its followers confirm, beside a further successor that has the store.

Cause: such a holder took its former leases for ended by its own clock. The further one may have renewed them on a worker that the holder doesn't reach, or have counted an end there. expireLeases asks for the store's word after a lease's end; formerRunsPossible didn't.

Change: it does.

TestFormerLeasesEndNeedsStore fails before. batch/drive passes.

--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -206,6 +206,7 @@
 	h.pollWorkers()
 	h.wg.Go(h.commitLoop)
 	h.wg.Go(h.forgetLoop)
+	h.wg.Go(h.confirmAfterFormerLeases)
 	wait.Wake(h.commitWake)
 	h.planLoop()
 	h.wg.Wait()
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -168,6 +168,27 @@
 	}
 }
 
+// confirmAfterFormerLeases has the store confirm this holder as soon as the leases of former holders have ended, for which
+// the tasks taken over wait, in place of at the next renewal.
+func (h *Holder) confirmAfterFormerLeases() {
+	for {
+		h.mu.Lock()
+		h.updateConfirmation()
+		end, known := h.core.FormerLeasesEnd()
+		h.mu.Unlock()
+		if known {
+			if wait.For(h.ctx, time.Until(end)) {
+				h.opt.Tenure.Confirm()
+				h.requestPlan()
+			}
+			return
+		}
+		if !wait.For(h.ctx, planInterval) {
+			return
+		}
+	}
+}
+
 // executeOrder sends an order and passes the outcome to the core, also when the tenure is over. A worker that
 // has been fenced by a newer holder ends the tenure instead. Each order is logged, starts that were carried out by the run
 // log, except a throttle to a CPU limit above 0 that was carried out, unless the run was idle.
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -221,6 +221,13 @@
 	return c.formerConfirmed.Add(c.expiryBound(c.opts.WorkerLease))
 }
 
+// FormerLeasesEnd returns when every lease that a former holder granted to workers has ended, and whether that is known.
+// Tasks taken over from it are withheld until then, and until the store has confirmed this holder once more.
+func (c *Core) FormerLeasesEnd() (time.Time, bool) {
+	end := c.formerLeasesEnd()
+	return end, !end.Equal(unbounded)
+}
+
 // leaseEnd returns when every lease on a worker has ended unless it is renewed, or unbounded.
 func (c *Core) leaseEnd(w *worker) time.Time {
 	if w.formerLease {
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -57,9 +57,13 @@
 // inventory to this holder: until they do, a task taken over may run there or have ended there. This concerns only
 // workers in the stored record that this holder took over, as a worker is recorded there before its first start. Their leases
 // may have been renewed by this holder while it loaded the state, when it didn't handle their reports.
+//
+// As in expireLeases, the store must have confirmed this holder after the leases' end. Otherwise, a successor may have
+// renewed them, or have counted the end of such a task.
 func (c *Core) formerRunsPossible(now time.Time) bool {
 	for _, w := range c.workersByID {
-		if w.inherited && !w.inventoryComplete && now.Before(latest(c.leaseEnd(w), c.formerLeasesEnd())) {
+		end := latest(c.leaseEnd(w), c.formerLeasesEnd())
+		if w.inherited && !w.inventoryComplete && (now.Before(end) || c.confirmedByStore.Before(end)) {
 			return true
 		}
 	}
--- a/internal/batch/sched/release_test.go
+++ b/internal/batch/sched/release_test.go
@@ -75,3 +75,24 @@
 		t.Errorf("starts %v once the lease has expired, want the task", got)
 	}
 }
+
+// Guards against a task that runs twice: its holder is confirmed by its followers, and a successor beside the store has
+// renewed the lease of a worker that this holder doesn't reach. That the former leases have ended is certain only once the
+// store has confirmed this holder after that.
+func TestFormerLeasesEndNeedsStore(t *testing.T) {
+	b := newSuccessor(t, false)
+	b.poll("w0", sched.Report{})
+	for end := b.now.Add(time.Minute); b.now.Before(end); b.now = b.now.Add(500 * time.Millisecond) {
+		b.core.ConfirmHolderByPeers(b.now)
+		b.core.NextPoll(b.now, "w0")
+		b.core.HandleReport(b.now, b.now, "w0", sched.Report{StartedAt: 1, Clock: b.now.Sub(epoch())})
+		b.core.NextPoll(b.now, "w0")
+		if got := b.core.Plan(b.now); len(got) != 0 {
+			t.Fatalf("orders %v without the store's confirmation", got)
+		}
+	}
+	b.poll("w0", sched.Report{})
+	if got := b.planOrders(sched.VerbStart); len(got) != 1 {
+		t.Errorf("starts %v once the store has confirmed the holder, want the task", got)
+	}
+}
--- a/internal/ctrl/lead/tenure.go
+++ b/internal/ctrl/lead/tenure.go
@@ -218,6 +218,12 @@
 	return errors.Is(err, store.ErrLeaseNotFound) && lease == t.currentLease()
 }
 
+// Confirm renews the lease at once, so that ConfirmedAt isn't before the call if the store answers. It returns when the
+// store has answered.
+func (t *Tenure) Confirm() {
+	t.renewLease() // renewLoop notices an expired lease itself
+}
+
 // currentLease returns the lease that the holder's key is bound to.
 func (t *Tenure) currentLease() string {
 	t.mu.Lock()
--- a/internal/proc/front/partition_test.go
+++ b/internal/proc/front/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -395,6 +396,14 @@
 			time.Sleep(15 * time.Second)
 			c.heal()
 		}},
+		{name: "a second cut along another line", mayExpire: true, play: func(c *partitionCluster, a int) {
+			zones, _, _ := c.others(a)
+			c.cut(zones[0], "store")
+			time.Sleep(10 * time.Second)
+			c.cut(zones[1], "store")
+			time.Sleep(15 * time.Second)
+			c.heal()
+		}},
 		{name: "followers that have promised join the former holder", mayExpire: true, play: func(c *partitionCluster, a int) {
 			c.cut(c.host(a).zone)
 			time.Sleep(2200 * time.Millisecond)
@@ -506,3 +515,64 @@
 		})
 	}
 }
+
+// Guards against orders of partitions, outages of the store, restarts and frozen processes that TestHolderInPartition
+// doesn't list.
+func TestRandomPartitions(t *testing.T) {
+	for seed := range uint64(*partitionSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newPartitionCluster(t)
+				defer c.stop()
+				playRandomPartitions(c, rand.New(rand.NewPCG(seed, 0)))
+				time.Sleep(25 * time.Second)
+				if n := c.runningLasting(); n != lastingTasks {
+					t.Errorf("%d lasting tasks run in the end, want %d", n, lastingTasks)
+				}
+				for _, violation := range c.workers.Violations() {
+					t.Error(violation)
+				}
+			})
+		})
+	}
+}
+
+// partitionSeeds is the number of seeds of TestRandomPartitions.
+var partitionSeeds = flag.Int("partition-seeds", 20, "seeds of TestRandomPartitions")
+
+// playRandomPartitions plays a minute of random disruptions. It leaves the network whole and all hosts running.
+func playRandomPartitions(c *partitionCluster, rng *rand.Rand) {
+	frozen := map[int]bool{}
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(time.Duration(rng.IntN(6000)) * time.Millisecond) {
+		i := rng.IntN(partitionHosts)
+		switch rng.IntN(9) {
+		case 0, 1:
+			c.cut(fmt.Sprintf("z%d", rng.IntN(3)))
+		case 2, 3:
+			c.cut(fmt.Sprintf("z%d", rng.IntN(3)), "store")
+		case 4:
+			c.heal()
+			c.serveAll()
+		case 5:
+			c.serve(rng.Perm(partitionHosts)[:rng.IntN(4)]...)
+		case 6:
+			c.serveAll()
+		case 7:
+			if !frozen[i] {
+				c.restart(i)
+			}
+		case 8:
+			if !c.host(i).dead {
+				frozen[i] = !frozen[i]
+				c.setFrozen(i, frozen[i])
+			}
+		}
+	}
+	for i, f := range frozen {
+		if f {
+			c.setFrozen(i, false)
+		}
+	}
+	c.heal()
+	c.serveAll()
+}
