drive: a cancel reaches jobs that are being stored

Cause: cancelJob and replyState looked in the core and in the store. A job that waits for a write, or whose write is in flight, is in the table of submissions alone.

A cancel withdraws one that isn't written yet, and waits for the write of others, whose job ends in the step that enters it. A submission that two requests share stays until the last one leaves.

Ruled out: a holder that is replaced with the write in flight (TestCancelAfterHolderChange passes before and after): the chain lets the write land before the claim or never.

--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -167,9 +167,7 @@
 	h.mu.Lock()
 	h.writeStarted = time.Time{}
 	for _, s := range c.submissions {
-		h.core.AddJob(now, s.job)
-		delete(h.submissionsByID, s.job.ID)
-		close(s.done)
+		h.finishSubmission(now, s)
 	}
 	h.core.MarkCommitted(c.batch)
 	if c.trackedWorkers != nil {
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -142,7 +142,8 @@
 	hasConfig            bool                       // the core has a configuration
 	polling              map[string]bool            // ids of the workers that have a polling goroutine
 	submissions          []*submission              // not part of a write yet, oldest first
-	submissionsByID      map[string]*submission     // not stored yet, by job id
+	submissionsByID      map[string]*submission     // neither stored nor withdrawn, by job id
+	cancelledIDs         cancelledIDs               // of late submissions
 	recordWaiters        map[string][]chan struct{} // closed when the job's next record is stored, by job id
 	ackWaiters           map[string]chan struct{}   // closed when all ends that the worker reported are stored, by worker id
 	writeStarted         time.Time                  // start of the write in flight; zero: none
@@ -155,14 +156,6 @@
 	undecodedJobs        map[string]error           // jobs in the store that can't be decoded, by id
 }
 
-// submission is a submitted job that isn't stored yet.
-type submission struct {
-	job     *sched.Job
-	data    []byte        // the job as stored, in JSON
-	done    chan struct{} // closed once the job is stored
-	writing bool          // it is part of a write, which may have reached the store
-}
-
 // Run does the work of a tenure until the tenure is over. It calls ready once the state is loaded, and
 // returns an error if the tenure ends before.
 func Run(opt Options, ready func(*Holder)) error {
--- a/internal/batch/drive/request.go
+++ b/internal/batch/drive/request.go
@@ -52,6 +52,7 @@
 	State   sched.State   // of the job, for ResultState
 	Pending int           // jobs of the queue that have not started, for ResultCount
 	After   time.Duration // when to retry, for ResultRefused
+	Final   bool          // for ResultRefused: earlier attempts of the request that got no answer aren't carried out either
 	Why     string        // the reason for the result, in words
 	Version int64         // of the configuration under which the request was handled
 }
@@ -145,26 +146,18 @@
 		h.mu.Unlock()
 		return Reply{Result: ResultDone, Why: "known"}
 	}
-	s := h.submissionsByID[id]
+	s, refusal := h.enterSubmission(time.Now(), job, data)
+	h.mu.Unlock()
 	if s == nil {
-		if refusal, refused := h.refuseJob(time.Now(), job); refused {
-			h.mu.Unlock()
-			return refusal
-		}
-		s = &submission{job: job, data: data, done: make(chan struct{})}
-		h.submissionsByID[id] = s
-		h.submissions = append(h.submissions, s)
+		return refusal
 	}
-	h.mu.Unlock()
 	wait.Wake(h.urgentCommit)
-	select {
-	case <-s.done:
+	h.awaitSubmission(ctx, s)
+	reply := h.leaveSubmission(s)
+	if reply.Result == ResultDone {
 		h.log.Info("accepted", "job", id, "queue", q.Name, "tasks", countTasks(job), "took", time.Since(job.AcceptedAt))
-		return Reply{Result: ResultDone}
-	case <-ctx.Done():
-	case <-h.ctx.Done():
 	}
-	return h.withdrawSubmission(s)
+	return reply
 }
 
 // countTasks returns the number of tasks of one occurrence of a job.
@@ -176,29 +169,15 @@
 	return n
 }
 
-// withdrawSubmission withdraws a submission that was not stored in time. The result is unknown if it is
-// already part of a write, which may still succeed.
-func (h *Holder) withdrawSubmission(s *submission) Reply {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if s.writing {
+// cancelJob cancels a job and replies once that is stored. A job whose submission isn't settled counts, too.
+func (h *Holder) cancelJob(ctx context.Context, id string) Reply {
+	if !h.cancelSubmission(ctx, id) {
 		return Reply{Result: ResultUnknown, Why: "store answers late"}
 	}
-	for i, other := range h.submissions {
-		if other == s {
-			h.submissions = append(h.submissions[:i:i], h.submissions[i+1:]...)
-			delete(h.submissionsByID, s.job.ID)
-			break
-		}
-	}
-	return RefusedReply("store away", retryAfterStoreOutage)
-}
-
-// cancelJob cancels a job and replies once that is stored.
-func (h *Holder) cancelJob(ctx context.Context, id string) Reply {
 	h.mu.Lock()
 	state, known := h.core.JobState(id)
 	if !known {
+		h.cancelledIDs.add(time.Now(), id)
 		h.mu.Unlock()
 		return h.replyUnknownJob(ctx, id)
 	}
@@ -222,8 +201,18 @@
 	return Reply{Result: ResultUnknown, Why: "store answers late"}
 }
 
-// replyState replies with the state of a job.
+// replyState replies with the state of a job. It waits for one whose submission isn't settled, unless the store is slow.
 func (h *Holder) replyState(ctx context.Context, id string) Reply {
+	h.mu.Lock()
+	s := h.submissionsByID[id]
+	h.mu.Unlock()
+	if s != nil {
+		ctx, cancel := context.WithTimeout(ctx, stalledWriteAfter)
+		defer cancel()
+		if !h.awaitSubmission(ctx, s) {
+			return RefusedReply("job isn't stored yet", retryAfterStoreOutage)
+		}
+	}
 	h.mu.Lock()
 	state, known := h.core.JobState(id)
 	h.mu.Unlock()
--- a/internal/proc/front/forward.go
+++ b/internal/proc/front/forward.go
@@ -112,7 +112,7 @@
 		}
 		rep, err := f.callHolder(ctx, holder, changed, isolatedCh, req)
 		switch {
-		case err == nil && !(answerLost && rep.Result == drive.ResultRefused):
+		case err == nil && settles(rep, answerLost):
 			return rep
 		case errors.Is(err, link.ErrAnswerLost):
 			answerLost = true
@@ -135,6 +135,12 @@
 	}
 }
 
+// settles reports whether a holder's answer settles a request, of which earlier calls may have got no answer. A refusal of
+// this call says nothing about those, unless it is final.
+func settles(rep drive.Reply, answerLost bool) bool {
+	return !answerLost || rep.Result != drive.ResultRefused || rep.Final
+}
+
 // retryInterval is the pause between two attempts to get an answer to a request.
 const retryInterval = 100 * time.Millisecond
 
--- a/internal/proc/front/forward_test.go
+++ b/internal/proc/front/forward_test.go
@@ -48,3 +48,28 @@
 		})
 	}
 }
+
+// Guards against a submission that is sent again until it is accepted though its job has been cancelled meanwhile, and
+// against one that is told of as refused though a call that got no answer may have been carried out.
+func TestSettles(t *testing.T) {
+	refused := drive.RefusedReply("x", time.Second)
+	cancelled := refused
+	cancelled.Final = true
+	for _, tt := range []struct {
+		name       string
+		reply      drive.Reply
+		answerLost bool
+		want       bool
+	}{
+		{"refused", refused, false, true},
+		{"refused after a lost answer", refused, true, false},
+		{"cancelled after a lost answer", cancelled, true, true},
+		{"done after a lost answer", drive.Reply{Result: drive.ResultDone}, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := settles(tt.reply, tt.answerLost); got != tt.want {
+				t.Errorf("%t, want %t", got, tt.want)
+			}
+		})
+	}
+}
