proc/front: calls for promises have their addresses, not the changing list

Cause: releaseFormer went on to change its list of former holders while the goroutine that asks for promises read the variable.

Change: silentAddrs is computed before the goroutine begins.

--- a/internal/proc/front/quorum.go
+++ b/internal/proc/front/quorum.go
@@ -216,7 +216,8 @@
 				m.log.Info("former holder not released", "term", t.Term(), "former", former[0].Term, "voters", len(former[0].Voters), "more", len(former)-1)
 			}
 			asked = true
-			calls.Go(func() { m.askForPromises(t, former, promised) })
+			silent := silentAddrs(former, promised)
+			calls.Go(func() { m.askForPromises(t, silent) })
 		}
 	}
 	if asked {
@@ -224,22 +225,27 @@
 	}
 }
 
-// askForPromises asks the former holders and their voters that haven't promised.
-func (m *peerMonitor) askForPromises(t *lead.Tenure, former []lead.Electorate, promised func(lead.Voter) bool) {
-	ctx, cancel := context.WithTimeout(t.Context(), promiseTimeout)
-	defer cancel()
-	var silent []string
-	for _, e := range former {
+// silentAddrs returns the addresses of the holders and voters of electorates that haven't promised.
+func silentAddrs(electorates []lead.Electorate, promised func(lead.Voter) bool) []string {
+	var addrs []string
+	for _, e := range electorates {
 		for _, v := range append(slices.Clone(e.Voters), e.Holder) {
 			if !promised(v) {
-				silent = append(silent, v.Addr)
+				addrs = append(addrs, v.Addr)
 			}
 		}
 	}
-	slices.Sort(silent)
+	slices.Sort(addrs)
+	return slices.Compact(addrs)
+}
+
+// askForPromises asks the processes at the given addresses for promises.
+func (m *peerMonitor) askForPromises(t *lead.Tenure, addrs []string) {
+	ctx, cancel := context.WithTimeout(t.Context(), promiseTimeout)
+	defer cancel()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for _, addr := range slices.Compact(silent) {
+	for _, addr := range addrs {
 		wg.Go(func() {
 			if p, err := m.peers.Promise(ctx, addr, t.Term()); err == nil {
 				m.recordPromise(addr, p)
