base/wait: a ticker whose ticks aren't delivered by its receivers

No race was reported, no test failed.

Cause: in a synctest bubble, a timer with a channel that comes due while nobody waits for it is run by the goroutine that receives from the channel, under the bubble's one race context. Two at once, or one beside the bubble's scheduler, corrupt it.

Evidence: a dump of four runs of the package at a time on the commit before: the scheduler of bubble 50 runs a timer (goroutine 0) while planLoop has just received from its ticker. Programs of the standard library alone, three runs each: tickers with busy receivers, timers received from after they are due, and timers of zero crash in all; contexts, sleeps, AfterFunc with a positive time and Stop of due timers in none.

Change: wait.Ticker, over AfterFunc, in these four loops and a test's. Ticks are due at the same times and dropped alike: TestTicker passes with a time.Ticker, too.

--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -12,7 +12,7 @@
 // planLoop plans after events, and at least every planInterval, and carries out the resulting orders until the
 // tenure is over.
 func (h *Holder) planLoop() {
-	tick := time.NewTicker(planInterval)
+	tick := wait.NewTicker(planInterval)
 	defer tick.Stop()
 	reporter := newStatusReporter(h.opt.Scope)
 	defer reporter.clearGauges()
@@ -22,8 +22,8 @@
 		case <-h.ctx.Done():
 			return
 		case <-h.planWake:
-		case tickTime := <-tick.C:
-			reporter.recordTickDelay(time.Since(tickTime))
+		case due := <-tick.C():
+			reporter.recordTickDelay(time.Since(due))
 		}
 		if remaining := time.Until(startsDue); remaining > 0 {
 			if remaining > maxStopDelay {
--- a/internal/batch/drive/recovery_test.go
+++ b/internal/batch/drive/recovery_test.go
@@ -123,14 +123,14 @@
 // run submits a job of n tasks at each interval until ctx ends. A job that isn't accepted isn't tried again.
 func (l *steadyLoad) run(ctx context.Context, interval time.Duration, n int) {
 	var wg sync.WaitGroup
-	tick := time.NewTicker(interval)
+	tick := wait.NewTicker(interval)
 	defer tick.Stop()
 	for i := 0; ; i++ {
 		select {
 		case <-ctx.Done():
 			wg.Wait()
 			return
-		case <-tick.C:
+		case <-tick.C():
 		}
 		wg.Go(func() { l.runJob(ctx, fmt.Sprintf("l%d", i), n) })
 	}
--- a/internal/batch/drive/watch.go
+++ b/internal/batch/drive/watch.go
@@ -215,7 +215,7 @@
 
 // run keeps the copy up to date until ctx ends. Full reads run beside the watch, so that a slow one delays no change.
 func (w *prefixWatch) run(ctx context.Context) {
-	tick := time.NewTicker(w.readInterval)
+	tick := wait.NewTicker(w.readInterval)
 	defer tick.Stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -243,7 +243,7 @@
 		startWatch()
 	}
 	for {
-		ticks := tick.C
+		ticks := tick.C()
 		if reading {
 			ticks = nil // the ticker keeps a tick until the read has ended
 		}
--- a/internal/ctrl/lead/tenure.go
+++ b/internal/ctrl/lead/tenure.go
@@ -175,7 +175,7 @@
 // expired. It starts each renewal without waiting for the answer to the one before: a connection to the store may stop
 // responding, and a slow store may take nearly the lease's TTL for each renewal.
 func (t *Tenure) renewLoop() {
-	tick := time.NewTicker(t.elector.opt.LeaseTTL / renewalsPerLease)
+	tick := wait.NewTicker(t.elector.opt.LeaseTTL / renewalsPerLease)
 	defer tick.Stop()
 	expired := make(chan struct{}, 1)
 	var wg sync.WaitGroup
@@ -190,7 +190,7 @@
 		case <-expired:
 			t.elector.opt.Log.Info("lease lapsed", "term", t.claim.Term)
 			t.restoreKey()
-		case <-tick.C:
+		case <-tick.C():
 			select {
 			case inFlight <- struct{}{}:
 			default:
--- a/internal/proc/front/quorum.go
+++ b/internal/proc/front/quorum.go
@@ -196,7 +196,7 @@
 func (m *peerMonitor) releaseFormer(t *lead.Tenure) {
 	former := t.FormerElectorates()
 	start, asked := time.Now(), false
-	tick := time.NewTicker(promiseInterval)
+	tick := wait.NewTicker(promiseInterval)
 	defer tick.Stop()
 	var calls sync.WaitGroup
 	defer calls.Wait()
@@ -211,7 +211,7 @@
 		case <-t.Context().Done():
 			return
 		case <-more:
-		case <-tick.C:
+		case <-tick.C():
 			if !asked {
 				m.log.Info("former holder not released", "term", t.Term(), "former", former[0].Term, "voters", len(former[0].Voters), "more", len(former)-1)
 			}
