drive: no submission is accepted within a cancel that finds no job

Callers would see: 410, no such job, for a cancel, and the job runs: its submission came in after the cancel had looked for a submission and before it looked for the job.

Cause: cancelJob released the lock between the two looks, and refused later submissions of the id only from the second one on. A submission that entered between them was neither cancelled nor refused.

Change: the first look, if it finds neither a submission nor a job, refuses the id from then on, under the same lock.

--- a/internal/batch/drive/request.go
+++ b/internal/batch/drive/request.go
@@ -177,7 +177,6 @@
 	h.mu.Lock()
 	state, known := h.core.JobState(id)
 	if !known {
-		h.cancelledIDs.add(time.Now(), id)
 		h.mu.Unlock()
 		return h.replyUnknownJob(ctx, id)
 	}
--- a/internal/batch/drive/submission.go
+++ b/internal/batch/drive/submission.go
@@ -104,11 +104,15 @@
 }
 
 // cancelSubmission cancels the job of a submission that isn't stored, if there is one: it is withdrawn, or ends as soon as
-// it is stored. It returns false if the outcome isn't known when ctx or the tenure ends.
+// it is stored. It returns false if the outcome isn't known when ctx or the tenure ends. From the call on, the id of a job
+// that neither is submitted nor exists isn't accepted for a while.
 func (h *Holder) cancelSubmission(ctx context.Context, id string) bool {
 	h.mu.Lock()
 	s := h.submissionsByID[id]
 	if s == nil {
+		if !h.core.HasJob(id) {
+			h.cancelledIDs.add(time.Now(), id)
+		}
 		h.mu.Unlock()
 		return true
 	}
