--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -141,7 +141,7 @@
 // The lease counts from this holder's last confirmation, not from now. A holder keeps acting for a while without a
 // confirmation, and its successor cannot tell for how long. If leases counted from the time of the grant, the successor
 // could start tasks that still run on workers out of its reach. Counted from the confirmation, all leases of a former
-// holder expire within one lease time of the election of its successor.
+// holder expire within one lease time of its release (see ReleaseFormerHolders).
 func (c *Core) grantLease(now time.Time, w *worker) time.Duration {
 	if w.contact != ContactGood {
 		return 0
