--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -20,12 +20,13 @@
 	// workload returns how long a task runs and how it ends.
 	workload     func(task string) (time.Duration, sched.End)
 	rng          *rand.Rand
-	delayedShare float64         // share of orders that get no answer and are executed later
-	violations   []string        // broken invariants, as text
-	ackedTasks   map[string]bool // tasks whose success has been acknowledged or counts as such, see noteListed
-	starts       map[string]int  // number of starts by task
-	expiredRuns  int             // runs ended by lease expiry
-	calm         bool            // no disruption is near, so that a success counts as acknowledged listedGrace after it was listed
+	delayedShare float64          // share of orders that get no answer and are executed later
+	violations   []string         // broken invariants, as text
+	ackedTasks   map[string]bool  // tasks whose success has been acknowledged or counts as such, see noteListed
+	starts       map[string]int   // number of starts by task
+	newestRuns   map[string]int64 // highest number of a started run by task
+	expiredRuns  int              // runs ended by lease expiry
+	calm         bool             // no disruption is near, so that a success counts as acknowledged listedGrace after it was listed
 }
 
 // worker is one worker in its present incarnation.
@@ -56,7 +57,7 @@
 
 // New returns a fleet of n workers of the given size. workload returns how long a task runs and how it ends.
 func New(n int, size wire.Size, rng *rand.Rand, workload func(task string) (time.Duration, sched.End)) *Fleet {
-	f := &Fleet{workers: map[string]*worker{}, workload: workload, rng: rng, ackedTasks: map[string]bool{}, starts: map[string]int{}}
+	f := &Fleet{workers: map[string]*worker{}, workload: workload, rng: rng, ackedTasks: map[string]bool{}, starts: map[string]int{}, newestRuns: map[string]int64{}}
 	for i := range n {
 		m := sched.Member{
 			Incarnation: sched.Incarnation{ID: fmt.Sprintf("w%d", i), StartedAt: 1}, Service: "s", Addr: fmt.Sprintf("w%d", i),
@@ -296,12 +297,20 @@
 			continue
 		}
 		if fin.End == sched.EndDone && fin.Seq > w.staleSeq {
-			f.ackedTasks[fin.Task] = true
+			f.ackSuccess(w, fin)
 		}
 	}
 	w.finished = unacked
 }
 
+// ackSuccess records that a task has succeeded. It mustn't have been started again since.
+func (f *Fleet) ackSuccess(w *worker, fin sched.FinishedRun) {
+	f.ackedTasks[fin.Task] = true
+	if newest := f.newestRuns[fin.Task]; newest > fin.Run {
+		f.violations = append(f.violations, fmt.Sprintf("%s run %d on %s: its success was acknowledged after the start of run %d", fin.Task, fin.Run, w.ID, newest))
+	}
+}
+
 // noteListed lets the successes that a worker's answer lists count as acknowledged after listedGrace while calm. They
 // don't if the lease expires, the worker is lost or the caller ends before.
 func (f *Fleet) noteListed(ctx context.Context, w *worker) {
@@ -412,6 +421,7 @@
 func (f *Fleet) startRun(w *worker, name string, number int64) {
 	f.checkStart(w, name, number)
 	f.starts[name]++
+	f.newestRuns[name] = max(f.newestRuns[name], number)
 	d, end := f.workload(name)
 	r := &run{task: name, number: number, end: end, startedAt: time.Now(), duration: d}
 	r.timer = time.AfterFunc(d, func() {
