drive: a worker that is back is stored as tracked without waiting for traffic

Cause: a worker whose lease has expired leaves the record of tracked workers, and gets no task until it's stored there again. The holder began a write for submissions, ends, cancels and changes of the directory, not for a worker's return. In a quiet system no write came.

Evidence: the log's "waits" says closed=12; a build that prints it shows these workers listed, in contact, under a lease and not tracked, and no wake of commitLoop after their answers.

Change: a poll's result after which the list has changed wakes commitLoop.

--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -348,7 +348,12 @@
 	default:
 		h.core.PollFailed(now, id, p.req.StartedAt)
 	}
+	// A worker that is back after its lease has expired gets no task until it is stored as tracked.
+	trackedChanged := h.core.TrackedVersion() != h.trackedVersion
 	h.mu.Unlock()
+	if trackedChanged {
+		wait.Wake(h.commitWake)
+	}
 	if changed {
 		h.logContact(p, outcome)
 	}
