review: case 7, a cancelled job runs when a frozen host goes on

Cause: after a cancel that found no job, its id is refused for 3 s; a host that stood still for 3.5 s passes on the submission of a caller who has left and cancelled meanwhile. Change: a script, with the stand-ins of case 5, whose hosts now take ports that connections aren't given, and disrupt a host once at a time.

--- a/review/bed/fuzz.go
+++ b/review/bed/fuzz.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -96,6 +97,12 @@
 		h = x
 	}
 	x := b.runners[which]
+	if slices.Contains([]int{0, 1, 2, 3, 10}, kind) {
+		if !h.trouble.TryLock() {
+			return
+		}
+		defer h.trouble.Unlock()
+	}
 	b.ledger.note("trouble %d: host %s or runner %s for %.1f s", kind, h.name, x.id, d.Seconds())
 	switch kind {
 	case 0, 1:
--- a/review/bed/hosts.go
+++ b/review/bed/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -10,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -33,19 +35,28 @@
 	logPath string
 	cmd     *exec.Cmd
 	dead    chan struct{}
+	trouble sync.Mutex // held by a disruption of the host
 }
 
 // hostIP is the loopback address of this deployment's hosts. Two deployments at a time don't take each other's free ports.
 var hostIP = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()/250%250, 1+os.Getpid()%250)
 
+// Ports of hosts lie below those that the system gives to connections, one of which could otherwise take a port before its host
+// listens on it.
+const (
+	minPort = 12000
+	maxPort = 30000
+)
+
 // freeAddr returns a loopback address with a free port.
 func freeAddr() string {
-	l, err := net.Listen("tcp", hostIP+":0")
-	if err != nil {
-		panic(err)
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(hostIP, strconv.Itoa(minPort+rand.IntN(maxPort-minPort))))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // newHost prepares a host whose store is at the given address, with the settings that the deploy file's template gives.
@@ -115,3 +126,9 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// freeze stops the process, and continues it after d.
+func (h *host) freeze(d time.Duration) {
+	h.signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() { h.signal(syscall.SIGCONT) })
+}
