sched: no end is acknowledged to an incarnation that may have unread ones

While the store is away, a worker that crashes is back under its id before the next poll. It carries out starts, and that poll carries the number of the former incarnation's ends: the new one forgets its own unread, and the holder takes the runs for lost.

The answer to a start is compared with the least time that the known incarnation's clock must show; an earlier one comes from a later incarnation, which gets nothing more until it has answered a poll. While a start may have been carried out without such an answer, ends are acknowledged only within 300 ms of the worker's last answer, and otherwise a poll without an acknowledgement goes first. Acknowledging within 300 ms only, whatever the starts, was tried: TestStoredEndsAreAwaited and TestLoadIsServedAgain failed.

The stand-in fleet let polls outlive a crash and ignored acknowledgements for another incarnation; it now applies them as workers do.

--- a/internal/batch/sched/incarnation_test.go
+++ b/internal/batch/sched/incarnation_test.go
@@ -253,3 +253,76 @@
 		t.Errorf("with contact to the same incarnation restored, ends up to %d are acknowledged, want 1", req.AckedSeq)
 	}
 }
+
+// Guards against a task that runs again after it has succeeded: its worker restarts while the holder waits for the store,
+// carries out a start that got no answer, and a poll acknowledges the end unread.
+func TestAckAfterSilence(t *testing.T) {
+	b := newHarness(t, 1, 1).openWorkers()
+	for _, id := range []string{"a", "b"} {
+		b.core.AddJob(b.now, oneTaskJob(id, nil))
+	}
+	orders := b.core.Plan(b.now)
+	b.core.HandleOutcome(b.now, orders[0], sched.OutcomeDone)
+	b.poll("w0", sched.Report{Finished: []sched.FinishedRun{finishedRun(1, orders[0], sched.EndDone)}})
+	b.advance(time.Millisecond)
+	b.core.HandleOutcome(b.now, orders[1], sched.OutcomeUnknown)
+	b.advance(1400 * time.Millisecond)
+	b.storeChanges()
+	req, _ := b.core.NextPoll(b.now, "w0")
+	if req.AckedSeq != 0 || req.Wait != 0 {
+		t.Fatalf("%v after the last answer, ends up to %d are acknowledged by a poll that waits %v, want none and no wait", 1400*time.Millisecond, req.AckedSeq, req.Wait)
+	}
+	b.core.HandleReport(b.now, b.now.Add(time.Millisecond), "w0", sched.Report{StartedAt: 2, Finished: []sched.FinishedRun{finishedRun(1, orders[1], sched.EndDone)}})
+	b.storeChanges()
+	b.checkState("b", sched.StateCompleted)
+}
+
+// Guards against ends that are never acknowledged by a holder that reads every answer late.
+func TestAckByLateHolder(t *testing.T) {
+	b := newHarness(t, 1, 1).openWorkers()
+	b.core.AddJob(b.now, oneTaskJob("a", nil))
+	o := b.core.Plan(b.now)[0]
+	b.core.HandleOutcome(b.now, o, sched.OutcomeUnknown)
+	for i := range 6 {
+		req, _ := b.core.NextPoll(b.now, "w0")
+		if req.AckedSeq == 1 {
+			return
+		}
+		sent, clock := b.now, b.now.Sub(epoch())
+		b.advance(time.Second)
+		rep := sched.Report{StartedAt: 1, Clock: clock}
+		if i > 0 {
+			rep.Finished = []sched.FinishedRun{finishedRun(1, o, sched.EndDone)}
+		}
+		b.core.HandleReport(sent, b.now, "w0", rep)
+		if wait := b.core.MaxStoreWait(b.now, "w0"); i == 2 && wait != 0 {
+			t.Errorf("after a poll that verified the incarnation, the acknowledgement waits up to %v for the store", wait)
+		}
+		b.storeChanges()
+	}
+	t.Error("the end is not acknowledged")
+}
+
+// Guards against a task that runs again after it has succeeded: a worker that has restarted unnoticed answers a start and
+// finishes the run before a poll acknowledges ends of the former incarnation.
+func TestStartAnsweredByLaterIncarnation(t *testing.T) {
+	b := newHarness(t, 1, 1).openWorkers()
+	for _, id := range []string{"a", "b", "c"} {
+		b.core.AddJob(b.now, oneTaskJob(id, nil))
+	}
+	orders := b.core.Plan(b.now)
+	b.core.HandleOutcome(b.now, orders[0], sched.OutcomeDone)
+	b.poll("w0", sched.Report{Finished: []sched.FinishedRun{finishedRun(1, orders[0], sched.EndDone)}})
+	b.storeChanges()
+	b.core.HandleOutcome(b.now, orders[1], sched.OutcomeDoneByLater)
+	if cause := b.core.CheckSend(b.now, orders[2]); cause != sched.CauseUnreachable {
+		t.Errorf("a start may be sent to an incarnation that no report tells: %q", cause)
+	}
+	req, _ := b.core.NextPoll(b.now, "w0")
+	if req.AckedSeq != 0 || req.LeaseUntil != 0 {
+		t.Fatalf("an incarnation that no report tells gets acknowledgements up to %d and a lease until %v", req.AckedSeq, req.LeaseUntil)
+	}
+	b.core.HandleReport(b.now, b.now.Add(time.Millisecond), "w0", sched.Report{StartedAt: 2, Finished: []sched.FinishedRun{finishedRun(1, orders[1], sched.EndDone)}})
+	b.storeChanges()
+	b.checkState("b", sched.StateCompleted)
+}
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -42,6 +42,7 @@
 		}
 		w := c.workers[m.ID]
 		w.tracked, w.inherited = true, true
+		w.unansweredAt = now
 	}
 }
 
@@ -105,6 +106,7 @@
 	w.leaseExpiry, w.formerLease = now, false
 	w.restarted, w.inventoryComplete = true, false
 	w.ackedSeq, w.handledSeq, w.releasedSeq, w.pendingAcks = 0, 0, 0, nil
+	w.polledSeq, w.deliveredSeq, w.verifying, w.verified = 0, 0, false, false
 	w.contact = ContactNone
 	w.tracked = false
 	c.setExpired(w, false)
@@ -115,6 +117,14 @@
 	c.markStale(w)
 }
 
+// noteUnseenRestart records that a worker has restarted of which no report and no entry of the directory tells yet. It gets
+// no orders until a poll tells the new incarnation.
+func (c *Core) noteUnseenRestart(w *worker, former Incarnation) {
+	if w.Incarnation == former && w.contact == ContactGood {
+		w.contact = ContactLost
+	}
+}
+
 // cloneRuns returns a copy of the run list that can be iterated while runs are removed.
 func (w *worker) cloneRuns() []*run {
 	return slices.Clone(w.runList)
--- a/internal/batch/sched/outcome.go
+++ b/internal/batch/sched/outcome.go
@@ -21,7 +21,15 @@
 	}
 	c.noteOrderDue(w)
 	r := w.runs[runKey{o.Task, o.Run}]
+	if o.Verb == VerbStart && out == OutcomeUnknown {
+		w.unansweredAt = now
+	}
+	if out == OutcomeDoneByLater {
+		c.noteUnseenRestart(w, o.Incarnation)
+		out = OutcomeDone
+	}
 	if r != nil {
+		r.answered = r.answered || o.Verb == VerbStart
 		// Also for an order to a former incarnation: the run may stay assigned to the worker and get further orders.
 		r.settleOrder(now, o.Verb, out)
 		if o.Verb == VerbStart {
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -286,6 +286,7 @@
 	o.Checkpoint = s.job.checkpoints[t.id()]
 	o.Starved = s.starved
 	o.LeaseUntil = w.leaseUntil.Truncate(time.Millisecond)
+	o.ClockFloor = w.clock.floor(now)
 	return o
 }
 
--- a/internal/batch/sched/plan.go
+++ b/internal/batch/sched/plan.go
@@ -26,8 +26,11 @@
 	Spec        string        // of a start: the job's specification, passed on unchanged
 	Checkpoint  string        // of a start: checkpoint to resume from; empty: none
 	LeaseUntil  time.Duration // of a start: end of the worker's lease that it carries, on the worker's clock
-	CPULimit    int           // of a throttle: percent of the declared CPU
-	Idle        bool          // of a throttle: the limit in force isn't known, and the run uses no CPU
+	// ClockFloor is, for a start, the least time that the clock of the incarnation for which it's meant shows when it
+	// arrives. An answer with an earlier time comes from a later incarnation.
+	ClockFloor time.Duration
+	CPULimit   int  // of a throttle: percent of the declared CPU
+	Idle       bool // of a throttle: the limit in force isn't known, and the run uses no CPU
 	// Starved is set for a start of a starved job's task: its job had nothing running, and the task may interfere with
 	// latency-critical ones.
 	Starved bool
@@ -39,6 +42,7 @@
 // The outcomes of an order.
 const (
 	OutcomeDone             Outcome = "done"    // carried out
+	OutcomeDoneByLater      Outcome = "reborn"  // a start that a later incarnation of the worker carried out
 	OutcomeUnknown          Outcome = "unknown" // no answer; the worker may carry it out, also later
 	OutcomeUnsent           Outcome = "unsent"  // it was not sent
 	OutcomeRunEnded         Outcome = "old"     // the run has already ended on that worker
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -50,6 +50,14 @@
 	return k.value + t.Sub(k.receivedAt)
 }
 
+// clockRounding covers that workers show their clock in whole milliseconds.
+const clockRounding = 2 * time.Millisecond
+
+// floor returns the least time that the worker's clock shows at t, unless the worker has restarted.
+func (k clockReading) floor(t time.Time) time.Duration {
+	return k.value + time.Duration(float64(t.Sub(k.receivedAt))*minClockRate) - clockRounding
+}
+
 // Values of PollRequest.Wait. A worker answers a waiting poll at once when a run ends.
 const (
 	// pollIdle is the default. It leaves enough of the lease that the previous poll renewed: a holder that is lost just
@@ -90,10 +98,9 @@
 	if w.contact != ContactGood {
 		// The worker may have restarted under the same id and numbers its ends from 1 again. Acknowledging by the
 		// numbers of the former incarnation would make it forget ends that no holder has received.
-		w.pollWait = 0
+		w.pollWait, w.polledSeq, w.verifying = 0, 0, false
 		return req, true
 	}
-	req.AckedSeq = w.ackedSeq
 	req.Wait = max(0, w.pollInterval()-w.answerDelay)
 	for _, r := range w.runList {
 		if r.state == RunUnknown || r.state == RunStopped {
@@ -103,6 +110,14 @@
 	if w.handledSeq > w.ackedSeq {
 		req.Wait = 0
 	}
+	switch {
+	case !w.mayHaveUnreadEnds(now) || w.mayAck(now):
+		req.AckedSeq = w.ackedSeq
+	case w.ackedSeq > w.deliveredSeq:
+		req.Wait = 0
+		w.verifying = true
+	}
+	w.polledSeq = req.AckedSeq
 	if c.mayAct(now) {
 		req.LeaseUntil = c.grantLease(now, w)
 	}
@@ -110,6 +125,33 @@
 	return req, true
 }
 
+// maxAckAge is the age of a worker's last answer up to which the next poll may acknowledge ends. A worker takes longer to
+// crash, start again, carry out a start and finish its run.
+const maxAckAge = 300 * time.Millisecond
+
+// mayAck reports whether the incarnation of a worker in contact is certain enough to acknowledge ends to it.
+//
+// An incarnation that has replaced it unnoticed numbers its ends from 1 again and would forget those that no holder has
+// received. If the last answer is too old, a poll without an acknowledgement verifies the incarnation. The next one then
+// acknowledges however late that answer was read, as a holder that reads all answers late never would otherwise.
+func (w *worker) mayAck(now time.Time) bool {
+	return w.verified || w.clock.now(now)-w.answeredClock <= maxAckAge
+}
+
+// mayHaveUnreadEnds reports whether an incarnation that has replaced the one in contact unnoticed may have finished runs: one
+// of them was then begun by a start that it hasn't answered, as its answer would have shown the restart.
+func (w *worker) mayHaveUnreadEnds(now time.Time) bool {
+	if !w.unansweredAt.IsZero() && now.Sub(w.unansweredAt) < maxOrderDelay {
+		return true
+	}
+	for _, r := range w.runList {
+		if r.sent && !r.answered {
+			return true
+		}
+	}
+	return false
+}
+
 // pollInterval returns the time that may pass between two polls of a worker if no run ends and none is unresolved.
 func (w *worker) pollInterval() time.Duration {
 	switch {
@@ -125,10 +167,11 @@
 const minStoreWait = 200 * time.Millisecond
 
 // MaxStoreWait returns how long the next poll of a worker may wait until the ends that it has reported are stored. That is
-// no longer than a poll waits for an end, so that measurements arrive as often, and leaves time to renew the lease.
+// no longer than a poll waits for an end, so that measurements arrive as often, and leaves time to renew the lease. The
+// acknowledgement for which the worker's incarnation has just been verified doesn't wait.
 func (c *Core) MaxStoreWait(now time.Time, id string) time.Duration {
 	w := c.workers[id]
-	if w == nil {
+	if w == nil || w.verified {
 		return 0
 	}
 	leaseLeft := w.leaseUntil - w.clock.now(now)
@@ -190,6 +233,9 @@
 	c.noteOrderDue(w)
 	w.contact = ContactGood
 	w.clock = w.clock.update(sent, now, rep.Clock)
+	w.answeredClock = rep.Clock
+	w.deliveredSeq = max(w.deliveredSeq, w.polledSeq)
+	w.verified, w.verifying = w.verifying, false
 	w.answerDelay = 0
 	if delay := now.Sub(sent) - w.pollWait; delay > contactSlack {
 		w.answerDelay = delay
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -102,6 +102,12 @@
 	leaseExpiry       time.Time     // when the lease granted by this holder has expired; see Core.leaseEnd
 	formerLease       bool          // leases of a former holder may be in force until Core.formerLeasesEnd
 	ackedSeq          int64         // ends up to this number are stored and may be acknowledged
+	polledSeq         int64         // PollRequest.AckedSeq of the newest poll
+	deliveredSeq      int64         // highest PollRequest.AckedSeq of an answered poll
+	answeredClock     time.Duration // the worker's clock in its newest report
+	unansweredAt      time.Time     // when a start was last given up without an answer, or may have been by a former holder; zero: never
+	verifying         bool          // the newest poll verifies the incarnation; see worker.mayAck
+	verified          bool          // the newest answered poll did
 	handledSeq        int64         // ends up to this number have been handled
 	releasedSeq       int64         // ends up to this number may be of runs that a lease expiry has released
 	heldEnds          bool          // the newest report has ends that can't be handled yet
@@ -158,6 +164,7 @@
 	state           RunState      // what is known about the run
 	incarnation     int64         // StartedAt of the incarnation that the start was sent to
 	sent            bool          // the start was sent, or is being sent
+	answered        bool          // the outcome of the start is handled
 	reported        bool          // that incarnation has reported the run
 	orderedAt       time.Time     // time of the newest order about the run
 	absent          bool          // the start got no answer, and a later poll did not list the run
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -125,6 +125,13 @@
 	f.SetUnreachable(id, true)
 }
 
+// Clock returns the time on a worker's clock.
+func (f *Fleet) Clock(id string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[id].clock()
+}
+
 // Violations returns the broken invariants: a task with two runs at a time, or one started again after its success
 // was acknowledged or, while calm, had been listed for listedGrace.
 func (f *Fleet) Violations() []string {
@@ -245,6 +252,7 @@
 	}
 	deadline := time.Now().Add(req.Wait)
 	first := true
+	var startedAt int64 // of the incarnation that carries out the poll
 	for {
 		f.mu.Lock()
 		w := f.workers[req.ID]
@@ -253,6 +261,11 @@
 			wait.For(ctx, callTimeout)
 			return sched.Report{}, sched.OutcomeUnknown
 		}
+		if !first && w.StartedAt != startedAt {
+			f.mu.Unlock()
+			return sched.Report{}, sched.OutcomeUnknown
+		}
+		startedAt = w.StartedAt
 		f.expireLease(w)
 		if fence < w.fence {
 			f.mu.Unlock()
@@ -286,10 +299,8 @@
 }
 
 // ackFinished drops the finished runs that a poll acknowledges and records which tasks have succeeded.
+// Like the rest of the poll, this applies to the present incarnation: a call names the worker by its id only.
 func (f *Fleet) ackFinished(w *worker, req sched.PollRequest) {
-	if req.StartedAt != 0 && req.StartedAt != w.StartedAt {
-		return
-	}
 	var unacked []sched.FinishedRun
 	for _, fin := range w.finished {
 		if fin.Seq > req.AckedSeq {
@@ -377,6 +388,9 @@
 		return sched.OutcomeUnknown
 	}
 	out := f.executeOrder(w, o, fence)
+	if out == sched.OutcomeDone && w.clock() < o.ClockFloor {
+		out = sched.OutcomeDoneByLater
+	}
 	f.mu.Unlock()
 	wait.For(ctx, messageDelay)
 	return out
