drive, front: a late submission isn't stored after a cancel that found no job

A host stood still for 3.5 s with their submissions in its sockets, and passed them on when it went on.

Cause: the holder refused the ids of such cancels for 3 s, the time for which a forwarded request is handled, and kept them in its memory. A submission is as old as the host that reads it has stood still, and a change of the holder forgot the ids.

A host bounds the age of a submission by the time since it read it and by the length of its own stalls, by the monotonic and the wall clock, and passes on none older than 10 s (503, or 504 if an earlier call got no answer). Ids are remembered for 15 s, in the store too, before the 410 goes out. A call between hosts isn't made for a caller who has left.

Tests before the change: TestSubmissionLongAfterCancel: 4 of 4 cases, 'late submission: {Result:done ...}, want refused', 'a.0.1.0 was started' TestCancelledIDsAreForgotten: '0 cancelled ids are stored, want 100' TestCallOfEndedContext: 'answer lost, want ErrUnreachable' TestMaxAge, TestRequestAfterStall and TestCancelledIDsAreBounded test what is new.

--- a/internal/batch/drive/cancel_test.go
+++ b/internal/batch/drive/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"bramleysail.example/bramleysail/internal/batch/drive"
 	"bramleysail.example/bramleysail/internal/batch/sched"
+	"bramleysail.example/bramleysail/internal/fake/txkv"
 	"bramleysail.example/bramleysail/internal/plat/store"
 )
 
@@ -252,3 +254,61 @@
 		})
 	}
 }
+
+// Guards against a job that runs though its cancel was answered "no such job": its submission was held up for longer than a
+// request is handled, or until another holder had taken over.
+func TestSubmissionLongAfterCancel(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		after        time.Duration
+		changeHolder bool
+	}{{"later", 4 * time.Second, false}, {"much later", 14 * time.Second, false}, {"holder changes", 0, true}, {"holder changes, later", 9 * time.Second, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCancelCluster(t, 2)
+				defer c.stop()
+				c.checkReply("cancel", <-c.do(drive.VerbCancel, "a", time.Second), drive.ResultNoJob)
+				if former := c.holder(); tt.changeHolder {
+					former.cancel()
+					for next := c.holder(); next == nil || next == former; next = c.holder() {
+						time.Sleep(50 * time.Millisecond)
+					}
+				}
+				time.Sleep(tt.after)
+				c.checkReply("late submission", <-c.do(drive.VerbSubmit, "a", time.Second), drive.ResultRefused)
+				c.checkNotStarted("a.")
+				c.checkReply("state", c.state("a"), drive.ResultNoJob)
+				time.Sleep(15 * time.Second)
+				c.checkReply("submission", <-c.do(drive.VerbSubmit, "a", time.Second), drive.ResultDone)
+			})
+		})
+	}
+}
+
+// Guards against cancelled ids that stay in the store for good.
+func TestCancelledIDsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCancelCluster(t, 1)
+		defer c.stop()
+		for i := range 100 {
+			c.checkReply("cancel", <-c.do(drive.VerbCancel, fmt.Sprintf("a%d", i), time.Second), drive.ResultNoJob)
+		}
+		if n := c.storedCancels(); n != 100 {
+			t.Errorf("%d cancelled ids are stored, want 100", n)
+		}
+		time.Sleep(30 * time.Second)
+		if n := c.storedCancels(); n != 0 {
+			t.Errorf("%d cancelled ids are still stored after 30 s", n)
+		}
+	})
+}
+
+// storedCancels returns how many ids of cancelled jobs are in the store.
+func (c *cancelCluster) storedCancels() int {
+	c.t.Helper()
+	listing, err := c.store.Client(func() txkv.Mode { return "" }).Range(context.Background(), "void/")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return len(listing.Entries)
+}
--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -193,19 +193,26 @@
 	}
 }
 
-// forgetLoop removes jobs that are past their retention from the core and the store.
+// forgetLoop removes jobs that are past their retention, and cancelled ids that are past their window, from this process and
+// the store.
 func (h *Holder) forgetLoop() {
 	for wait.For(h.ctx, forgetInterval) {
 		h.mu.Lock()
-		ids := h.core.ForgetJobs(time.Now(), h.opt.JobRetention)
+		var keys []string
+		for _, id := range h.core.ForgetJobs(time.Now(), h.opt.JobRetention) {
+			keys = append(keys, progressPrefix+id)
+		}
+		for _, id := range h.cancelledIDs.removeExpired(time.Now()) {
+			keys = append(keys, cancelledPrefix+id)
+		}
 		h.mu.Unlock()
-		for len(ids) > 0 {
-			n := min(len(ids), lead.MaxWrites)
+		for len(keys) > 0 {
+			n := min(len(keys), lead.MaxWrites)
 			var writes []store.Write
-			for _, id := range ids[:n] {
-				writes = append(writes, store.Write{Key: progressPrefix + id, Delete: true})
+			for _, key := range keys[:n] {
+				writes = append(writes, store.Write{Key: key, Delete: true})
 			}
-			ids = ids[n:]
+			keys = keys[n:]
 			if err := h.opt.Tenure.Commit(writes); err != nil {
 				return
 			}
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -83,6 +83,7 @@
 const (
 	jobPrefix         = "job/"    // followed by a job's id: the job as submitted
 	progressPrefix    = "run/"    // followed by a job's id: its progress
+	cancelledPrefix   = "void/"   // followed by an id: its cancel found no job
 	keyTrackedWorkers = "crew"    // the workers that may hold runs
 	keyLearnedModel   = "learned" // what has been learned about images
 )
@@ -128,6 +129,7 @@
 	planWake     chan struct{}              // wakes planLoop
 	commitWake   chan struct{}              // wakes commitLoop, which may wait for more changes
 	urgentCommit chan struct{}              // wakes commitLoop for a waiting caller, without delay
+	cancelWake   chan struct{}              // wakes storeCancelledIDs
 	planLag      planLag
 	wg           sync.WaitGroup
 
@@ -144,6 +146,7 @@
 	submissions          []*submission              // not part of a write yet, oldest first
 	submissionsByID      map[string]*submission     // neither stored nor withdrawn, by job id
 	cancelledIDs         cancelledIDs               // of late submissions
+	unstoredCancels      []*cancelledID             // of these, those to be stored
 	recordWaiters        map[string][]chan struct{} // closed when the job's next record is stored, by job id
 	ackWaiters           map[string]chan struct{}   // closed when all ends that the worker reported are stored, by worker id
 	writeStarted         time.Time                  // start of the write in flight; zero: none
@@ -166,6 +169,7 @@
 		planWake:          make(chan struct{}, 1),
 		commitWake:        make(chan struct{}, 1),
 		urgentCommit:      make(chan struct{}, 1),
+		cancelWake:        make(chan struct{}, 1),
 		polling:           map[string]bool{},
 		submissionsByID:   map[string]*submission{},
 		recordWaiters:     map[string][]chan struct{}{},
@@ -199,6 +203,7 @@
 	h.pollWorkers()
 	h.wg.Go(h.commitLoop)
 	h.wg.Go(h.forgetLoop)
+	h.wg.Go(h.storeCancelledIDs)
 	h.wg.Go(h.confirmAfterFormerLeases)
 	wait.Wake(h.commitWake)
 	h.planLoop()
--- a/internal/batch/drive/load.go
+++ b/internal/batch/drive/load.go
@@ -48,6 +48,7 @@
 			h.undecodedJobs = stored.restore(core, start)
 			return nil
 		}},
+		{"cancelled ids", func() error { return h.loadCancelledIDs(start) }},
 		{"learned model", func() error { return h.readLearnedModel(core) }},
 		{"intent", func() error { return watches[0].readAll(h.ctx) }},
 		{"directory", func() error { return watches[1].readAll(h.ctx) }},
--- a/internal/batch/drive/request.go
+++ b/internal/batch/drive/request.go
@@ -69,6 +69,8 @@
 	// retryAfterStoreOutage is the delay while the store doesn't answer. The holder tries it ten times a
 	// second, so a second is soon enough.
 	retryAfterStoreOutage = time.Second
+	// retryAfterCancelFlood is the delay for a cancel of an unknown job while too many are remembered.
+	retryAfterCancelFlood = 5 * time.Second
 	// retryAfterUndecodedJob is the delay for a job whose stored record can't be decoded. Another build may be able to.
 	retryAfterUndecodedJob = time.Minute
 	// retryAfterUnsupportedQueue is the delay for a queue that isn't served until operators change its configuration.
@@ -178,7 +180,11 @@
 	state, known := h.core.JobState(id)
 	if !known {
 		h.mu.Unlock()
-		return h.replyUnknownJob(ctx, id)
+		reply := h.replyUnknownJob(ctx, id)
+		if reply.Result == ResultNoJob {
+			reply = h.replyCancelled(ctx, id)
+		}
+		return reply
 	}
 	if state.Final() {
 		h.mu.Unlock()
--- a/internal/batch/drive/submission.go
+++ b/internal/batch/drive/submission.go
@@ -9,10 +9,6 @@
 	"bramleysail.example/bramleysail/internal/batch/sched"
 )
 
-// lateSubmissionWindow is how long after a cancel that found no job its id isn't accepted: a submission from before the
-// cancel may still be on its way. It is the time for which a forwarded request is handled.
-const lateSubmissionWindow = 3 * time.Second
-
 // submission is a submitted job that is neither stored nor withdrawn.
 type submission struct {
 	job       *sched.Job
@@ -111,7 +107,7 @@
 	s := h.submissionsByID[id]
 	if s == nil {
 		if !h.core.HasJob(id) {
-			h.cancelledIDs.add(time.Now(), id)
+			h.noteCancelled(id, false)
 		}
 		h.mu.Unlock()
 		return true
@@ -120,33 +116,8 @@
 	h.log.Info("cancels a submission", "job", id, "writing", s.writing)
 	if !s.writing {
 		h.withdrawSubmission(s)
-		h.cancelledIDs.add(time.Now(), id)
+		h.noteCancelled(id, true)
 	}
 	h.mu.Unlock()
 	return h.awaitSubmission(ctx, s)
 }
-
-// cancelledIDs are the ids of cancels that found no job, with the times of these. Its zero value is empty.
-type cancelledIDs map[string]time.Time
-
-// add adds an id and drops those that are past the window.
-func (c *cancelledIDs) add(now time.Time, id string) {
-	if *c == nil {
-		*c = cancelledIDs{}
-	}
-	for other, at := range *c {
-		if now.Sub(at) >= lateSubmissionWindow {
-			delete(*c, other)
-		}
-	}
-	(*c)[id] = now
-}
-
-// remaining returns for how long an id isn't accepted; 0: it is.
-func (c *cancelledIDs) remaining(now time.Time, id string) time.Duration {
-	at, ok := (*c)[id]
-	if !ok {
-		return 0
-	}
-	return max(lateSubmissionWindow-now.Sub(at), 0)
-}
--- a/internal/batch/drive/submission_internal_test.go
+++ b/internal/batch/drive/submission_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -23,3 +24,31 @@
 		t.Errorf("submission %+v, reply %+v, want a final refusal", s, reply)
 	}
 }
+
+// Guards against memory that grows without bound with the cancels of unknown jobs, and against ids that are forgotten before
+// their time to make room for others.
+func TestCancelledIDsAreBounded(t *testing.T) {
+	var ids cancelledIDs
+	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	for i := range maxCancelledIDs {
+		if ids.add(start, strconv.Itoa(i)) == nil {
+			t.Fatalf("no room after %d ids", i)
+		}
+	}
+	if ids.add(start, "more") != nil {
+		t.Errorf("room for over %d ids", maxCancelledIDs)
+	}
+	if left := ids.remaining(start.Add(time.Second), "0"); left != lateSubmissionWindow-time.Second {
+		t.Errorf("the first id is refused for another %v", left)
+	}
+	ids.add(start, "0")
+	if n := len(ids.removeExpired(start.Add(lateSubmissionWindow))); n != maxCancelledIDs || len(ids.byID) != 0 || len(ids.oldest) != 0 {
+		t.Errorf("%d ids removed, %d and %d left", n, len(ids.byID), len(ids.oldest))
+	}
+	again := start.Add(lateSubmissionWindow)
+	ids.add(again, "a")
+	ids.add(again.Add(time.Second), "a")
+	if gone := ids.removeExpired(again.Add(lateSubmissionWindow)); len(gone) != 0 {
+		t.Errorf("%v forgotten before the window of the second cancel is over", gone)
+	}
+}
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/batch/interf"
 )
 
@@ -208,18 +209,12 @@
 }
 
 // confirmationAge returns how long ago this process was last confirmed as the holder.
-func (c *Core) confirmationAge(now time.Time) time.Duration {
-	return min(elapsedSince(now, c.confirmedByStore), elapsedSince(now, c.confirmedByPeers))
-}
-
-// elapsedSince returns how long ago a moment was, by the monotonic clock or the wall clock, whichever gives more.
 //
-// The monotonic clock stands still while a machine is suspended. Without the wall clock, a holder that
-// resumes would take the store's last confirmation for fresh although a successor was elected meanwhile. By a
-// lease that it then grants on a worker which the successor doesn't reach, a task would run there at the same
-// time as its next run. A wall clock that is set forward makes a confirmation look old only until the next one.
-func elapsedSince(now, at time.Time) time.Duration {
-	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
+// It goes by the wall clock, too. Otherwise, a holder that resumes after its machine was suspended would take the store's last
+// confirmation for fresh although a successor was elected meanwhile. By a lease that it then grants on a worker which the
+// successor doesn't reach, a task would run there at the same time as its next run.
+func (c *Core) confirmationAge(now time.Time) time.Duration {
+	return min(wait.Elapsed(now, c.confirmedByStore), wait.Elapsed(now, c.confirmedByPeers))
 }
 
 // SetConfig sets the configuration, unless it is older than the one in force.
--- a/internal/batch/sched/staleness.go
+++ b/internal/batch/sched/staleness.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"bramleysail.example/bramleysail/internal/base/wait"
+)
 
 // Times that operators allow between a change in the store and the last start that does not take it into account.
 const (
@@ -56,11 +60,11 @@
 	if at.IsZero() {
 		return 0
 	}
-	age := max(0, elapsedSince(c.confirmedByStore, at))
+	age := max(0, wait.Elapsed(c.confirmedByStore, at))
 	if c.confirmedByPeers.After(c.confirmedByStore) {
 		return age
 	}
-	return age + max(0, elapsedSince(now, c.confirmedByStore)-usualConfirmationAge)
+	return age + max(0, wait.Elapsed(now, c.confirmedByStore)-usualConfirmationAge)
 }
 
 // mayStart reports whether this holder may start tasks: it may act, and its reads of the store are recent enough.
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -68,10 +68,13 @@
 }
 
 // Call calls a method of the peer with the argument in and returns its answer. The error is
-// ErrUnreachable, ErrAnswerLost (also if ctx ends before the answer) or the error that the
-// peer's method returned.
+// ErrUnreachable (also if ctx has ended), ErrAnswerLost (also if ctx ends before the answer) or
+// the error that the peer's method returned.
 func Call[In, Out any](ctx context.Context, l *Link, method string, in In) (Out, error) {
 	var out Out
+	if err := ctx.Err(); err != nil {
+		return out, errors.Wrap(ErrUnreachable, err.Error())
+	}
 	c, err := l.connect(ctx)
 	if err != nil {
 		return out, err
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -145,3 +145,29 @@
 		t.Errorf("call of an unknown service: %v, want an rpc.ServerError", err)
 	}
 }
+
+// Guards against calls that are made for a caller who has left.
+func TestCallOfEndedContext(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := NewServer("Echo", echo{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(lis)
+	defer s.Close()
+	l := New(lis.Addr().String(), nil)
+	defer l.Close()
+	if _, err := Call[int, int](context.Background(), l, "Echo.Same", 7); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 20 {
+		if _, err := Call[int, int](ctx, l, "Echo.Same", 7); !errors.Is(err, ErrUnreachable) {
+			t.Fatalf("%v, want ErrUnreachable", err)
+		}
+	}
+}
--- a/internal/proc/front/forward.go
+++ b/internal/proc/front/forward.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	tally "github.com/uber-go/tally/v4"
 
+	"bramleysail.example/bramleysail/internal/base/stall"
 	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/batch/drive"
 	"bramleysail.example/bramleysail/internal/ctrl/lead"
@@ -23,6 +24,7 @@
 	links   link.Set      // connections to other entry processes
 	monitor *peerMonitor  // knows whether this process is isolated
 	name    string        // of this process
+	stalls  stall.Detector
 
 	mu            sync.Mutex
 	holder        *drive.Holder // set while this process is the holder
@@ -36,7 +38,8 @@
 // Handle answers a caller's request, by forwarding it if another process is the holder.
 func (f *Forwarder) Handle(ctx context.Context, req drive.Request) drive.Reply {
 	began := time.Now()
-	rep := f.answerFromNewestConfig(ctx, req, f.forward)
+	sent := began.Add(-f.stalls.MaxAge(began))
+	rep := f.answerFromNewestConfig(ctx, req, func(ctx context.Context, req drive.Request) drive.Reply { return f.forward(ctx, req, sent) })
 	f.recordAnswer(req, rep, time.Since(began))
 	return rep
 }
@@ -99,9 +102,18 @@
 // its deadline and end with an unknown outcome.
 //
 // If the store doesn't answer either, there can be no next holder, and forward returns at once.
-func (f *Forwarder) forward(ctx context.Context, req drive.Request) drive.Reply {
+//
+// sent is the earliest time at which the caller can have sent the request. A submission that may be too old isn't passed on:
+// its caller may have left and have been told that no such job exists.
+func (f *Forwarder) forward(ctx context.Context, req drive.Request, sent time.Time) drive.Reply {
 	answerLost := false
 	for {
+		if isTooOld(req, sent, time.Now()) {
+			if answerLost {
+				return unknownOutcomeReply(req, reasonTooOld)
+			}
+			return drive.RefusedReply(reasonTooOld, drive.RetryAfterHolderChange)
+		}
 		holder, changed := f.elector.Holder()
 		isolatedCh, isolated := f.monitor.isolation()
 		if isolated && f.localHolder() == nil {
@@ -135,6 +147,14 @@
 	}
 }
 
+// reasonTooOld is the reason given for a submission that isn't passed on.
+const reasonTooOld = "this host stood still; the submission may be too old"
+
+// isTooOld reports whether a request that was sent at the given time or later may be too old to be passed on.
+func isTooOld(req drive.Request, sent, now time.Time) bool {
+	return req.Verb == drive.VerbSubmit && wait.Elapsed(now, sent) > drive.MaxSubmissionAge
+}
+
 // settles reports whether a holder's answer settles a request, of which earlier calls may have got no answer. A refusal of
 // this call says nothing about those, unless it is final.
 func settles(rep drive.Reply, answerLost bool) bool {
--- a/internal/proc/front/forward_test.go
+++ b/internal/proc/front/forward_test.go
@@ -6,7 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
+	tally "github.com/uber-go/tally/v4"
+
 	"bramleysail.example/bramleysail/internal/batch/drive"
+	"bramleysail.example/bramleysail/internal/ctrl/lead"
 )
 
 // A job is submitted. While it is being stored, operators change the configuration, and another answer of the same
@@ -73,3 +77,29 @@
 		})
 	}
 }
+
+// Guards against a job that runs though its cancel was answered "no such job": a host that has stood still passes on its
+// submission long after the caller has left. A submission in a shorter stall, and other requests, are passed on.
+func TestRequestAfterStall(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		verb   drive.Verb
+		stall  time.Duration
+		passed bool
+	}{
+		{"submission", drive.VerbSubmit, 0, true},
+		{"submission after a short stall", drive.VerbSubmit, 4 * time.Second, true},
+		{"submission after a long stall", drive.VerbSubmit, 11 * time.Second, false},
+		{"cancel after a long stall", drive.VerbCancel, 11 * time.Second, true},
+		{"state after a long stall", drive.VerbState, 11 * time.Second, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &Forwarder{log: logr.Discard(), scope: tally.NoopScope, elector: lead.New(lead.Options{}), monitor: &peerMonitor{}}
+			f.stalls.Beat(time.Now().Add(-tt.stall))
+			rep := f.Handle(t.Context(), drive.Request{Verb: tt.verb, Path: "/q/a"})
+			if passed := rep.Why != reasonTooOld; passed != tt.passed || rep.Result != drive.ResultRefused {
+				t.Errorf("%+v, want passed on: %t", rep, tt.passed)
+			}
+		})
+	}
+}
--- a/internal/proc/front/process.go
+++ b/internal/proc/front/process.go
@@ -138,6 +138,7 @@
 func (p *Process) runElection(addr string) context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
+	p.wg.Go(func() { p.forwarder.stalls.Run(ctx) })
 	p.wg.Go(func() { p.elector.Run(ctx, p.runTenure) })
 	p.wg.Go(func() { p.monitor.sendHeartbeats(ctx, addr, p.settings.Name, heartbeatInterval) })
 	return ctx
