sched, drive: the longest lease of a worker that restarted is waited for

Cause: the end of a lease is on the clock of the former incarnation. A call for that one, late or made before the restart is noticed, gives the new one the longest lease that workers accept, 6 s or 10 s, where the holder counts the 4.8 s that it granted. A successor doesn't reckon with it either.

Each incarnation that the holder learns of gets a higher fencing token, a count below the term, and no start before it has answered a poll with it. From that answer the holder reckons with the longest lease, and its record of tracked workers tells a successor. A call that is refused because the holder itself uses a newer token doesn't end the tenure.

--- a/internal/batch/agent/wire.go
+++ b/internal/batch/agent/wire.go
@@ -12,7 +12,7 @@
 // Call is a call to a worker: a poll or an order.
 type Call struct {
 	ID       uint64             // identifies the call within its session
-	Fence    int64              // fencing token: the term of the holder
+	Fence    int64              // fencing token
 	Deadline time.Duration      // on the agent's clock; the call isn't made after it
 	Poll     *sched.PollRequest // nil: the call is an order
 	Order    *sched.Order       // nil: the call is a poll
--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -148,13 +148,14 @@
 	return tracked, true
 }
 
-// sameMembers reports whether two lists name the same incarnations at the same addresses, in the same order.
+// sameMembers reports whether two lists of tracked workers name the same incarnations at the same addresses, in the same
+// order, with the same leases.
 func sameMembers(a, b []sched.Member) bool {
 	if len(a) != len(b) {
 		return false
 	}
 	for i := range a {
-		if a[i].Incarnation != b[i].Incarnation || a[i].Addr != b[i].Addr {
+		if a[i].Incarnation != b[i].Incarnation || a[i].Addr != b[i].Addr || a[i].LongLease != b[i].LongLease {
 			return false
 		}
 	}
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -14,7 +14,7 @@
 	"bramleysail.example/bramleysail/internal/plat/store"
 )
 
-// WorkerClient makes calls to the workers. The fence of a call is the fencing token: the term of the holder.
+// WorkerClient makes calls to the workers. The fence of a call is the fencing token; see sched.Core.Fence.
 type WorkerClient interface {
 	// Poll asks a worker for its report. The request says how long to wait for the answer.
 	Poll(ctx context.Context, req sched.PollRequest, fence int64) (sched.Report, sched.Outcome)
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -190,7 +190,8 @@
 }
 
 // executeOrder sends an order and passes the outcome to the core, also when the tenure is over. A worker that
-// has been fenced by a newer holder ends the tenure instead. Each order is logged, starts that were carried out by the run
+// has been fenced by a newer holder ends the tenure instead; an order that was overtaken by a newer fencing token of
+// this holder has not been carried out. Each order is logged, starts that were carried out by the run
 // log, except a throttle to a CPU limit above 0 that was carried out, unless the run was idle.
 func (h *Holder) executeOrder(o sched.Order) {
 	start := time.Now()
@@ -210,7 +211,11 @@
 	h.mu.Lock()
 	h.core.HandleOutcome(time.Now(), o, outcome)
 	limited := h.core.StartsLimited()
+	trackedChanged := h.core.TrackedVersion() != h.trackedVersion
 	h.mu.Unlock()
+	if trackedChanged {
+		wait.Wake(h.commitWake)
+	}
 	if outcome != sched.OutcomeDone || limited {
 		h.requestPlan()
 	}
@@ -225,11 +230,23 @@
 	h.mu.Lock()
 	h.updateConfirmation()
 	cause := h.core.CheckSend(time.Now(), o)
+	fence := h.core.Fence(o.Incarnation.ID)
 	h.mu.Unlock()
 	if cause != sched.CauseNone {
 		return sched.OutcomeUnsent, cause
 	}
-	return h.opt.Workers.SendOrder(h.ctx, o, h.opt.Tenure.Term()), sched.CauseNone
+	outcome := h.opt.Workers.SendOrder(h.ctx, o, fence)
+	if outcome == sched.OutcomeFenced && h.isOvertaken(o.Incarnation.ID, fence) {
+		return sched.OutcomeUnsent, sched.CauseOvertaken
+	}
+	return outcome, sched.CauseNone
+}
+
+// isOvertaken reports whether this holder itself uses a newer fencing token for a worker than that of a call.
+func (h *Holder) isOvertaken(worker string, fence int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return fence < h.core.Fence(worker)
 }
 
 // endFencedTenure ends the tenure because a worker has been fenced by a newer holder.
@@ -290,7 +307,10 @@
 			return
 		}
 		overdue := time.AfterFunc(req.Wait+req.ContactSlack, func() { h.handleOverduePoll(p) })
-		report, outcome := h.opt.Workers.Poll(h.ctx, req, h.opt.Tenure.Term())
+		report, outcome := h.opt.Workers.Poll(h.ctx, req, req.Fence)
+		if outcome == sched.OutcomeFenced && h.isOvertaken(id, req.Fence) {
+			outcome = sched.OutcomeUnsent
+		}
 		overdue.Stop()
 		release()
 		if h.ctx.Err() != nil {
--- a/internal/batch/drive/restart_test.go
+++ b/internal/batch/drive/restart_test.go
@@ -1,17 +1,25 @@
 package drive_test
 
 import (
+	"context"
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"bramleysail.example/bramleysail/internal/base/wait"
 	"bramleysail.example/bramleysail/internal/batch/drive"
 	"bramleysail.example/bramleysail/internal/batch/sched"
 	"bramleysail.example/bramleysail/internal/fake/txkv"
 )
 
+var recutSeeds = flag.Int("recut-seeds", 12, "number of seeds of TestRestartedWorkersCutOff")
+
 // restartTime is how long a worker that crashes is away.
 const restartTime = 500 * time.Millisecond
 
@@ -42,7 +50,7 @@
 					}
 					return 300 * time.Millisecond, sched.EndDone
 				}
-				c := newTestCluster(t, 0, workers, rng, work)
+				c := newTestCluster(t, 0, workers, newRand(seed+100), work)
 				c.peersConfirmedAt = time.Now
 				c.addHosts(1, 0, strongCapacity)
 				time.Sleep(8 * time.Second)
@@ -74,3 +82,118 @@
 		})
 	}
 }
+
+// recut lets workers crash and be back under their ids, and cuts them off soon after while their runs go on. Polls, orders or
+// neither are left unanswered meanwhile and executed late; the holder may be lost before the cut.
+func (c *testCluster) recut(rng *rand.Rand, ids ...string) {
+	switch rng.IntN(3) {
+	case 0:
+		c.workers.SetDelayedPolls(0.5)
+	case 1:
+		c.workers.SetDelayedPolls(0.2)
+	}
+	time.Sleep(time.Duration(rng.IntN(600)) * time.Millisecond)
+	c.restart(ids...)
+	time.Sleep(time.Duration(rng.IntN(600)) * time.Millisecond)
+	c.workers.SetDelayedPolls(0)
+	time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+	holder := c.holder()
+	if rng.IntN(2) == 0 && holder != nil {
+		holder.kill()
+		time.AfterFunc(3*time.Second, holder.start)
+	}
+	time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+	for _, id := range ids {
+		c.workers.SetUnreachable(id, true)
+	}
+	time.Sleep(9 * time.Second)
+	for _, id := range ids {
+		c.workers.SetUnreachable(id, false)
+	}
+}
+
+// Guards against two runs of a task at a time: workers are back under their ids, get leases that end by the clocks of their
+// former incarnations, and are cut off while long tasks run.
+func TestRestartedWorkersCutOff(t *testing.T) {
+	for seed := range uint64(*recutSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rng, work := newRand(seed), newRand(seed+200) // work is used only under the lock of the fake workers
+				c := newTestCluster(t, 3, 8, newRand(seed+100), func(string) (time.Duration, sched.End) {
+					return time.Duration(300+work.IntN(2)*(6000+work.IntN(6000))) * time.Millisecond, sched.EndDone
+				})
+				time.Sleep(8 * time.Second)
+				ctx, cancel := context.WithCancel(t.Context())
+				var wg sync.WaitGroup
+				wg.Go(func() {
+					for i := 0; wait.For(ctx, 200*time.Millisecond); i++ {
+						c.submit(fmt.Sprintf("j%d", i), newStep(3))
+					}
+				})
+				time.Sleep(2 * time.Second)
+				for round := range 2 {
+					c.recut(rng, fmt.Sprintf("w%d", 3*round), fmt.Sprintf("w%d", 3*round+1), fmt.Sprintf("w%d", 3*round+2))
+					time.Sleep(3 * time.Second)
+				}
+				cancel()
+				wg.Wait()
+				if v := c.workers.Violations(); len(v) > 0 {
+					t.Errorf("%d violations: %s", len(v), strings.Join(v[:min(len(v), 3)], "; "))
+				}
+				c.stop()
+			})
+		})
+	}
+}
+
+// slowOrders is a client of the workers whose starts for one worker take a while to get there.
+type slowOrders struct {
+	drive.WorkerClient
+	worker  string
+	delay   time.Duration
+	refused atomic.Int64 // starts that the worker refused by their fencing token
+}
+
+// SendOrder implements drive.WorkerClient.
+func (s *slowOrders) SendOrder(ctx context.Context, o sched.Order, fence int64) sched.Outcome {
+	if o.Verb == sched.VerbStart && o.Incarnation.ID == s.worker {
+		wait.For(ctx, s.delay)
+	}
+	outcome := s.WorkerClient.SendOrder(ctx, o, fence)
+	if outcome == sched.OutcomeFenced {
+		s.refused.Add(1)
+	}
+	return outcome
+}
+
+// Guards against a holder that gives up its tenure because a worker refuses a call that the holder itself has overtaken: the
+// worker has restarted, and has been polled with a new fencing token.
+func TestOvertakenStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster(t, 0, 1, newRand(1), runsFor(time.Second))
+		slow := &slowOrders{worker: "w0"}
+		c.wrapWorkers = func(client drive.WorkerClient) drive.WorkerClient {
+			slow.WorkerClient = client
+			return slow
+		}
+		c.addHosts(1, 0, strongCapacity)
+		time.Sleep(8 * time.Second)
+		_, term := c.holder().currentHolder()
+		slow.delay = restartTime + time.Second
+		if r := c.submit("a", newStep(4)); r.Result != drive.ResultDone {
+			t.Fatalf("submit: %+v", r)
+		}
+		c.restart("w0")
+		c.awaitState(5*time.Second, "a", sched.StateCompleted)
+		if n := slow.refused.Load(); n == 0 {
+			t.Error("no start was refused")
+		}
+		if _, now := c.holder().currentHolder(); now != term {
+			t.Errorf("term %d, was %d", now, term)
+		}
+		if v := c.workers.Violations(); len(v) > 0 {
+			t.Error(strings.Join(v, "; "))
+		}
+		c.stop()
+	})
+}
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -65,18 +65,25 @@
 	b.core.ConfirmHolder(b.now)
 }
 
-// poll lets a worker answer a poll with a report, and sends the next poll.
+// poll lets a worker answer a poll with a report, and sends the next poll. A report that shows a restart is repeated for a poll
+// with the raised fencing token.
 func (b *harness) poll(id string, rep sched.Report) {
 	b.t.Helper()
-	b.core.NextPoll(b.now, id)
 	if rep.StartedAt == 0 {
 		rep.StartedAt = 1
 	}
-	rep.Clock = b.now.Sub(epoch())
-	sent := b.now
-	b.advance(time.Millisecond)
-	b.core.HandleReport(sent, b.now, id, rep)
-	b.core.NextPoll(b.now, id)
+	req, _ := b.core.NextPoll(b.now, id)
+	for {
+		rep.Clock = b.now.Sub(epoch())
+		sent := b.now
+		b.advance(time.Millisecond)
+		b.core.HandleReport(sent, b.now, id, rep)
+		next, _ := b.core.NextPoll(b.now, id)
+		if next.Fence == req.Fence {
+			return
+		}
+		req = next
+	}
 }
 
 // planOrders plans, lets the workers carry out all orders, and returns those of one verb.
--- a/internal/batch/sched/former.go
+++ b/internal/batch/sched/former.go
@@ -39,10 +39,23 @@
 
 // leaseEnd returns when every lease on a worker has ended unless it is renewed, or unbounded.
 func (c *Core) leaseEnd(w *worker) time.Time {
+	end := w.leaseExpiry
 	if w.formerLease {
-		return latest(w.leaseExpiry, c.formerLeasesEnd())
+		end = latest(end, c.formerLeasesEnd())
 	}
-	return w.leaseExpiry
+	return latest(end, c.longLeaseEnd(w))
+}
+
+// longLeaseEnd returns when the longest lease that calls of former incarnations may have given to a worker has ended, or
+// unbounded; zero: there were none.
+func (c *Core) longLeaseEnd(w *worker) time.Time {
+	switch {
+	case !w.longLeaseEnd.Equal(unbounded):
+		return w.longLeaseEnd
+	case c.formerStopped().Equal(unbounded):
+		return unbounded
+	}
+	return c.formerStopped().Add(c.expiryBound(c.opts.MaxWorkerLease))
 }
 
 // boundFormerLease bounds the former holder's lease on a worker that has answered this holder: the worker is fenced, so
--- a/internal/batch/sched/incarnation_test.go
+++ b/internal/batch/sched/incarnation_test.go
@@ -326,3 +326,136 @@
 	b.storeChanges()
 	b.checkState("b", sched.StateCompleted)
 }
+
+// maxLease is the longest lease that workers accept in the tests below.
+const maxLease = lease + 5*time.Second
+
+// longLeasesEnd is how long a lease of maxLease lasts at most.
+const longLeasesEnd = maxLease*100/98 + 100*time.Millisecond
+
+// newLongLeaseHarness is newHarness with workers that accept leases up to maxLease. w0 runs the long-running task "feed".
+func newLongLeaseHarness(t *testing.T) *harness {
+	b := &harness{t: t, now: epoch()}
+	b.core = sched.New(sched.Options{WorkerLease: lease, MaxWorkerLease: maxLease, MaxUnconfirmed: maxUnconfirmed, Term: 1}, b.now)
+	b.core.UpdateDirectory(b.now, members(1))
+	b.openWorkers()
+	b.advance(formerLeasesEnd)
+	b.poll("w0", sched.Report{})
+	b.core.AddJob(b.now, oneTaskJob("feed", func(j *sched.Job) { j.Steps[0].LongRunning = true }))
+	return b
+}
+
+// restartedMembers returns two workers, of which w0 has restarted.
+func restartedMembers() []sched.Member {
+	all := members(2)
+	all[0].StartedAt = 2
+	return all
+}
+
+// Guards against two runs of a task at a time: a poll for the former incarnation gives the new one the longest lease, as it
+// ends by the former clock, and the worker is cut off before its own lease would have ended.
+func TestLongLeaseOfNewIncarnation(t *testing.T) {
+	b := newLongLeaseHarness(t)
+	b.poll("w0", sched.Report{StartedAt: 2})
+	b.core.MarkTracked(b.core.TrackedWorkers())
+	fenced := b.now
+	if got := b.planOrders(sched.VerbStart); len(got) != 1 {
+		t.Fatalf("starts %v, want one on w0", got)
+	}
+	b.core.PollFailed(b.now, "w0", 2)
+	b.core.UpdateDirectory(b.now, restartedMembers())
+	for b.now.Sub(fenced) < longLeasesEnd {
+		b.poll("w1", sched.Report{})
+		b.core.MarkTracked(b.core.TrackedWorkers())
+		if got := b.planOrders(sched.VerbStart); len(got) != 0 {
+			t.Fatalf("starts %v %v after the first answer of the new incarnation, want none", got, b.now.Sub(fenced))
+		}
+		b.advance(200 * time.Millisecond)
+	}
+	b.poll("w1", sched.Report{})
+	if got := b.planOrders(sched.VerbStart); len(got) != 1 {
+		t.Errorf("starts %v once the longest lease has ended, want the task", got)
+	}
+}
+
+// Guards against a lease of unknown length: the first answer of a new incarnation comes before calls for the former one are
+// shut out, so starts have to wait for the answer to a poll with a higher fencing token.
+func TestStartWaitsForFence(t *testing.T) {
+	b := newLongLeaseHarness(t)
+	former, _ := b.core.NextPoll(b.now, "w0")
+	sent := b.now
+	b.advance(time.Millisecond)
+	b.core.HandleReport(sent, b.now, "w0", sched.Report{StartedAt: 2})
+	b.core.MarkTracked(b.core.TrackedWorkers())
+	if got := b.planOrders(sched.VerbStart); len(got) != 0 {
+		t.Errorf("starts %v before a poll with a new fencing token is answered", got)
+	}
+	req, _ := b.core.NextPoll(b.now, "w0")
+	if req.Fence <= former.Fence || req.Fence != b.core.Fence("w0") || req.LeaseUntil != 0 || req.AckedSeq != 0 {
+		t.Errorf("poll %+v after one with the token %d, want a higher one, no lease and no acknowledgement", req, former.Fence)
+	}
+	b.core.HandleReport(b.now, b.now.Add(time.Millisecond), "w0", sched.Report{StartedAt: 2})
+	b.advance(time.Millisecond)
+	b.core.NextPoll(b.now, "w0")
+	if got := b.planOrders(sched.VerbStart); len(got) != 1 {
+		t.Errorf("starts %v after the answer, want one", got)
+	}
+	next := sched.New(sched.Options{Term: 2}, b.now)
+	if next.Fence("w0") <= req.Fence {
+		t.Errorf("token %d of the next holder isn't above %d", next.Fence("w0"), req.Fence)
+	}
+}
+
+// Guards against two runs of a task at a time: a worker that has the longest lease by a call for its former incarnation is
+// out of reach when the holder changes. A successor knows of the restart from the directory or from the former holder's
+// record. For other workers it needn't wait as long.
+func TestSuccessorWaitsForLongLease(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		directory []sched.Member // as the successor reads it
+		restart   bool           // the former holder has noticed a restart
+		later     time.Duration  // until the holder changes
+		wait      time.Duration  // of tasks that were taken over, since the holder changed
+	}{
+		{"no restart", members(2), false, 0, formerLeasesEnd},
+		{"in the directory", restartedMembers(), false, 0, maxUnconfirmed + longLeasesEnd},
+		{"in the record", members(2)[1:], true, 0, maxUnconfirmed + longLeasesEnd},
+		{"long ago", members(2)[1:], true, longLeasesEnd, formerLeasesEnd},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newLongLeaseHarness(t)
+			b.planOrders(sched.VerbStart)
+			records := b.storeChanges()
+			if tt.restart {
+				b.poll("w0", sched.Report{StartedAt: 2})
+			}
+			b.advance(tt.later)
+			b.poll("w0", sched.Report{StartedAt: 1 + int64(map[bool]int{true: 1}[tt.restart])})
+			b.core.Plan(b.now)
+			tracked := b.core.TrackedWorkers()
+			changed := b.now
+			b.core = sched.New(sched.Options{WorkerLease: lease, MaxWorkerLease: maxLease, MaxUnconfirmed: maxUnconfirmed, Term: 2}, b.now)
+			b.core.InheritWorkers(b.now, tracked)
+			feed := oneTaskJob("feed", func(j *sched.Job) { j.Steps[0].LongRunning = true })
+			if err := b.core.RestoreJob(b.now, "feed", feed, records["feed"]); err != nil {
+				t.Fatal(err)
+			}
+			b.core.UpdateDirectory(b.now, tt.directory)
+			b.core.MarkTracked(b.core.TrackedWorkers())
+			b.advance(time.Millisecond)
+			for {
+				b.poll("w1", sched.Report{})
+				b.core.MarkTracked(b.core.TrackedWorkers())
+				if len(b.planOrders(sched.VerbStart)) > 0 {
+					break
+				}
+				if b.advance(20 * time.Millisecond); b.now.Sub(changed) > time.Minute {
+					t.Fatal("never started again")
+				}
+			}
+			if waited := b.now.Sub(changed); waited < tt.wait || waited > tt.wait+100*time.Millisecond {
+				t.Errorf("started again after %v, want %v", waited, tt.wait)
+			}
+		})
+	}
+}
--- a/internal/batch/sched/member_test.go
+++ b/internal/batch/sched/member_test.go
@@ -10,7 +10,7 @@
 
 // Guards against a change of a worker's entry that is taken for none because a field isn't compared.
 func TestMemberEqual(t *testing.T) {
-	full := Member{Incarnation{"w", 1}, "s", "h:1", "z", []string{"l"}, "r", wire.Size{CPU: 1, Mem: 1, Accel: 1}, true, time.Second}
+	full := Member{Incarnation{"w", 1}, "s", "h:1", "z", []string{"l"}, "r", wire.Size{CPU: 1, Mem: 1, Accel: 1}, true, time.Second, true}
 	if !full.equal(full) {
 		t.Error("a member differs from itself")
 	}
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -43,6 +43,9 @@
 		w := c.workers[m.ID]
 		w.tracked, w.inherited = true, true
 		w.unansweredAt = now
+		if m.LongLease {
+			w.longLease, w.longLeaseEnd, w.fencePending = true, unbounded, true
+		}
 	}
 }
 
@@ -101,7 +104,7 @@
 		}
 	}
 	w.StartedAt = startedAt
-	c.trackedVersion++
+	c.raiseFence(now, w)
 	c.noteOrderDue(w)
 	w.leaseExpiry, w.formerLease = now, false
 	w.restarted, w.inventoryComplete = true, false
@@ -117,14 +120,6 @@
 	c.markStale(w)
 }
 
-// noteUnseenRestart records that a worker has restarted of which no report and no entry of the directory tells yet. It gets
-// no orders until a poll tells the new incarnation.
-func (c *Core) noteUnseenRestart(w *worker, former Incarnation) {
-	if w.Incarnation == former && w.contact == ContactGood {
-		w.contact = ContactLost
-	}
-}
-
 // cloneRuns returns a copy of the run list that can be iterated while runs are removed.
 func (w *worker) cloneRuns() []*run {
 	return slices.Clone(w.runList)
@@ -168,6 +163,7 @@
 func (c *Core) expireLeases(now time.Time) {
 	var gone []*worker
 	for _, w := range c.workersByID {
+		c.expireLongLease(now, w)
 		if end := c.leaseEnd(w); w.contact == ContactGood || now.Before(end) || c.confirmedByStore.Before(end) {
 			continue
 		}
--- a/internal/batch/sched/outcome.go
+++ b/internal/batch/sched/outcome.go
@@ -25,7 +25,7 @@
 		w.unansweredAt = now
 	}
 	if out == OutcomeDoneByLater {
-		c.noteUnseenRestart(w, o.Incarnation)
+		c.noteUnseenRestart(now, w, o.Incarnation)
 		out = OutcomeDone
 	}
 	if r != nil {
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -16,6 +16,7 @@
 type PollRequest struct {
 	Incarnation
 	Addr         string        // network address
+	Fence        int64         // fencing token
 	AckedSeq     int64         // the worker may forget its ends up to this number
 	LeaseUntil   time.Duration // end of the granted lease, on the worker's clock; 0: no lease
 	Wait         time.Duration // time for which the worker may delay its answer while no run ends
@@ -90,7 +91,7 @@
 	if w == nil {
 		return PollRequest{}, false
 	}
-	req := PollRequest{Incarnation: w.Incarnation, Addr: w.Addr, ContactSlack: contactSlack, AnswerSlack: answerSlack}
+	req := PollRequest{Incarnation: w.Incarnation, Addr: w.Addr, Fence: c.Fence(id), ContactSlack: contactSlack, AnswerSlack: answerSlack}
 	if !w.polled {
 		w.polled = true
 		req.ContactSlack = firstContactSlack
@@ -231,7 +232,9 @@
 	c.extendExpiry(now, w)
 	c.boundFormerLease(now, w)
 	c.noteOrderDue(w)
-	w.contact = ContactGood
+	if c.handleFenced(sent, now, w) {
+		w.contact = ContactGood
+	}
 	w.clock = w.clock.update(sent, now, rep.Clock)
 	w.answeredClock = rep.Clock
 	w.deliveredSeq = max(w.deliveredSeq, w.polledSeq)
--- a/internal/batch/sched/record.go
+++ b/internal/batch/sched/record.go
@@ -249,12 +249,14 @@
 			w.tracked = false
 			continue
 		}
-		all = append(all, w.Member)
+		m := w.Member
+		m.LongLease = w.longLease
+		all = append(all, m)
 	}
 	return all
 }
 
-// TrackedVersion returns a number that changes whenever a worker, an incarnation or an address in the list of
+// TrackedVersion returns a number that changes whenever a worker, an incarnation, an address or LongLease in the list of
 // TrackedWorkers does.
 func (c *Core) TrackedVersion() uint64 {
 	return c.trackedVersion
--- a/internal/batch/sched/sendcheck.go
+++ b/internal/batch/sched/sendcheck.go
@@ -14,6 +14,7 @@
 	CauseUnreachable    UnsentCause = "contact" // the last poll of the worker failed, or none has been answered yet
 	CauseShortLease     UnsentCause = "lease"   // too little is left of the lease that the start carries
 	CauseUnschedulable  UnsentCause = "closed"  // the worker is draining or not in the directory, or its zone is evacuated
+	CauseOvertaken      UnsentCause = "fence"   // the worker refused it, as this holder's fencing token for it has risen
 	CauseStaleDirectory UnsentCause = "roster"  // the last read of the directory is too old, though the store answers
 	CauseStaleIntent    UnsentCause = "intent"  // the last read of the operators' intent is too old, though the store answers
 )
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -26,12 +26,15 @@
 	Draining bool      `json:"-"`                // the worker has announced that it leaves
 	// DrainRemaining is the minimum time that a draining worker stays available.
 	DrainRemaining time.Duration `json:"-"`
+	// LongLease is set in the list of tracked workers if a call meant for a former incarnation may have given the worker the
+	// longest lease that it accepts.
+	LongLease bool `json:"longLease,omitempty"`
 }
 
 // equal reports whether two entries of the directory say the same of a worker.
 func (m Member) equal(o Member) bool {
 	return m.Incarnation == o.Incarnation && m.Service == o.Service && m.Addr == o.Addr && m.Zone == o.Zone && slices.Equal(m.Labels, o.Labels) &&
-		m.Rack == o.Rack && m.Size == o.Size && m.Draining == o.Draining && m.DrainRemaining == o.DrainRemaining
+		m.Rack == o.Rack && m.Size == o.Size && m.Draining == o.Draining && m.DrainRemaining == o.DrainRemaining && m.LongLease == o.LongLease
 }
 
 // End is the way in which a run ended.
@@ -101,6 +104,11 @@
 	leaseUntil        time.Duration // end of the lease granted to this incarnation, on the worker's clock
 	leaseExpiry       time.Time     // when the lease granted by this holder has expired; see Core.leaseEnd
 	formerLease       bool          // leases of a former holder may be in force until Core.formerLeasesEnd
+	fenceCount        int64         // low part of the fencing token; see Core.Fence
+	fenceRaisedAt     time.Time     // when it was last raised
+	fencePending      bool          // calls with a lower token may still be carried out
+	longLease         bool          // a successor has to wait for longLeaseEnd; see Member.LongLease
+	longLeaseEnd      time.Time     // when that lease has ended; unbounded: it counts from the former holder's end
 	ackedSeq          int64         // ends up to this number are stored and may be acknowledged
 	polledSeq         int64         // PollRequest.AckedSeq of the newest poll
 	deliveredSeq      int64         // highest PollRequest.AckedSeq of an answered poll
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -21,6 +21,7 @@
 	workload     func(task string) (time.Duration, sched.End)
 	rng          *rand.Rand
 	delayedShare float64          // share of orders that get no answer and are executed later
+	delayedPolls float64          // share of polls that get no answer and are executed later
 	violations   []string         // broken invariants, as text
 	ackedTasks   map[string]bool  // tasks whose success has been acknowledged or counts as such, see noteListed
 	starts       map[string]int   // number of starts by task
@@ -87,6 +88,13 @@
 	f.delayedShare = share
 }
 
+// SetDelayedPolls sets the share of polls that get no answer and are executed 1.5 to 4 s later.
+func (f *Fleet) SetDelayedPolls(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delayedPolls = share
+}
+
 // SetCalm says whether no disruption is near. While calm, a success that a worker has listed counts as acknowledged
 // listedGrace later, also if the caller gave up the answer.
 func (f *Fleet) SetCalm(calm bool) {
@@ -266,6 +274,12 @@
 			return sched.Report{}, sched.OutcomeUnknown
 		}
 		startedAt = w.StartedAt
+		if first && f.rng.Float64() < f.delayedPolls {
+			f.delayPoll(w, req, fence)
+			f.mu.Unlock()
+			wait.For(ctx, req.Wait+req.ContactSlack)
+			return sched.Report{}, sched.OutcomeUnknown
+		}
 		f.expireLease(w)
 		if fence < w.fence {
 			f.mu.Unlock()
@@ -298,6 +312,21 @@
 	}
 }
 
+// delayPoll lets a poll be executed later, by the incarnation that is present then.
+func (f *Fleet) delayPoll(w *worker, req sched.PollRequest, fence int64) {
+	delay := 1500*time.Millisecond + time.Duration(f.rng.Int64N(int64(2500*time.Millisecond)))
+	time.AfterFunc(delay, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.expireLease(w)
+		if fence >= w.fence {
+			w.fence = fence
+			w.renewLease(req.LeaseUntil)
+			f.ackFinished(w, req)
+		}
+	})
+}
+
 // ackFinished drops the finished runs that a poll acknowledges and records which tasks have succeeded.
 // Like the rest of the poll, this applies to the present incarnation: a call names the worker by its id only.
 func (f *Fleet) ackFinished(w *worker, req sched.PollRequest) {
