platform, drive: odd entries of the directory name no worker

Another operator's machines ended again and again over one odd entry among those of the workers. Here none ends the process, but 38 of 51 odd entries were taken for workers: ports out of range, addresses with a path or a user, ids that no header can carry, capacities near 2^63 or negative, a departure in 1e300 ms, which overflows differently on x86-64 and arm64. An entry whose process starts near 2^63 under a worker's id had the worker ignored for good, as all that it says of itself afterwards seems older.

What is left out is logged once.

--- a/internal/batch/drive/directory_test.go
+++ b/internal/batch/drive/directory_test.go
@@ -80,3 +80,25 @@
 		}
 	}
 }
+
+// Guards against log lines without bound: an entry that names no worker is logged once until it names one again.
+func TestLeftOutEntriesAreLoggedOnce(t *testing.T) {
+	var leftOut []string
+	d := directoryDecoder{
+		decode:  func(e store.Entry) (sched.Member, bool) { return sched.Member{}, len(e.Value) > 0 },
+		leftOut: func(key string) { leftOut = append(leftOut, key) },
+	}
+	odd := func(rev uint64) store.Entry { return store.Entry{Key: "odd", Rev: rev} }
+	d.decodeAll([]store.Entry{odd(1)})
+	d.decodeAll([]store.Entry{odd(1)})
+	d.decodeChanges([]store.Entry{odd(2)}, nil)
+	d.decodeAll([]store.Entry{odd(3)})
+	d.decodeChanges([]store.Entry{{Key: "odd", Value: []byte("x"), Rev: 4}}, nil)
+	if len(leftOut) != 1 {
+		t.Errorf("logged %v, want one line", leftOut)
+	}
+	d.decodeChanges([]store.Entry{odd(5)}, nil)
+	if len(leftOut) != 2 {
+		t.Errorf("logged %v, want a second line once the entry has named a worker", leftOut)
+	}
+}
--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -179,8 +179,8 @@
 
 		loaded:      make(chan struct{}),
 		pollLimiter: newPollLimiter(),
-		directory:   directoryDecoder{decode: opt.Codec.DecodeMember},
 	}
+	h.directory = directoryDecoder{decode: h.decodeMember, leftOut: h.logLeftOut}
 	if h.opt.Scope == nil {
 		h.opt.Scope = tally.NoopScope
 	}
