sched, drive: a late acknowledgement is shut out by the start that follows it

Cause: a poll without an answer is carried out late, by the next incarnation of its worker, which forgets as many of its own ends as the poll acknowledges. If that incarnation answered a start meanwhile, the restart was noticed, but the next poll left only once the unanswered one had been given up, up to 2.1 s later.

An order that leaves more than 100 ms after an acknowledgement without an answer has a higher fencing token, so that who carries it out does nothing for that poll. A poll in flight is given up once a restart is noticed.

--- a/internal/batch/drive/holder.go
+++ b/internal/batch/drive/holder.go
@@ -143,6 +143,7 @@
 	core                 *sched.Core                // nil until the tracked workers are loaded
 	hasConfig            bool                       // the core has a configuration
 	polling              map[string]bool            // ids of the workers that have a polling goroutine
+	polls                map[string]*workerPoll     // the newest poll of each worker, by id
 	submissions          []*submission              // not part of a write yet, oldest first
 	submissionsByID      map[string]*submission     // neither stored nor withdrawn, by job id
 	cancelledIDs         cancelledIDs               // of late submissions
@@ -171,6 +172,7 @@
 		urgentCommit:      make(chan struct{}, 1),
 		cancelWake:        make(chan struct{}, 1),
 		polling:           map[string]bool{},
+		polls:             map[string]*workerPoll{},
 		submissionsByID:   map[string]*submission{},
 		recordWaiters:     map[string][]chan struct{}{},
 		ackWaiters:        map[string]chan struct{}{},
@@ -264,6 +266,9 @@
 	members := h.directory.decodeAll(entries)
 	h.mu.Lock()
 	h.core.UpdateDirectory(at, members)
+	for _, m := range members {
+		h.interruptPoll(m.ID)
+	}
 	h.mu.Unlock()
 	h.pollWorkers()
 	h.requestPlan()
@@ -275,6 +280,9 @@
 	members, removed := h.directory.decodeChanges(changed, deleted)
 	h.mu.Lock()
 	h.core.UpdateMembers(at, members, removed)
+	for _, m := range members {
+		h.interruptPoll(m.ID)
+	}
 	h.startPolling(members)
 	h.mu.Unlock()
 	h.requestPlan()
--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"time"
@@ -212,6 +213,7 @@
 	h.core.HandleOutcome(time.Now(), o, outcome)
 	limited := h.core.StartsLimited()
 	trackedChanged := h.core.TrackedVersion() != h.trackedVersion
+	h.interruptPoll(o.Incarnation.ID)
 	h.mu.Unlock()
 	if trackedChanged {
 		wait.Wake(h.commitWake)
@@ -274,12 +276,14 @@
 
 // workerPoll is a poll of a worker.
 type workerPoll struct {
-	req  sched.PollRequest
-	sent time.Time
+	req    sched.PollRequest
+	sent   time.Time
+	cancel context.CancelFunc // gives the poll up
 
 	// Guarded by Holder.mu.
-	done      bool // the result has been handled
-	inContact bool // the worker is in contact, as last logged
+	interrupted bool // it was given up, so that a newer one can be made
+	done        bool // the result has been handled
+	inContact   bool // the worker is in contact, as last logged
 }
 
 // pollWorker polls a worker until the core needs no more polls of it or the tenure is over.
@@ -299,15 +303,18 @@
 		req, ok := h.core.NextPoll(sent, id)
 		if !ok {
 			delete(h.polling, id)
-		}
-		p = &workerPoll{req: req, sent: sent, inContact: p.inContact}
-		h.mu.Unlock()
-		if !ok {
+			delete(h.polls, id)
+			h.mu.Unlock()
 			release()
 			return
 		}
+		ctx, cancel := context.WithCancel(h.ctx)
+		p = &workerPoll{req: req, sent: sent, cancel: cancel, inContact: p.inContact}
+		h.polls[id] = p
+		h.mu.Unlock()
 		overdue := time.AfterFunc(req.Wait+req.ContactSlack, func() { h.handleOverduePoll(p) })
-		report, outcome := h.opt.Workers.Poll(h.ctx, req, req.Fence)
+		report, outcome := h.opt.Workers.Poll(ctx, req, req.Fence)
+		cancel()
 		if outcome == sched.OutcomeFenced && h.isOvertaken(id, req.Fence) {
 			outcome = sched.OutcomeUnsent
 		}
@@ -324,6 +331,22 @@
 	}
 }
 
+// interruptPoll gives up the poll of a worker whose restart was noticed since, and the wait for the next one. Until a poll
+// with the new token is answered, late calls for the former incarnation may be carried out, which may have the new one
+// forget ends that nobody has read. The caller holds h.mu.
+func (h *Holder) interruptPoll(id string) {
+	p := h.polls[id]
+	if p == nil || !h.core.IsForFormer(id, p.req.Fence) {
+		return
+	}
+	p.interrupted = true
+	p.cancel()
+	if acked := h.ackWaiters[id]; acked != nil {
+		close(acked)
+		delete(h.ackWaiters, id)
+	}
+}
+
 // handleOverduePoll records that a worker is out of contact because the answer to a poll is overdue. The poll goes on: a
 // worker may count the ends that its answer lists as delivered.
 func (h *Holder) handleOverduePoll(p *workerPoll) {
@@ -370,6 +393,7 @@
 	}
 	// A worker that is back after its lease has expired gets no task until it is stored as tracked.
 	trackedChanged := h.core.TrackedVersion() != h.trackedVersion
+	interrupted := p.interrupted
 	h.mu.Unlock()
 	if trackedChanged {
 		wait.Wake(h.commitWake)
@@ -383,7 +407,10 @@
 	}
 	h.logEnds(id, newEnds)
 	h.requestPlan()
-	if outcome != sched.OutcomeDone {
+	switch {
+	case interrupted:
+		return
+	case outcome != sched.OutcomeDone:
 		wait.For(h.ctx, pollRetryDelay)
 		return
 	}
--- a/internal/batch/sched/fence.go
+++ b/internal/batch/sched/fence.go
@@ -6,22 +6,51 @@
 // that JSON clients keep exact.
 const fenceCountBits = 32
 
-// Fence returns the fencing token of the next call to a worker: the term, and in the low part a count that rises with each
-// restart of the worker that this holder notices. The new incarnation does nothing for calls of a former one once it has
-// taken a call with the new token.
+// ackTransit is well above the time in which a poll reaches its worker, so that an order that leaves later doesn't overtake it.
+const ackTransit = 100 * time.Millisecond
+
+// Fence returns the fencing token of the next call to a worker: the term, and in the low part a count. The count rises with
+// each restart of the worker that this holder notices, so that the new incarnation does nothing for calls of a former one
+// once it has taken a call with the new token. See also fenceAck.
 func (c *Core) Fence(id string) int64 {
-	fence := c.opts.Term << fenceCountBits
-	if w := c.workers[id]; w != nil {
-		fence |= w.fenceCount
+	w := c.workers[id]
+	if w == nil {
+		return c.fence(0)
 	}
-	return fence
+	return c.fence(w.fenceCount)
+}
+
+// fence returns the fencing token with a count.
+func (c *Core) fence(count int64) int64 { return c.opts.Term<<fenceCountBits | count }
+
+// IsForFormer reports whether a call to a worker with a fencing token was made before this holder noticed the worker's newest
+// restart.
+func (c *Core) IsForFormer(id string, fence int64) bool {
+	w := c.workers[id]
+	return w != nil && fence < c.fence(w.restartFence)
+}
+
+// fenceAck raises the fencing token of a worker before an order is sent to it, if an acknowledgement sent before has no answer
+// yet. An incarnation that carries out the order then does nothing for that poll. If it replaced the one in contact
+// unnoticed, it would forget the end of the run that the order starts.
+func (w *worker) fenceAck(now time.Time) {
+	if !w.ackSentAt.IsZero() && now.Sub(w.ackSentAt) >= ackTransit {
+		w.ackSentAt = time.Time{}
+		w.raiseFenceCount()
+	}
+}
+
+// raiseFenceCount raises the low part of a worker's fencing token.
+func (w *worker) raiseFenceCount() {
+	w.fenceCount = min(w.fenceCount+1, 1<<fenceCountBits-1)
 }
 
 // raiseFence raises the fencing token of a worker that has restarted. Calls with a lower one may be carried out until a poll
 // that was sent after now is answered; any of them may give the worker the longest lease that it accepts, as the end of
 // their lease is on the former clock.
 func (c *Core) raiseFence(now time.Time, w *worker) {
-	w.fenceCount = min(w.fenceCount+1, 1<<fenceCountBits-1)
+	w.raiseFenceCount()
+	w.restartFence, w.ackSentAt = w.fenceCount, time.Time{}
 	w.fenceRaisedAt, w.fencePending = now, true
 	w.longLease, w.longLeaseEnd = true, now.Add(c.expiryBound(c.opts.MaxWorkerLease))
 	if w.formerLease && w.contact == ContactNone {
--- a/internal/batch/sched/incarnation_test.go
+++ b/internal/batch/sched/incarnation_test.go
@@ -459,3 +459,45 @@
 		})
 	}
 }
+
+// Guards against a task that runs again after it has succeeded: a poll is carried out late by a new incarnation, and
+// acknowledges the end of a run that was started there after the poll was sent. The start has to carry a higher fencing
+// token, but not while it could overtake the poll on its way to a worker that has not restarted.
+func TestStartFencesUnansweredAck(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		after    time.Duration // of the start, since the poll was sent
+		answered bool          // the poll was answered before
+		raised   bool
+	}{
+		{"right behind the poll", 10 * time.Millisecond, false, false},
+		{"later", 300 * time.Millisecond, false, true},
+		{"poll answered", 300 * time.Millisecond, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newHarness(t, 1, 1).openWorkers()
+			for _, id := range []string{"a", "b"} {
+				b.core.AddJob(b.now, oneTaskJob(id, nil))
+			}
+			orders := b.core.Plan(b.now)
+			b.core.HandleOutcome(b.now, orders[0], sched.OutcomeDone)
+			b.poll("w0", sched.Report{Finished: []sched.FinishedRun{finishedRun(1, orders[0], sched.EndDone)}})
+			b.storeChanges()
+			req, _ := b.core.NextPoll(b.now, "w0")
+			if req.AckedSeq != 1 {
+				t.Fatalf("ends up to %d are acknowledged, want 1", req.AckedSeq)
+			}
+			sent := b.now
+			b.advance(tt.after)
+			if tt.answered {
+				b.core.HandleReport(sent, b.now, "w0", sched.Report{StartedAt: 1, Clock: b.now.Sub(epoch())})
+			}
+			if cause := b.core.CheckSend(b.now, orders[1]); cause != sched.CauseNone {
+				t.Fatalf("the start isn't sent: %s", cause)
+			}
+			if raised := b.core.Fence("w0") > req.Fence; raised != tt.raised || b.core.IsForFormer("w0", req.Fence) {
+				t.Errorf("token %d after a poll with %d, want a higher one: %t", b.core.Fence("w0"), req.Fence, tt.raised)
+			}
+		})
+	}
+}
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -119,6 +119,9 @@
 		w.verifying = true
 	}
 	w.polledSeq = req.AckedSeq
+	if req.AckedSeq > 0 && w.ackSentAt.IsZero() {
+		w.ackSentAt = now
+	}
 	if c.mayAct(now) {
 		req.LeaseUntil = c.grantLease(now, w)
 	}
@@ -237,6 +240,9 @@
 	}
 	w.clock = w.clock.update(sent, now, rep.Clock)
 	w.answeredClock = rep.Clock
+	if sent.Equal(w.ackSentAt) {
+		w.ackSentAt = time.Time{}
+	}
 	w.deliveredSeq = max(w.deliveredSeq, w.polledSeq)
 	w.verified, w.verifying = w.verifying, false
 	w.answerDelay = 0
--- a/internal/batch/sched/sendcheck.go
+++ b/internal/batch/sched/sendcheck.go
@@ -52,6 +52,7 @@
 		return cause
 	}
 	r.orderedAt = now
+	w.fenceAck(now)
 	if o.Verb == VerbStart {
 		// The time for which a later incarnation of the worker may carry out the start counts from here; see orphaned.
 		r.startedAt = now
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -105,7 +105,9 @@
 	leaseExpiry       time.Time     // when the lease granted by this holder has expired; see Core.leaseEnd
 	formerLease       bool          // leases of a former holder may be in force until Core.formerLeasesEnd
 	fenceCount        int64         // low part of the fencing token; see Core.Fence
-	fenceRaisedAt     time.Time     // when it was last raised
+	restartFence      int64         // its value since the newest restart
+	fenceRaisedAt     time.Time     // when that restart was noticed
+	ackSentAt         time.Time     // when the oldest acknowledgement without an answer was sent; zero: orders have a higher token
 	fencePending      bool          // calls with a lower token may still be carried out
 	longLease         bool          // a successor has to wait for longLeaseEnd; see Member.LongLease
 	longLeaseEnd      time.Time     // when that lease has ended; unbounded: it counts from the former holder's end
