sched: the fencing token of a worker doesn't fall when the worker is forgotten

A worker that is out of contact and not in the directory is removed. If it came back in the same term, its count began at 0, below the token that it had last seen; it would have refused all calls, which the holder takes for a newer holder and ends its tenure. The same went for the late answer of a call to a removed worker. Both begin at the highest count of a removed worker now.

A poll that an order with a higher token has overtaken is made again at once; it counted as a loss of contact. A run that is given up while its start is in flight doesn't set back the time of the newest unanswered start.

--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -315,14 +315,14 @@
 		overdue := time.AfterFunc(req.Wait+req.ContactSlack, func() { h.handleOverduePoll(p) })
 		report, outcome := h.opt.Workers.Poll(ctx, req, req.Fence)
 		cancel()
-		if outcome == sched.OutcomeFenced && h.isOvertaken(id, req.Fence) {
-			outcome = sched.OutcomeUnsent
-		}
 		overdue.Stop()
 		release()
 		if h.ctx.Err() != nil {
 			return
 		}
+		if outcome == sched.OutcomeFenced && h.isOvertaken(id, req.Fence) {
+			continue
+		}
 		answered = outcome == sched.OutcomeDone
 		h.handlePollResult(p, report, outcome)
 		if pause := h.planLag.pollPause(); pause > 0 {
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -41,6 +41,7 @@
 	relocating         []*task                             // long-running tasks that are to be moved or are being moved
 	workers            map[string]*worker                  // by id
 	workersByID        []*worker                           // the same, sorted by id
+	removedFenceCount  int64                               // highest fenceCount of a worker that was removed
 	workerIndexes      map[string]*workerIndex             // by service
 	staleWorkers       []*worker                           // workers whose entry in workerIndexes may be out of date
 	orderWorkers       []*worker                           // workers that may have a run to be stopped or throttled
--- a/internal/batch/sched/feasible.go
+++ b/internal/batch/sched/feasible.go
@@ -46,7 +46,7 @@
 // detachRun removes a run from its worker and from the counts of its job.
 func (c *Core) detachRun(r *run) {
 	if r.sent && !r.answered {
-		r.worker.unansweredAt = r.orderedAt
+		r.worker.unansweredAt = latest(r.worker.unansweredAt, r.orderedAt)
 	}
 	if r.worker.removeRun(r) && r.task != nil {
 		if r.starved {
--- a/internal/batch/sched/fence.go
+++ b/internal/batch/sched/fence.go
@@ -15,7 +15,7 @@
 func (c *Core) Fence(id string) int64 {
 	w := c.workers[id]
 	if w == nil {
-		return c.fence(0)
+		return c.fence(c.removedFenceCount)
 	}
 	return c.fence(w.fenceCount)
 }
--- a/internal/batch/sched/incarnation_test.go
+++ b/internal/batch/sched/incarnation_test.go
@@ -501,3 +501,27 @@
 		})
 	}
 }
+
+// Guards against a holder that takes a worker for fenced by another one: the worker was out of contact, was removed, and is
+// back with the highest fencing token that the holder itself had used.
+func TestFenceOfRemovedWorker(t *testing.T) {
+	b := newHarness(t, 1, 2).openWorkers()
+	b.poll("w0", sched.Report{StartedAt: 2})
+	used := b.core.Fence("w0")
+	b.core.PollFailed(b.now, "w0", 2)
+	b.core.UpdateDirectory(b.now, members(2)[1:])
+	for range 200 {
+		b.advance(100 * time.Millisecond)
+		b.core.Plan(b.now)
+	}
+	if _, known := b.core.NextPoll(b.now, "w0"); known {
+		t.Fatal("the worker isn't removed")
+	}
+	if got := b.core.Fence("w0"); got < used {
+		t.Errorf("token %d of a call whose answer is handled late, want %d or more", got, used)
+	}
+	b.core.UpdateDirectory(b.now, restartedMembers())
+	if req, _ := b.core.NextPoll(b.now, "w0"); req.Fence < used {
+		t.Errorf("token %d of the first poll, want %d or more", req.Fence, used)
+	}
+}
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -57,7 +57,7 @@
 	}
 	if w == nil {
 		c.trackedVersion++
-		w = &worker{runs: map[runKey]*run{}, formerLease: true}
+		w = &worker{runs: map[runKey]*run{}, formerLease: true, fenceCount: c.removedFenceCount} // it may have been removed before
 		c.workers[m.ID] = w
 		w.ID = m.ID
 		c.insertByID(w)
@@ -174,6 +174,7 @@
 	for _, w := range gone {
 		c.unindexWorker(w)
 		delete(c.workers, w.ID)
+		c.removedFenceCount = max(c.removedFenceCount, w.fenceCount)
 		c.removeByID(w)
 		c.trackedVersion++
 	}
