--- a/internal/proc/report/write.go
+++ b/internal/proc/report/write.go
@@ -79,8 +79,9 @@
 		Background: chart.Style{Padding: chart.Box{Top: legendHeight, Left: margin, Right: margin, Bottom: margin}},
 		XAxis:      chart.XAxis{Name: "seconds"},
 		YAxis:      chart.YAxis{Name: "jobs"},
-		// Without a series, its positions are divisions by 0.
-		YAxisSecondary: chart.YAxis{Style: chart.Hidden()},
+		// It has no series. Without ticks its range is empty and its positions are divisions by 0; if it isn't drawn, the
+		// legend is rotated like the name of the first one.
+		YAxisSecondary: chart.YAxis{Ticks: []chart.Tick{{Value: 0}, {Value: 1}}},
 	}
 	for _, p := range phases {
 		s := chart.ContinuousSeries{Name: string(p)}
