--- a/review/world3/host.go
+++ b/review/world3/host.go
@@ -45,8 +45,7 @@
 }
 
 // NewHosts returns entry processes, in three zones by turns, with their settings in a folder.
-
-func NewHosts(prefix string, n int, folder string, store *Store, b Bounds, rec *Record) ([]*Host, error) {
+func NewHosts(n int, folder string, store *Store, b Bounds, rec *Record) ([]*Host, error) {
 	tmpl, err := os.ReadFile("deploy/host.toml.tmpl")
 	if err != nil {
 		return nil, err
@@ -54,7 +53,7 @@
 	net1, net2 := 10+rand.IntN(200), 1+rand.IntN(250)
 	var hosts []*Host
 	for i := range n {
-		h := &Host{Name: fmt.Sprintf("%s-%d", prefix, i), ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, 10+i), rec: rec}
+		h := &Host{Name: fmt.Sprintf("frontend-%d", i), ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, 10+i), rec: rec}
 		h.Caller, h.Ready = fmt.Sprintf("%s:%d", h.ip, freePort(h.ip)), fmt.Sprintf("%s:%d", h.ip, freePort(h.ip))
 		port := freePort(h.ip)
 		h.Peer = fmt.Sprintf("%s:%d", h.ip, port)
--- a/review/world3/runner.go
+++ b/review/world3/runner.go
@@ -522,34 +522,3 @@
 	r.mu.Unlock()
 	reply(w, http.StatusOK, body)
 }
-
-// Running returns how many tasks of a job run.
-func (f *Fleet) Running(id string) int {
-	n := 0
-	for _, r := range f.Runners {
-		r.mu.Lock()
-		if r.up {
-			for _, x := range r.runs {
-				if strings.HasPrefix(x.task, id+".") {
-					n++
-				}
-			}
-		}
-		r.mu.Unlock()
-	}
-	return n
-}
-
-// UsedShare returns the share of the processors of the runners that are up which tasks take.
-func (f *Fleet) UsedShare() float64 {
-	used, all := 0, 0
-	for _, r := range f.Runners {
-		r.mu.Lock()
-		if r.up {
-			cpu, _ := r.used()
-			used, all = used+cpu, all+r.CPU
-		}
-		r.mu.Unlock()
-	}
-	return float64(used) / float64(max(all, 1))
-}
--- a/review/world3/site.go
+++ b/review/world3/site.go
@@ -41,7 +41,7 @@
 		s.unable(err)
 	}
 	s.Fleet = NewFleet(runners, Service, cpu, mem, s.Store, b, s.Rec)
-	if s.Hosts, err = NewHosts("frontend", hosts, s.dir, s.Store, b, s.Rec); err != nil {
+	if s.Hosts, err = NewHosts(hosts, s.dir, s.Store, b, s.Rec); err != nil {
 		s.unable(err)
 	}
 	stop := make(chan os.Signal, 1)
@@ -127,23 +127,3 @@
 	}
 	return false
 }
-
-// AddHosts starts more entry processes, at other addresses, and waits until they are ready.
-func (s *Site) AddHosts(prefix string, n int) []*Host {
-	added, err := NewHosts(prefix, n, s.dir, s.Store, s.Fleet.Bounds, s.Rec)
-	if err != nil {
-		s.unable(err)
-	}
-	s.Hosts = append(s.Hosts, added...)
-	for _, h := range added {
-		if err := h.Start(); err != nil {
-			s.unable(err)
-		}
-	}
-	for _, h := range added {
-		if !h.AwaitReady(20 * time.Second) {
-			s.unable(fmt.Errorf("%s isn't ready", h.Name))
-		}
-	}
-	return added
-}
