--- a/review/world3/host.go
+++ b/review/world3/host.go
@@ -61,7 +61,9 @@
 			return nil, err
 		}
 		text := strings.NewReplacer(
-			"{{nodeName|json}}", fmt.Sprintf("%q", h.Name), "{{zone|json}}", fmt.Sprintf("%q", Zones[i%len(Zones)]), "{{ip}}", h.ip,
+			"{{nodeName|json}}", fmt.Sprintf("%q", h.Name), "{{zone|json}}", fmt.Sprintf("%q", Zones[i%len(Zones)]),
+			// The template has a fixed port for metrics, which another program may use.
+			"{{ip}}:9102", fmt.Sprintf("%s:%d", h.ip, freePort(h.ip)), "{{ip}}", h.ip,
 			"{{bindAddrs.frontend|json}}", fmt.Sprintf("%q", h.Caller), "{{bindAddrs.readiness|json}}", fmt.Sprintf("%q", h.Ready),
 			"{{internalPortRange.0}}", fmt.Sprint(port), "{{platform.address|json}}", fmt.Sprintf("%q", h.Store), "{{platform.ttlMinMs}}", "1000",
 			"{{bounds.holdMaxMs}}", fmt.Sprint(b.HoldMaxMs), "{{bounds.stopTimeoutMs}}", fmt.Sprint(b.StopTimeoutMs),
