sched: a planned start and a reservation are checked against the newest entry

An entry of the same incarnation may say something else than the one by which a task was placed. A start that waited to be sent wasn't compared with the worker's label and service again, only with drain and evacuation. Room for a long-running task of a draining worker stayed reserved on a worker without the label until the run had ended, and only then was the label looked at: others had filled the worker that could take it.

checkStart and relocationValid ask for service and label.

--- a/internal/batch/sched/relocate.go
+++ b/internal/batch/sched/relocate.go
@@ -224,7 +224,7 @@
 	switch {
 	case t.done || t.step.job.state.Final():
 		return false
-	case c.workers[rel.dest.ID] != rel.dest || rel.dest.Service != t.step.job.Service || !rel.dest.schedulable(now):
+	case c.workers[rel.dest.ID] != rel.dest || !rel.dest.serves(t.step) || !rel.dest.schedulable(now):
 		return false
 	case t.run == nil:
 		return true
--- a/internal/batch/sched/sendcheck.go
+++ b/internal/batch/sched/sendcheck.go
@@ -13,7 +13,7 @@
 	CauseIncarnation    UnsentCause = "life"    // the worker has restarted
 	CauseUnreachable    UnsentCause = "contact" // the last poll of the worker failed, or none has been answered yet
 	CauseShortLease     UnsentCause = "lease"   // too little is left of the lease that the start carries
-	CauseUnschedulable  UnsentCause = "closed"  // the worker is draining or not in the directory, or its zone is evacuated
+	CauseUnschedulable  UnsentCause = "closed"  // by the directory, the worker is draining, gone or can't run the task, or its zone is evacuated
 	CauseOvertaken      UnsentCause = "fence"   // the worker refused it, as this holder's fencing token for it has risen
 	CauseStaleDirectory UnsentCause = "roster"  // the last read of the directory is too old, though the store answers
 	CauseStaleIntent    UnsentCause = "intent"  // the last read of the operators' intent is too old, though the store answers
@@ -73,7 +73,7 @@
 		return CauseIncarnation
 	case w.contact != ContactGood:
 		return CauseUnreachable
-	case !w.listed || w.Draining || w.evacuated:
+	case !w.listed || w.Draining || w.evacuated || !w.serves(r.task.step):
 		return CauseUnschedulable
 	case o.LeaseUntil-w.clock.now(now) < minStartLease:
 		return CauseShortLease
--- a/internal/batch/sched/sendcheck_test.go
+++ b/internal/batch/sched/sendcheck_test.go
@@ -34,6 +34,16 @@
 			directory[0].Draining = true
 			b.core.UpdateDirectory(b.now, directory)
 		}, sched.CauseUnschedulable},
+		{"label removed", func(b *harness, _ sched.Order) {
+			directory := members(2)
+			directory[0].Labels = nil
+			b.core.UpdateDirectory(b.now, directory)
+		}, sched.CauseUnschedulable},
+		{"service changed", func(b *harness, _ sched.Order) {
+			directory := members(2)
+			directory[0].Service = "t"
+			b.core.UpdateDirectory(b.now, directory)
+		}, sched.CauseUnschedulable},
 		{"worker left the directory", func(b *harness, _ sched.Order) { b.core.UpdateDirectory(b.now, members(2)[1:]) }, sched.CauseUnschedulable},
 		{"zone evacuated", func(b *harness, _ sched.Order) { b.core.SetEvacuatedZones(map[string]bool{"z": true}) }, sched.CauseUnschedulable},
 		{"lease nearly expired", func(b *harness, _ sched.Order) { b.advance(lease - 500*time.Millisecond) }, sched.CauseShortLease},
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -276,6 +276,11 @@
 	return false
 }
 
+// serves reports whether the worker is one of a step's service and has the label that the step requires.
+func (w *worker) serves(s *stepInstance) bool {
+	return w.Service == s.job.Service && w.hasLabel(s.spec.RequiredLabel)
+}
+
 // schedulable reports whether new tasks may be placed on the worker.
 func (w *worker) schedulable(now time.Time) bool {
 	return w.listed && w.tracked && !w.Draining && !w.evacuated && w.contact == ContactGood && w.leaseCoversStart(now) && !w.breaker.Tripped(now)
