sched: an entry of the directory counts for the incarnation that wrote it

Cause: the core knows the incarnation of a worker's process, and applied the entry of an earlier one to it. handleRestart set StartedAt and kept the rest of Member; updateMember raised an older entry's StartedAt to the worker's; the record of tracked workers stored that mixture for a successor.

Change: a restart forgets service, labels, size, zone, rack and drain, and the room reserved there. Older entries are ignored, also for the address. A worker gets tasks with an entry of its incarnation only (hasEntry); the stored record never counts as one. An entry without an incarnation doesn't describe a worker that names one. Nothing is learned of interference while a size isn't known, and an unknown rack isn't tried for a colocated gang.

TestLeaseOfFormerIncarnation, TestLongLeaseOfNewIncarnation, TestStartWaitsForFence, TestOrderOfFormerIncarnationExtendsLease and TestAnswerOfFormerIncarnationExtendsLease reported a restart and never listed the new incarnation, which now gets no tasks. Its entry is part of their story, before the fence in TestStartWaitsForFence; all expectations stay.

--- a/internal/batch/sched/colocation.go
+++ b/internal/batch/sched/colocation.go
@@ -61,7 +61,7 @@
 		if !r.latencyCritical() || r.state != RunLive {
 			continue
 		}
-		if step := r.task.step; r.ready {
+		if step := r.task.step; r.ready && w.Size.CPU > 0 { // otherwise the shares in use aren't known
 			c.interference.Observe(c.modelTime(now), c.loadOf(step), step.spec.Image, r.tailLatency, step.spec.TailTarget, usage)
 		}
 		r.updateOverTarget(now, latest(previous, now.Add(-maxMeasurementGap)), w.colocation.bestEffortActiveAt)
--- a/internal/batch/sched/core_test.go
+++ b/internal/batch/sched/core_test.go
@@ -86,6 +86,16 @@
 	}
 }
 
+// list applies the directory entry of an incarnation of a worker, which says the same as that of the first one.
+func (b *harness) list(id string, startedAt int64) {
+	for _, m := range members(10) {
+		if m.ID == id {
+			m.StartedAt = startedAt
+			b.core.UpdateMembers(b.now, []sched.Member{m}, nil)
+		}
+	}
+}
+
 // planOrders plans, lets the workers carry out all orders, and returns those of one verb.
 func (b *harness) planOrders(v sched.Verb) []sched.Order {
 	b.t.Helper()
--- a/internal/batch/sched/incarnation_test.go
+++ b/internal/batch/sched/incarnation_test.go
@@ -37,6 +37,7 @@
 	b.advance(time.Minute)
 	b.poll("w0", sched.Report{})
 	b.core.HandleReport(b.now, b.now, "w0", sched.Report{StartedAt: 2, Clock: time.Second})
+	b.list("w0", 2)
 	b.core.NextPoll(b.now, "w0")
 	b.core.MarkTracked(b.core.TrackedWorkers())
 	b.core.AddJob(b.now, oneTaskJob("a", nil))
@@ -357,6 +358,7 @@
 func TestLongLeaseOfNewIncarnation(t *testing.T) {
 	b := newLongLeaseHarness(t)
 	b.poll("w0", sched.Report{StartedAt: 2})
+	b.list("w0", 2)
 	b.core.MarkTracked(b.core.TrackedWorkers())
 	fenced := b.now
 	if got := b.planOrders(sched.VerbStart); len(got) != 1 {
@@ -386,6 +388,7 @@
 	sent := b.now
 	b.advance(time.Millisecond)
 	b.core.HandleReport(sent, b.now, "w0", sched.Report{StartedAt: 2})
+	b.list("w0", 2)
 	b.core.MarkTracked(b.core.TrackedWorkers())
 	if got := b.planOrders(sched.VerbStart); len(got) != 0 {
 		t.Errorf("starts %v before a poll with a new fencing token is answered", got)
--- a/internal/batch/sched/lateorder_test.go
+++ b/internal/batch/sched/lateorder_test.go
@@ -20,6 +20,7 @@
 	ordered := b.now
 	b.core.HandleOutcome(b.now, o, sched.OutcomeUnknown)
 	b.poll("w0", sched.Report{StartedAt: 2})
+	b.list("w0", 2)
 	b.core.MarkTracked(b.core.TrackedWorkers())
 	b.core.AddJob(b.now, oneTaskJob("k", nil))
 	k := b.planOrders(sched.VerbStart)
@@ -60,6 +61,7 @@
 	b.poll("w0", sched.Report{StartedAt: 2})
 	b.core.HandleOutcome(b.now, o, sched.OutcomeDone)
 	answered := b.now
+	b.list("w0", 2)
 	b.core.MarkTracked(b.core.TrackedWorkers())
 	b.poll("w0", sched.Report{StartedAt: 2, Finished: []sched.FinishedRun{finishedRun(1, o, sched.EndDone)}})
 	b.core.AddJob(b.now, oneTaskJob("k", nil))
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -15,7 +15,7 @@
 		w.listed = false
 	}
 	for _, m := range members {
-		c.updateMember(now, m, true)
+		c.updateMember(now, m)
 	}
 	c.expireLeases(now)
 }
@@ -29,18 +29,19 @@
 		}
 	}
 	for _, m := range changed {
-		c.updateMember(now, m, true)
+		c.updateMember(now, m)
 	}
 	c.expireLeases(now)
 }
 
-// InheritWorkers takes over the tracked workers of the former holder, which may have started runs on them.
+// InheritWorkers takes over the tracked workers of the former holder, which may have started runs on them. What the record says of
+// a worker besides its incarnation and address is only used for estimates: tasks are placed by the directory.
 func (c *Core) InheritWorkers(now time.Time, members []Member) {
 	for _, m := range members {
-		if c.workers[m.ID] == nil {
-			c.updateMember(now, m, false)
-		}
 		w := c.workers[m.ID]
+		if w == nil {
+			w = c.addWorker(m)
+		}
 		w.tracked, w.inherited = true, true
 		w.unansweredAt = now
 		if m.LongLease {
@@ -49,30 +50,45 @@
 	}
 }
 
-// updateMember adds a worker or updates it from its directory entry.
-func (c *Core) updateMember(now time.Time, m Member, listed bool) {
+// updateMember adds a worker or updates it from its directory entry. An entry tells of the incarnation that has written it, and
+// nothing of another one: that may be of another kind, size, service or zone.
+func (c *Core) updateMember(now time.Time, m Member) {
 	w := c.workers[m.ID]
-	if w != nil && w.StartedAt != 0 && m.StartedAt > w.StartedAt {
+	switch {
+	case w == nil:
+		w = c.addWorker(m)
+	case w.StartedAt != 0 && m.StartedAt > w.StartedAt:
 		c.handleRestart(now, w, m.StartedAt, RestartListed)
 	}
-	if w == nil {
-		c.trackedVersion++
-		w = &worker{runs: map[runKey]*run{}, formerLease: true, fenceCount: c.removedFenceCount} // it may have been removed before
-		c.workers[m.ID] = w
-		w.ID = m.ID
-		c.insertByID(w)
-	}
-	if m.StartedAt < w.StartedAt {
-		m.StartedAt = w.StartedAt
+	w.listed = true
+	switch {
+	case m.StartedAt == w.StartedAt || w.StartedAt == 0:
+		c.applyEntry(now, w, m)
+	case m.StartedAt == 0:
+		w.hasEntry = false // it may be of any incarnation
 	}
+}
+
+// addWorker adds a worker that wasn't known.
+func (c *Core) addWorker(m Member) *worker {
+	c.trackedVersion++
+	w := &worker{Member: m, runs: map[runKey]*run{}, formerLease: true, fenceCount: c.removedFenceCount} // it may have been removed before
+	c.workers[w.ID] = w
+	c.insertByID(w)
+	c.markStale(w)
+	return w
+}
+
+// applyEntry applies the directory entry of a worker's current incarnation.
+func (c *Core) applyEntry(now time.Time, w *worker, m Member) {
 	if w.Incarnation != m.Incarnation || w.Addr != m.Addr {
 		c.trackedVersion++
 	}
-	if w.indexKey == nil || !w.Member.equal(m) {
+	if !w.Member.equal(m) {
 		w.Member = m
 		c.markStale(w)
 	}
-	w.listed = listed
+	w.hasEntry = true
 	// An entry may be read many times while its worker drains, so the drain time counts from the first read that shows
 	// it.
 	switch {
@@ -104,6 +120,7 @@
 			r.state = RunStopping // the new incarnation has not received the stop
 		}
 	}
+	c.forgetEntry(w)
 	w.StartedAt = startedAt
 	c.raiseFence(now, w)
 	c.noteOrderDue(w)
@@ -121,6 +138,17 @@
 	c.markStale(w)
 }
 
+// forgetEntry forgets what a worker's entry says of an incarnation that isn't the current one, with the room reserved there.
+func (c *Core) forgetEntry(w *worker) {
+	for _, t := range slices.Clone(w.incomingTasks) {
+		c.cancelRelocation(t)
+	}
+	w.Member = Member{Incarnation: w.Incarnation, Addr: w.Addr}
+	w.hasEntry = false
+	w.drainUntil, w.evacuated = time.Time{}, false
+	c.markStale(w)
+}
+
 // cloneRuns returns a copy of the run list that can be iterated while runs are removed.
 func (w *worker) cloneRuns() []*run {
 	return slices.Clone(w.runList)
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -265,12 +265,12 @@
 	return orders, true
 }
 
-// rackNames returns the racks of all workers, sorted.
+// rackNames returns the known racks of all workers, sorted.
 func (c *Core) rackNames() []string {
 	seen := map[string]bool{}
 	var names []string
 	for _, w := range c.workersByID {
-		if !seen[w.Rack] {
+		if w.Rack != "" && !seen[w.Rack] {
 			seen[w.Rack] = true
 			names = append(names, w.Rack)
 		}
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -90,8 +90,9 @@
 // worker is the current incarnation of a worker with the runs assigned to it. Runs of a former incarnation stay listed
 // until it is certain that they have ended.
 type worker struct {
-	Member
-	listed            bool          // present in the directory
+	Member                          // with hasEntry, as its entry says; otherwise only the incarnation and the address are certain
+	listed            bool          // present in the directory, maybe by the entry of a former incarnation
+	hasEntry          bool          // the directory has shown an entry of the current incarnation
 	polled            bool          // polled by this holder before
 	expired           bool          // the lease expired, the runs were released, and no report has arrived since
 	inventoryComplete bool          // this incarnation has reported all of its runs and ends to this holder
@@ -283,5 +284,5 @@
 
 // schedulable reports whether new tasks may be placed on the worker.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.listed && w.tracked && !w.Draining && !w.evacuated && w.contact == ContactGood && w.leaseCoversStart(now) && !w.breaker.Tripped(now)
+	return w.listed && w.hasEntry && w.tracked && !w.Draining && !w.evacuated && w.contact == ContactGood && w.leaseCoversStart(now) && !w.breaker.Tripped(now)
 }
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -22,16 +22,17 @@
 	// workload returns how long a task runs and how it ends.
 	workload     func(task string) (time.Duration, sched.End)
 	rng          *rand.Rand
-	delayedShare float64          // share of orders that get no answer and are executed later
-	delayedPolls float64          // share of polls that get no answer and are executed later
-	violations   []string         // broken invariants, as text
-	ackedTasks   map[string]bool  // tasks whose success has been acknowledged or counts as such, see noteListed
-	starts       map[string]int   // number of starts by task
-	newestRuns   map[string]int64 // number of the run that was started last, by task
-	expiredRuns  int              // runs ended by lease expiry
-	calm         bool             // no disruption is near, so that a success counts as acknowledged listedGrace after it was listed
-	lateAcross   bool             // late orders are executed by later incarnations, too
-	maxLease     time.Duration    // longest lease that workers grant
+	delayedShare float64                                // share of orders that get no answer and are executed later
+	delayedPolls float64                                // share of polls that get no answer and are executed later
+	violations   []string                               // broken invariants, as text
+	ackedTasks   map[string]bool                        // tasks whose success has been acknowledged or counts as such, see noteListed
+	starts       map[string]int                         // number of starts by task
+	newestRuns   map[string]int64                       // number of the run that was started last, by task
+	expiredRuns  int                                    // runs ended by lease expiry
+	calm         bool                                   // no disruption is near, so that a success counts as acknowledged listedGrace after it was listed
+	mayRun       func(task string, w sched.Member) bool // whether a worker may run a task; nil: each may
+	lateAcross   bool                                   // late orders are executed by later incarnations, too
+	maxLease     time.Duration                          // longest lease that workers grant
 }
 
 // worker is one worker in its present incarnation.
@@ -45,6 +46,7 @@
 	lastSeq     int64               // sequence number of the last finished run
 	staleSeq    int64               // runs finished up to this number precede a lease expiry: acknowledging them proves no success
 	newestRun   map[string]int64    // highest run number started or stopped, by task
+	starts      int                 // by the present incarnation
 	unreachable bool                // no call reaches the worker, but its runs continue
 	down        bool                // killed and not back yet
 	changed     chan struct{}       // closed at the next change of the worker's state
@@ -150,7 +152,7 @@
 	}
 	w.StartedAt++
 	w.clockZero = time.Now()
-	w.fence, w.leaseUntil, w.lastSeq, w.staleSeq = 0, 0, 0, 0
+	w.fence, w.leaseUntil, w.lastSeq, w.staleSeq, w.starts = 0, 0, 0, 0, 0
 	w.runs, w.newestRun, w.finished = map[string]*run{}, map[string]int64{}, nil
 	w.notify()
 }
@@ -164,6 +166,31 @@
 	f.workers[id].down = true
 }
 
+// SetKind sets the labels and the size of a worker's next incarnation. It is called while the worker is down.
+func (f *Fleet) SetKind(id string, size wire.Size, labels ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].Size, f.workers[id].Labels = size, labels
+}
+
+// StartsOn returns the number of starts that the present incarnations of workers have executed.
+func (f *Fleet) StartsOn(ids ...string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, id := range ids {
+		n += f.workers[id].starts
+	}
+	return n
+}
+
+// SetMayRun sets which workers may run a task. A start on another one that is meant for its present incarnation is a violation.
+func (f *Fleet) SetMayRun(mayRun func(task string, w sched.Member) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mayRun = mayRun
+}
+
 // Clock returns the time on a worker's clock.
 func (f *Fleet) Clock(id string) time.Duration {
 	f.mu.Lock()
@@ -172,7 +199,7 @@
 }
 
 // Violations returns the broken invariants: a task with two runs at a time, or one started again after its success
-// was acknowledged or, while calm, had been listed for listedGrace.
+// was acknowledged or, while calm, had been listed for listedGrace, or one started on a worker that may not run it.
 func (f *Fleet) Violations() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -497,6 +524,9 @@
 	if w.clock() > o.LeaseUntil {
 		return sched.OutcomeExpired
 	}
+	if f.mayRun != nil && o.Incarnation == w.Incarnation && !f.mayRun(name, w.Member) {
+		f.violations = append(f.violations, fmt.Sprintf("%s run %d on %s, which may not run it: labels %v, %+v", name, o.Run, w.ID, w.Labels, w.Size))
+	}
 	f.renewLease(w, o.LeaseUntil)
 	w.newestRun[name] = o.Run
 	f.startRun(w, name, o.Run)
@@ -507,6 +537,7 @@
 func (f *Fleet) startRun(w *worker, name string, number int64) {
 	f.checkStart(w, name, number)
 	f.starts[name]++
+	w.starts++
 	f.newestRuns[name] = number
 	d, end := f.workload(name)
 	r := &run{task: name, number: number, end: end, startedAt: time.Now(), duration: d}
