sched, drive: restarted workers that wait for their entry are told

A worker whose new incarnation isn't in the directory gets no tasks; neither the log nor the metrics said so, nor for how long. msg=listed tells how long it has waited, once, unless the entry itself showed the restart; the gauge entries_missing counts such workers in contact. Test: TestMissingEntryIsReported.

--- a/internal/batch/drive/plan.go
+++ b/internal/batch/drive/plan.go
@@ -126,8 +126,8 @@
 	}
 }
 
-// logEvents logs the steps whose tasks have all been placed, the jobs that have ended, the workers that have restarted or drain,
-// the tasks that are moved off them and the runs that were given up.
+// logEvents logs the steps whose tasks have all been placed, the jobs that have ended, the workers that have restarted, are listed
+// again or drain, the tasks that are moved off them and the runs that were given up.
 func (h *Holder) logEvents(events sched.Events) {
 	for _, p := range events.Placed {
 		h.log.Info("placed", "job", p.Job, "queue", p.Queue, "round", p.Occurrence, "step", p.Step, "tasks", p.Tasks,
@@ -139,6 +139,9 @@
 	for _, r := range events.Restarted {
 		h.log.Info("restarted", "worker", r.Worker, "born", r.StartedAt, "by", r.Sign, "contact", r.Contact, "open", r.OpenStarts, "unanswered", r.UnansweredFor, "lasting", r.LongRunning)
 	}
+	for _, l := range events.Listed {
+		h.log.Info("listed", "worker", l.Worker, "born", l.StartedAt, "waited", l.Waited)
+	}
 	for _, d := range events.Draining {
 		h.log.Info("drains", "worker", d.Worker, "left", d.Remaining, "lasting", d.LongRunning)
 	}
--- a/internal/batch/drive/status.go
+++ b/internal/batch/drive/status.go
@@ -112,6 +112,7 @@
 	for contact, n := range map[string]int{"good": stats.WorkersInContact, "lost": stats.WorkersLost, "unheard": stats.WorkersUnheard} {
 		s.scope.Tagged(map[string]string{"contact": contact}).Gauge("workers").Update(float64(n))
 	}
+	s.scope.Gauge("entries_missing").Update(float64(stats.EntriesMissing))
 	s.scope.Gauge("tasks_held").Update(float64(stats.WithheldTasks))
 	s.scope.Gauge("confirmed_age").Update(stats.ConfirmationAge.Seconds())
 	s.scope.Gauge("roster_age").Update(stats.DirectoryAge.Seconds())
--- a/internal/batch/sched/core.go
+++ b/internal/batch/sched/core.go
@@ -74,6 +74,7 @@
 	unreportedPlaced    []StepPlaced                        // for the next call of TakeEvents
 	unreportedEndings   []JobEnded                          // for the next call of TakeEvents
 	unreportedRestarts  []WorkerRestarted                   // for the next call of TakeEvents
+	unreportedListings  []WorkerListed                      // for the next call of TakeEvents
 	unreportedReleases  []RunReleased                       // for the next call of TakeEvents
 	unreportedDraining  []WorkerDraining                    // for the next call of TakeEvents
 	unreportedMoves     []RunMoved                          // for the next call of TakeEvents
--- a/internal/batch/sched/entry_test.go
+++ b/internal/batch/sched/entry_test.go
@@ -176,6 +176,32 @@
 	}
 }
 
+// Guards against a worker that gets no task, of which neither the log nor the metrics tell that the directory doesn't show it.
+func TestMissingEntryIsReported(t *testing.T) {
+	b := newHarness(t, 1, 2).openWorkers()
+	if n := b.core.Stats(b.now).EntriesMissing; n != 0 {
+		t.Errorf("%d entries are missing before the restart, want none", n)
+	}
+	b.core.HandleReport(b.now, b.now, "w0", sched.Report{StartedAt: 2})
+	noticed := b.now
+	b.advance(300 * time.Millisecond)
+	b.poll("w0", sched.Report{StartedAt: 2})
+	b.core.UpdateDirectory(b.now, members(2))
+	if n := b.core.Stats(b.now).EntriesMissing; n != 1 {
+		t.Errorf("%d entries are missing after the restart, want one", n)
+	}
+	b.core.TakeEvents()
+	b.list("w0", 2)
+	b.list("w0", 2)
+	want := sched.WorkerListed{Worker: "w0", StartedAt: 2, Waited: b.now.Sub(noticed)}
+	if got := b.core.TakeEvents().Listed; len(got) != 1 || got[0] != want {
+		t.Errorf("events %+v, want %+v", got, want)
+	}
+	if n := b.core.Stats(b.now).EntriesMissing; n != 0 {
+		t.Errorf("%d entries are missing once it was read, want none", n)
+	}
+}
+
 // Guards against a successor that knows a worker by the properties of a former incarnation: the record of tracked workers names
 // the new one.
 func TestTrackedWorkerOfUnknownKind(t *testing.T) {
--- a/internal/batch/sched/events.go
+++ b/internal/batch/sched/events.go
@@ -74,6 +74,14 @@
 	LongRunning   int           // long-running tasks on it
 }
 
+// WorkerListed is the event that the directory shows the entry of a worker's new incarnation, which had been noticed before and got
+// no tasks until then.
+type WorkerListed struct {
+	Worker    string        // its id
+	StartedAt int64         // of the incarnation
+	Waited    time.Duration // since the incarnation was noticed
+}
+
 // RunMoved is the event that a long-running task is stopped on a draining worker to be started on another.
 type RunMoved struct {
 	Task     TaskID        // the task
@@ -89,6 +97,7 @@
 	Placed    []StepPlaced
 	Ended     []JobEnded
 	Restarted []WorkerRestarted
+	Listed    []WorkerListed
 	Released  []RunReleased
 	Draining  []WorkerDraining
 	Moved     []RunMoved
@@ -96,9 +105,9 @@
 
 // TakeEvents returns the events since its last call.
 func (c *Core) TakeEvents() Events {
-	e := Events{c.unreportedPlaced, c.unreportedEndings, c.unreportedRestarts, c.unreportedReleases, c.unreportedDraining, c.unreportedMoves}
+	e := Events{c.unreportedPlaced, c.unreportedEndings, c.unreportedRestarts, c.unreportedListings, c.unreportedReleases, c.unreportedDraining, c.unreportedMoves}
 	c.unreportedPlaced, c.unreportedEndings, c.unreportedRestarts, c.unreportedReleases = nil, nil, nil, nil
-	c.unreportedDraining, c.unreportedMoves = nil, nil
+	c.unreportedListings, c.unreportedDraining, c.unreportedMoves = nil, nil, nil
 	return e
 }
 
@@ -122,6 +131,14 @@
 	c.unreportedRestarts = append(c.unreportedRestarts, e)
 }
 
+// recordListed records the event that the entry of a worker's new incarnation was read.
+func (c *Core) recordListed(now time.Time, w *worker) {
+	if w.entryMissingSince.IsZero() || now.Equal(w.entryMissingSince) || len(c.unreportedListings) >= maxEvents {
+		return
+	}
+	c.unreportedListings = append(c.unreportedListings, WorkerListed{w.ID, w.StartedAt, now.Sub(w.entryMissingSince)})
+}
+
 // recordReleased records the event that a run was given up, if its task waits for another.
 func (c *Core) recordReleased(r *run, cause ReleaseCause) {
 	if r.task == nil || r.task.run != r || r.task.done || len(c.unreportedReleases) >= maxEvents {
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -88,7 +88,10 @@
 		w.Member = m
 		c.markStale(w)
 	}
-	w.hasEntry = true
+	if !w.hasEntry {
+		w.hasEntry = true
+		c.recordListed(now, w)
+	}
 	// An entry may be read many times while its worker drains, so the drain time counts from the first read that shows
 	// it.
 	switch {
@@ -120,7 +123,7 @@
 			r.state = RunStopping // the new incarnation has not received the stop
 		}
 	}
-	c.forgetEntry(w)
+	c.forgetEntry(now, w)
 	w.StartedAt = startedAt
 	c.raiseFence(now, w)
 	c.noteOrderDue(w)
@@ -139,12 +142,12 @@
 }
 
 // forgetEntry forgets what a worker's entry says of an incarnation that isn't the current one, with the room reserved there.
-func (c *Core) forgetEntry(w *worker) {
+func (c *Core) forgetEntry(now time.Time, w *worker) {
 	for _, t := range slices.Clone(w.incomingTasks) {
 		c.cancelRelocation(t)
 	}
 	w.Member = Member{Incarnation: w.Incarnation, Addr: w.Addr}
-	w.hasEntry = false
+	w.hasEntry, w.entryMissingSince = false, now
 	w.drainUntil, w.evacuated = time.Time{}, false
 	c.markStale(w)
 }
--- a/internal/batch/sched/poll.go
+++ b/internal/batch/sched/poll.go
@@ -203,7 +203,7 @@
 		c.handleRestart(now, w, rep.StartedAt, RestartReported)
 	}
 	if w.StartedAt == 0 && rep.StartedAt != 0 {
-		c.forgetEntry(w) // it may be of any incarnation
+		c.forgetEntry(now, w) // it may be of any incarnation
 		w.StartedAt = rep.StartedAt
 		c.trackedVersion++
 	}
--- a/internal/batch/sched/stats.go
+++ b/internal/batch/sched/stats.go
@@ -7,6 +7,7 @@
 	WorkersInContact int           // workers that answered their last poll
 	WorkersLost      int           // workers that didn't answer their last poll
 	WorkersUnheard   int           // workers that this holder hasn't heard from yet
+	EntriesMissing   int           // workers in contact that get no tasks, as the directory shows no entry of their incarnation
 	WithheldTasks    int           // tasks not started as a worker out of contact may still run them
 	WithheldFor      time.Duration // longest time for which they are still withheld; 0 while AwaitsRelease
 	AwaitsRelease    bool          // a former holder may still act
@@ -51,6 +52,9 @@
 		switch w.contact {
 		case ContactGood:
 			s.WorkersInContact++
+			if !w.listed || !w.hasEntry {
+				s.EntriesMissing++
+			}
 		case ContactLost:
 			s.WorkersLost++
 		default:
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -93,6 +93,7 @@
 	Member                          // with hasEntry, as its entry says; otherwise only the incarnation and the address are certain
 	listed            bool          // present in the directory, maybe by the entry of a former incarnation
 	hasEntry          bool          // the directory has shown an entry of the current incarnation
+	entryMissingSince time.Time     // when that incarnation was noticed; zero: this holder knows no other
 	polled            bool          // polled by this holder before
 	expired           bool          // the lease expired, the runs were released, and no report has arrived since
 	inventoryComplete bool          // this incarnation has reported all of its runs and ends to this holder
