interf: images that were measured longest ago are forgotten

A factor was kept for each pair of images ever seen together, with a covariance over all of them: with a new image for each build, memory and the time of an update grow with its square for as long as the holders run, and from one holder to the next.

A model keeps 64 best-effort images beside each of 128 latency-critical ones, those measured last; a forgotten one counts as never seen. A record without these bounds is restored by the pairs that are known best. With fewer images nothing changes.

TestOldImagesAreForgotten (963 pairs kept, 192 wanted at most), TestOldCriticalImagesAreForgotten (769, 128), TestRestoreIsBounded and TestMoreImagesThanKept failed before.

--- a/internal/batch/interf/factors.go
+++ b/internal/batch/interf/factors.go
@@ -1,13 +1,19 @@
 package interf
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Factors holds the pressure that each best-effort image adds to one latency-critical image when it uses all CPUs of
 // a worker. A Kalman filter updates the factors and their covariance with each measurement.
+//
+// It holds the images that were measured last, maxBestEffortImages at most. A forgotten image counts as one that was never seen.
 type Factors struct {
-	images     []string    // best-effort images seen; the index in estimates and covariance
+	images     []string    // best-effort images; the index in estimates, covariance and measuredAt
 	estimates  []float64   // estimated factor of each image
 	covariance [][]float64 // covariance matrix of the estimates
+	measuredAt []float64   // time of the last measurement of each image, in seconds
 	updatedAt  float64     // time of the last update, in seconds
 	cached     comparison  // last result of FactorAndMean
 }
@@ -42,6 +48,8 @@
 }
 
 const (
+	// maxBestEffortImages is well above the images that run beside each other. An update takes time and memory with its square.
+	maxBestEffortImages = 64
 	// priorFactor and priorFactorStdDev are the mean and standard deviation assumed for a pair of images that has
 	// never been seen.
 	priorFactor       = 0.5
@@ -94,14 +102,35 @@
 	return f.cached.factor, f.cached.mean
 }
 
-// setFactor sets an image's factor and its standard deviation, uncorrelated with the other factors.
-func (f *Factors) setFactor(image string, factor, stdDev float64) {
+// forgetOldest forgets the image that was measured longest ago.
+func (f *Factors) forgetOldest() {
+	oldest := 0
+	for i, at := range f.measuredAt {
+		if at < f.measuredAt[oldest] {
+			oldest = i
+		}
+	}
+	f.images = slices.Delete(f.images, oldest, oldest+1)
+	f.estimates = slices.Delete(f.estimates, oldest, oldest+1)
+	f.measuredAt = slices.Delete(f.measuredAt, oldest, oldest+1)
+	f.covariance = slices.Delete(f.covariance, oldest, oldest+1)
+	for i := range f.covariance {
+		f.covariance[i] = slices.Delete(f.covariance[i], oldest, oldest+1)
+	}
+}
+
+// setFactor sets an image's factor and its standard deviation at a time, uncorrelated with the other factors.
+func (f *Factors) setFactor(at float64, image string, factor, stdDev float64) {
 	f.cached.valid = false
 	i := f.index(image)
 	if i < 0 {
+		if len(f.images) >= maxBestEffortImages {
+			f.forgetOldest()
+		}
 		i = len(f.images)
 		f.images = append(f.images, image)
 		f.estimates = append(f.estimates, 0)
+		f.measuredAt = append(f.measuredAt, at)
 		for k := range f.covariance {
 			f.covariance[k] = append(f.covariance[k], 0)
 		}
@@ -136,9 +165,14 @@
 // update performs the Kalman filter's update step. The residual is the measured pressure minus the expected one;
 // noise is its variance without the variance of the factors themselves.
 func (f *Factors) update(at float64, usage CPUUsage, residual, noise float64) {
-	for _, u := range usage.images {
+	for _, u := range usage.images[:min(len(usage.images), maxBestEffortImages)] {
+		if i := f.index(u.image); i >= 0 {
+			f.measuredAt[i] = max(f.measuredAt[i], at)
+		}
+	}
+	for _, u := range usage.images[:min(len(usage.images), maxBestEffortImages)] {
 		if f.index(u.image) < 0 {
-			f.setFactor(u.image, priorFactor, priorFactorStdDev)
+			f.setFactor(at, u.image, priorFactor, priorFactorStdDev)
 		}
 	}
 	elapsed := max(0, at-f.updatedAt)
@@ -150,7 +184,9 @@
 	gain := make([]float64, len(f.images))
 	for i := range gain {
 		for _, u := range usage.images {
-			gain[i] += f.covariance[i][f.index(u.image)] * u.share
+			if k := f.index(u.image); k >= 0 {
+				gain[i] += f.covariance[i][k] * u.share
+			}
 		}
 	}
 	f.cached.valid = false
--- a/internal/batch/interf/model.go
+++ b/internal/batch/interf/model.go
@@ -8,13 +8,15 @@
 // Model holds what has been learned of the interference between best-effort and latency-critical images, and which
 // period forecasts the users' loads best. Its zero value is a model without measurements.
 type Model struct {
-	factors       map[string]*Factors  // by latency-critical image
+	factors       map[string]*Factors  // by latency-critical image, those that were measured or asked for last
 	squaredErrors [periodCount]float64 // decayed sum of squared forecast errors of each candidate period, over all loads
 	decayedAt     float64              // time up to which squaredErrors has been decayed, in seconds
 	bestPeriod    int                  // index of the candidate period with the least squared error
 }
 
 const (
+	// maxLatencyCriticalImages bounds the images of which factors are kept.
+	maxLatencyCriticalImages = 128
 	// unloadedTailShare is the tail latency without load as a share of the target. Where the real share differs, load
 	// and factors come out larger or smaller, but the model still holds, as its pressure is a linear function of the
 	// real one.
@@ -45,12 +47,26 @@
 		if m.factors == nil {
 			m.factors = map[string]*Factors{}
 		}
-		f = &Factors{}
+		if len(m.factors) >= maxLatencyCriticalImages {
+			m.forgetOldest()
+		}
+		f = &Factors{updatedAt: m.decayedAt}
 		m.factors[image] = f
 	}
 	return f
 }
 
+// forgetOldest forgets the latency-critical image that was measured longest ago.
+func (m *Model) forgetOldest() {
+	oldest := ""
+	for image, f := range m.factors {
+		if first := m.factors[oldest]; first == nil || f.updatedAt < first.updatedAt || f.updatedAt == first.updatedAt && image < oldest {
+			oldest = image
+		}
+	}
+	delete(m.factors, oldest)
+}
+
 // Dissimilarity returns how much the factors of two latency-critical images differ, from 0 to 1. It is 1 if either
 // image has no known factors.
 func (m *Model) Dissimilarity(a, b string) float64 {
--- a/internal/batch/interf/state.go
+++ b/internal/batch/interf/state.go
@@ -1,6 +1,7 @@
 package interf
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -37,21 +38,39 @@
 	return st
 }
 
-// Restore replaces what the model has learned by a state, as of a time. Squared errors are ignored if their number
-// isn't that of this version's candidate periods.
+// Restore replaces what the model has learned by a state, as of a time. Of more pairs than a model keeps, it takes those that are
+// known best. Squared errors are ignored if their number isn't that of this version's candidate periods.
 func (m *Model) Restore(at float64, st State) {
 	*m = Model{decayedAt: at}
 	if len(st.SquaredErrors) == periodCount {
 		copy(m.squaredErrors[:], st.SquaredErrors)
 	}
-	for _, pair := range st.Pairs {
+	for _, pair := range bestKnown(st.Pairs) {
+		if m.factors[pair.LatencyCritical] == nil && len(m.factors) >= maxLatencyCriticalImages {
+			continue
+		}
 		f := m.Factors(pair.LatencyCritical)
-		f.setFactor(pair.BestEffort, pair.Factor, pair.StdDev)
+		if len(f.images) >= maxBestEffortImages && f.index(pair.BestEffort) < 0 {
+			continue
+		}
+		f.setFactor(at, pair.BestEffort, pair.Factor, pair.StdDev)
 		f.updatedAt = at
 	}
 	m.choosePeriod()
 }
 
+// bestKnown returns the pairs in the order of their standard deviation, the least first.
+func bestKnown(pairs []Pair) []Pair {
+	return slices.SortedStableFunc(slices.Values(pairs), func(a, b Pair) int { return cmp.Compare(a.StdDev, b.StdDev) })
+}
+
+// KeepBestKnown leaves out all but the n pairs that are known best.
+func (s *State) KeepBestKnown(n int) {
+	if n < len(s.Pairs) {
+		s.Pairs = bestKnown(s.Pairs)[:n]
+	}
+}
+
 // Fit returns the fit of a load for the model's period, and false if it has too few measurements.
 func (m *Model) Fit(l *LoadForecast) (LoadFit, bool) {
 	if l.sums[m.bestPeriod].w <= 1 {
