drive: a refused model ends no tenure

The learned model is written in one transaction with jobs and cancels; the store refuses the whole, the holder ends its tenure, and the next one restores the model and fails alike.

The commit is made again without the model if the store refuses it for another reason than a new holder; the refusal is logged. A write of its own would have callers wait for one more answer of the store every 3 s. TestLearnedModelRefused failed before: all of 40 submissions and 20 cancels.

--- a/internal/batch/drive/commit.go
+++ b/internal/batch/drive/commit.go
@@ -16,6 +16,7 @@
 type pendingCommit struct {
 	writes         []store.Write
 	submissions    []*submission   // the jobs in it
+	learnedModel   []byte          // the learned model in it; nil: none
 	batch          *sched.Batch    // the job records in it, and the acknowledgements that they allow
 	trackedWorkers []sched.Member  // the list of tracked workers in it; nil: unchanged
 	workerCount    int             // number of tracked workers, as stored by it
@@ -63,9 +64,18 @@
 	}
 }
 
-// writeCommit writes a commit to the store and reports whether it is stored. A failure ends the tenure.
+// writeCommit writes a commit to the store and reports whether it is stored. A failure ends the tenure, unless the store takes the
+// commit without the learned model: that can be learned again, and every further holder would fail with it.
 func (h *Holder) writeCommit(c *pendingCommit) bool {
-	err := h.opt.Tenure.Commit(c.writes)
+	writes := c.writes
+	if c.learnedModel != nil {
+		writes = append(writes[:len(writes):len(writes)], store.Write{Key: keyLearnedModel, Value: c.learnedModel})
+	}
+	err := h.opt.Tenure.Commit(writes)
+	if err != nil && c.learnedModel != nil && !errors.Is(err, lead.ErrNotHolder) {
+		h.log.Error(err, "learned model not stored; the next holder gets the last one that was", "bytes", len(c.learnedModel))
+		err = h.opt.Tenure.Commit(c.writes)
+	}
 	if err == nil {
 		return true
 	}
@@ -123,7 +133,7 @@
 		if data, err := h.core.EncodeModel(); err != nil {
 			h.log.Error(err, "learned model not encoded; the next holder gets the last one that was stored")
 		} else {
-			c.writes = append(c.writes, store.Write{Key: keyLearnedModel, Value: data})
+			c.learnedModel = data
 		}
 	}
 	if len(c.writes) > 0 {
