interf, sched, fleet: the bounds of the model, in smaller steps

No change in what is kept, but that the larger part of an oversized record is halved, pairs or loads: many jobs no longer cost the few pairs. TestModelSize, bound_test.go and TestRestartAsOtherKind pass.

--- a/internal/batch/interf/factors.go
+++ b/internal/batch/interf/factors.go
@@ -143,6 +143,21 @@
 	f.covariance[i][i] = stdDev * stdDev
 }
 
+// addMeasured adds the images of a measurement that aren't known, and notes when all of them were measured.
+func (f *Factors) addMeasured(at float64, images []imageUsage) {
+	for _, u := range images {
+		if i := f.index(u.image); i >= 0 {
+			f.measuredAt[i] = max(f.measuredAt[i], at)
+		}
+	}
+	// The images of this measurement aren't the oldest any more, so that none of them is forgotten for another.
+	for _, u := range images {
+		if f.index(u.image) < 0 {
+			f.setFactor(at, u.image, priorFactor, priorFactorStdDev)
+		}
+	}
+}
+
 // expectedPressure returns the pressure expected from the best-effort images at their CPU usage, and its variance.
 func (f *Factors) expectedPressure(usage CPUUsage) (sum, variance float64) {
 	for _, u := range usage.images {
@@ -165,16 +180,7 @@
 // update performs the Kalman filter's update step. The residual is the measured pressure minus the expected one;
 // noise is its variance without the variance of the factors themselves.
 func (f *Factors) update(at float64, usage CPUUsage, residual, noise float64) {
-	for _, u := range usage.images[:min(len(usage.images), maxBestEffortImages)] {
-		if i := f.index(u.image); i >= 0 {
-			f.measuredAt[i] = max(f.measuredAt[i], at)
-		}
-	}
-	for _, u := range usage.images[:min(len(usage.images), maxBestEffortImages)] {
-		if f.index(u.image) < 0 {
-			f.setFactor(at, u.image, priorFactor, priorFactorStdDev)
-		}
-	}
+	f.addMeasured(at, usage.images[:min(len(usage.images), maxBestEffortImages)])
 	elapsed := max(0, at-f.updatedAt)
 	f.updatedAt = max(f.updatedAt, at)
 	for i := range f.covariance {
--- a/internal/batch/sched/entry_test.go
+++ b/internal/batch/sched/entry_test.go
@@ -27,19 +27,19 @@
 	requires := func(l string) func(*sched.Job) { return func(j *sched.Job) { j.Steps[0].RequiredLabel = l } }
 	uses := func(n int) func(*sched.Job) { return func(j *sched.Job) { j.Steps[0].Size.CPU = n } }
 	of := func(service string) func(*sched.Job) { return func(j *sched.Job) { j.Service = service } }
-	any := func(*sched.Job) {}
+	every := func(*sched.Job) {}
 	return []changedEntry{
 		{"label", label("b"), label("a"), requires("b"), requires("a")},
-		{"label lost", label("b"), func(m *sched.Member) { m.Labels = nil }, requires("b"), any},
-		{"smaller", nil, cpu(2000), uses(6000), any},
+		{"label lost", label("b"), func(m *sched.Member) { m.Labels = nil }, requires("b"), every},
+		{"smaller", nil, cpu(2000), uses(6000), every},
 		{"larger", cpu(2000), nil, nil, uses(8000)},
-		{"less memory", nil, func(m *sched.Member) { m.Size.Mem = 1500 }, func(j *sched.Job) { j.Steps[0].Size.Mem = 2000 }, any},
+		{"less memory", nil, func(m *sched.Member) { m.Size.Mem = 1500 }, func(j *sched.Job) { j.Steps[0].Size.Mem = 2000 }, every},
 		{"service", nil, func(m *sched.Member) { m.Service = "t" }, of("s"), of("t")},
-		{"into an evacuated zone", nil, zone("out"), any, nil},
-		{"out of an evacuated zone", zone("out"), nil, nil, any},
+		{"into an evacuated zone", nil, zone("out"), every, nil},
+		{"out of an evacuated zone", zone("out"), nil, nil, every},
 		{"rack", nil, func(m *sched.Member) { m.Rack = "r2" }, nil, func(j *sched.Job) { j.Steps[0].DataRack = "r2" }},
-		{"drain begun", nil, drain, any, nil},
-		{"drain over", drain, nil, nil, any},
+		{"drain begun", nil, drain, every, nil},
+		{"drain over", drain, nil, nil, every},
 	}
 }
 
--- a/internal/batch/sched/model.go
+++ b/internal/batch/sched/model.go
@@ -29,7 +29,7 @@
 
 // EncodeModel encodes what was learned of interference and load, for the next holder. Learning it anew
 // takes about ten seconds, in which latency-critical tasks are disturbed or best-effort tasks wait. What doesn't fit into
-// maxModelSize is left out: pairs before loads, those that are known worst first.
+// maxModelSize is left out, of pairs those that are known worst.
 func (c *Core) EncodeModel() ([]byte, error) {
 	m := storedModel{State: c.interference.State()}
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
@@ -49,7 +49,7 @@
 	}
 	data, err := json.Marshal(m)
 	for err == nil && len(data) > maxModelSize {
-		if len(m.Pairs) > 0 {
+		if encodedSize(m.Pairs) > encodedSize(m.Loads) {
 			m.KeepBestKnown(len(m.Pairs) / 2)
 		} else {
 			m.Loads = m.Loads[:len(m.Loads)/2]
@@ -59,6 +59,12 @@
 	return data, errors.Wrap(err, "sched")
 }
 
+// encodedSize returns the size of a part of the encoded model in bytes.
+func encodedSize(part any) int {
+	data, _ := json.Marshal(part) // the whole was encoded before
+	return len(data)
+}
+
 // RestoreModel restores what a former holder has learned. Loads of jobs that aren't known here are ignored.
 func (c *Core) RestoreModel(data []byte) error {
 	var m storedModel
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -20,19 +20,20 @@
 	mu      sync.Mutex         // guards the fields below and the workers' state
 	workers map[string]*worker // by ID
 	// workload returns how long a task runs and how it ends.
-	workload     func(task string) (time.Duration, sched.End)
+	workload func(task string) (time.Duration, sched.End)
+	// mayRun returns whether a worker may run a task; nil: each may.
+	mayRun       func(task string, w sched.Member) bool
 	rng          *rand.Rand
-	delayedShare float64                                // share of orders that get no answer and are executed later
-	delayedPolls float64                                // share of polls that get no answer and are executed later
-	violations   []string                               // broken invariants, as text
-	ackedTasks   map[string]bool                        // tasks whose success has been acknowledged or counts as such, see noteListed
-	starts       map[string]int                         // number of starts by task
-	newestRuns   map[string]int64                       // number of the run that was started last, by task
-	expiredRuns  int                                    // runs ended by lease expiry
-	calm         bool                                   // no disruption is near, so that a success counts as acknowledged listedGrace after it was listed
-	mayRun       func(task string, w sched.Member) bool // whether a worker may run a task; nil: each may
-	lateAcross   bool                                   // late orders are executed by later incarnations, too
-	maxLease     time.Duration                          // longest lease that workers grant
+	delayedShare float64          // share of orders that get no answer and are executed later
+	delayedPolls float64          // share of polls that get no answer and are executed later
+	violations   []string         // broken invariants, as text
+	ackedTasks   map[string]bool  // tasks whose success has been acknowledged or counts as such, see noteListed
+	starts       map[string]int   // number of starts by task
+	newestRuns   map[string]int64 // number of the run that was started last, by task
+	expiredRuns  int              // runs ended by lease expiry
+	calm         bool             // no disruption is near, so that a success counts as acknowledged listedGrace after it was listed
+	lateAcross   bool             // late orders are executed by later incarnations, too
+	maxLease     time.Duration    // longest lease that workers grant
 }
 
 // worker is one worker in its present incarnation.
