sched: tests of entries without an incarnation, and of what a restart gives up

Eleven mutations of the change were tried; six survived: an entry without an incarnation, and a report that names one after it, the room reserved on a worker that comes back smaller, the drain time of the former incarnation, and hasEntry in CheckSend and schedulable. TestEntryWithoutIncarnation, and new cases of TestRelocationToOtherKind, TestUpdateMembers and TestStartIsRechecked, fail for each of them.

--- a/internal/batch/sched/entry_test.go
+++ b/internal/batch/sched/entry_test.go
@@ -215,6 +215,39 @@
 	}
 }
 
+// Guards against tasks by an entry that names no incarnation, and may be of a former one, on a worker that names its incarnation in its
+// answers. A worker that names none anywhere gets tasks: its restarts can't be told.
+func TestEntryWithoutIncarnation(t *testing.T) {
+	const known = 1
+	for _, tt := range []struct {
+		name     string
+		entries  []int64 // incarnations of the entries, one after the other; 0: none
+		reported int64   // that the worker's answers name
+		starts   int
+	}{
+		{"after that of the incarnation", []int64{known, 0}, known, 0},
+		{"first", []int64{0}, known, 0},
+		{"before that of the incarnation", []int64{0, known}, known, 1},
+		{"no incarnation anywhere", []int64{0}, 0, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newHarness(t, 1, 0)
+			for _, startedAt := range tt.entries {
+				b.list("w0", startedAt)
+				sent := b.now
+				b.advance(time.Millisecond)
+				b.core.HandleReport(sent, b.now, "w0", sched.Report{StartedAt: tt.reported, Clock: time.Second})
+				b.core.MarkTracked(b.core.TrackedWorkers())
+				b.core.NextPoll(b.now, "w0")
+			}
+			b.core.AddJob(b.now, oneTaskJob("j", nil))
+			if got := b.planOrders(sched.VerbStart); len(got) != tt.starts {
+				t.Errorf("starts %v, want %d", got, tt.starts)
+			}
+		})
+	}
+}
+
 // Guards against a worker that is called at the address of its former incarnation.
 func TestAddrOfFormerIncarnation(t *testing.T) {
 	b := newHarness(t, 1, 1).openWorkers()
@@ -240,6 +273,12 @@
 			b.core.UpdateMembers(b.now, []sched.Member{*dest}, nil)
 			b.core.MarkTracked(b.core.TrackedWorkers())
 		}},
+		{"restarted, smaller", func(b *harness, dest *sched.Member) {
+			b.poll(dest.ID, sched.Report{StartedAt: 2})
+			dest.StartedAt, dest.Labels, dest.Size.CPU = 2, []string{"big"}, 8000
+			b.core.UpdateMembers(b.now, []sched.Member{*dest}, nil)
+			b.core.MarkTracked(b.core.TrackedWorkers())
+		}},
 		{"label removed", func(b *harness, dest *sched.Member) { b.core.UpdateMembers(b.now, []sched.Member{*dest}, nil) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -258,7 +297,7 @@
 			b.planOrders(sched.VerbStart) // reserves the room on w1
 			directory[1].Labels = nil
 			tt.change(b, &directory[1])
-			b.core.AddJob(b.now, longRunningJob("other", 16000, ""))
+			b.core.AddJob(b.now, longRunningJob("other", directory[1].Size.CPU, ""))
 			for range 80 {
 				for i, m := range directory {
 					rep := sched.Report{StartedAt: m.StartedAt}
--- a/internal/batch/sched/member_test.go
+++ b/internal/batch/sched/member_test.go
@@ -43,6 +43,9 @@
 		{"unknown one gone", nil, []string{"w7"}, []string{"w0"}, now.Add(time.Second + time.Minute)},
 		{"back under another key", []Member{{Incarnation: Incarnation{"w1", 2}}}, []string{"w1"}, []string{"w0", "w1"}, now.Add(time.Second + time.Minute)},
 		{"drain ended", []Member{{Incarnation: Incarnation{"w0", 1}}}, nil, []string{"w0", "w1"}, time.Time{}},
+		{"drains again", []Member{{Incarnation: Incarnation{"w0", 1}, Draining: true, DrainRemaining: time.Minute}}, nil, []string{"w0", "w1"}, now.Add(7*time.Second + time.Minute)},
+		{"restarted, drains", []Member{{Incarnation: Incarnation{"w0", 2}, Draining: true, DrainRemaining: 5 * time.Second}}, nil, []string{"w0", "w1"}, now.Add(8*time.Second + 5*time.Second)},
+		{"entry of the former incarnation", []Member{{Incarnation: Incarnation{"w0", 1}}}, nil, []string{"w0", "w1"}, now.Add(8*time.Second + 5*time.Second)},
 	} {
 		now = now.Add(time.Second)
 		c.UpdateMembers(now, tt.changed, tt.removed)
--- a/internal/batch/sched/sendcheck_test.go
+++ b/internal/batch/sched/sendcheck_test.go
@@ -44,6 +44,7 @@
 			directory[0].Service = "t"
 			b.core.UpdateDirectory(b.now, directory)
 		}, sched.CauseUnschedulable},
+		{"entry of no incarnation", func(b *harness, _ sched.Order) { b.list("w0", 0) }, sched.CauseUnschedulable},
 		{"worker left the directory", func(b *harness, _ sched.Order) { b.core.UpdateDirectory(b.now, members(2)[1:]) }, sched.CauseUnschedulable},
 		{"zone evacuated", func(b *harness, _ sched.Order) { b.core.SetEvacuatedZones(map[string]bool{"z": true}) }, sched.CauseUnschedulable},
 		{"lease nearly expired", func(b *harness, _ sched.Order) { b.advance(lease - 500*time.Millisecond) }, sched.CauseShortLease},
