sched: the record of an older build is among the tests of former entries

Such a record has the new incarnation with the former entry, and a successor can't tell; it places by the directory alone. The jobs of a case are added in a fixed order.

--- a/internal/batch/sched/entry_test.go
+++ b/internal/batch/sched/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,7 +19,7 @@
 	fit          func(*sched.Job)    // changes it to one that the next incarnation can run; nil: it can run none
 }
 
-// changedEntries differ by one property each. Zone "out" is evacuated.
+// changedEntries differ by one property each.
 func changedEntries() []changedEntry {
 	label := func(l string) func(*sched.Member) { return func(m *sched.Member) { m.Labels = []string{l} } }
 	cpu := func(n int) func(*sched.Member) { return func(m *sched.Member) { m.Size.CPU = n } }
@@ -35,8 +36,8 @@
 		{"larger", cpu(2000), nil, nil, uses(8000)},
 		{"less memory", nil, func(m *sched.Member) { m.Size.Mem = 1500 }, func(j *sched.Job) { j.Steps[0].Size.Mem = 2000 }, every},
 		{"service", nil, func(m *sched.Member) { m.Service = "t" }, of("s"), of("t")},
-		{"into an evacuated zone", nil, zone("out"), every, nil},
-		{"out of an evacuated zone", zone("out"), nil, nil, every},
+		{"into an evacuated zone", nil, zone(evacuatedZone), every, nil},
+		{"out of an evacuated zone", zone(evacuatedZone), nil, nil, every},
 		{"rack", nil, func(m *sched.Member) { m.Rack = "r2" }, nil, func(j *sched.Job) { j.Steps[0].DataRack = "r2" }},
 		{"drain begun", nil, drain, every, nil},
 		{"drain over", drain, nil, nil, every},
@@ -57,22 +58,22 @@
 	return directory
 }
 
-// changeHolder replaces the core by that of a successor, which takes over the tracked workers as they are stored and reads the
-// given directory.
-func (b *harness) changeHolder(directory []sched.Member) {
+// changeHolder replaces the core by that of a successor, which takes over the given tracked workers as they are stored and reads
+// the given directory.
+func (b *harness) changeHolder(tracked, directory []sched.Member) {
 	b.t.Helper()
-	data, err := json.Marshal(b.core.TrackedWorkers())
+	data, err := json.Marshal(tracked)
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	var tracked []sched.Member
-	if err := json.Unmarshal(data, &tracked); err != nil {
+	var restored []sched.Member
+	if err := json.Unmarshal(data, &restored); err != nil {
 		b.t.Fatal(err)
 	}
 	b.core = sched.New(sched.Options{WorkerLease: lease, MaxUnconfirmed: maxUnconfirmed, Term: 2}, b.now)
-	b.core.InheritWorkers(b.now, tracked)
+	b.core.InheritWorkers(b.now, restored)
 	b.core.UpdateDirectory(b.now, directory)
-	b.core.SetEvacuatedZones(map[string]bool{"out": true})
+	b.core.SetEvacuatedZones(map[string]bool{evacuatedZone: true})
 	b.advance(time.Millisecond)
 	b.core.MarkTracked(b.core.TrackedWorkers())
 }
@@ -114,32 +115,39 @@
 		{"record of a former holder, former entry", func(b *harness, former, _ []sched.Member) {
 			b.poll("w0", sched.Report{StartedAt: 2})
 			b.core.UpdateMembers(b.now, former, nil)
-			b.changeHolder(former)
+			b.changeHolder(b.core.TrackedWorkers(), former)
 			b.poll("w0", sched.Report{StartedAt: 2})
 		}, false},
 		{"record of a former holder, no entry", func(b *harness, _, _ []sched.Member) {
 			b.poll("w0", sched.Report{StartedAt: 2})
-			b.changeHolder(nil)
+			b.changeHolder(b.core.TrackedWorkers(), nil)
+			b.poll("w0", sched.Report{StartedAt: 2})
+		}, false},
+		{"record in which an older build has the new incarnation with the former entry", func(b *harness, former, _ []sched.Member) {
+			mixed := slices.Clone(former)
+			mixed[0].StartedAt = 2
+			b.changeHolder(mixed, former)
 			b.poll("w0", sched.Report{StartedAt: 2})
 		}, false},
 		{"report to the next holder", func(b *harness, former, _ []sched.Member) {
-			b.changeHolder(former)
+			b.changeHolder(b.core.TrackedWorkers(), former)
 			b.poll("w0", sched.Report{StartedAt: 2})
 		}, false},
 	} {
 		for _, tt := range changedEntries() {
 			t.Run(learn.name+"/"+tt.name, func(t *testing.T) {
 				b := newHarness(t, 1, 1)
-				b.core.SetEvacuatedZones(map[string]bool{"out": true})
+				b.core.SetEvacuatedZones(map[string]bool{evacuatedZone: true})
 				b.core.UpdateDirectory(b.now, tt.entry(1))
 				b.openWorkers()
 				learn.play(b, tt.entry(1), tt.entry(2))
 				b.core.MarkTracked(b.core.TrackedWorkers())
 				b.poll("w0", sched.Report{StartedAt: 2})
-				for id, change := range map[string]func(*sched.Job){"unfit": tt.unfit, "fit": tt.fit} {
-					if change != nil {
-						b.core.AddJob(b.now, oneTaskJob(id, change))
-					}
+				if tt.unfit != nil {
+					b.core.AddJob(b.now, oneTaskJob("unfit", tt.unfit))
+				}
+				if tt.fit != nil {
+					b.core.AddJob(b.now, oneTaskJob("fit", tt.fit))
 				}
 				started := map[string]bool{}
 				plan := func() {
