sched: one check each for an open worker and for one that serves a step

Service was compared beside eligible by four of its callers and not by startRelocated; listed, hasEntry, drain and evacuation stood in schedulable, in checkStart and partly in Stats. eligible asks for service and label by serves; isOpen and isCurrent serve the others. handleRestart no longer marks a worker stale that forgetEntry has marked.

--- a/internal/batch/sched/feasible.go
+++ b/internal/batch/sched/feasible.go
@@ -218,7 +218,7 @@
 
 // eligible reports whether a worker meets the constraints on a step's tasks, apart from resources and reservations.
 func (w *worker) eligible(now time.Time, s *stepInstance) bool {
-	return w.schedulable(now) && w.hasLabel(s.spec.RequiredLabel) && (s.spec.MaxPerWorker == 0 || w.taskCount(s) < s.spec.MaxPerWorker)
+	return w.schedulable(now) && w.serves(s) && (s.spec.MaxPerWorker == 0 || w.taskCount(s) < s.spec.MaxPerWorker)
 }
 
 // resourceScore returns the score of a worker for a step's tasks by resources and interference, higher being better, and
--- a/internal/batch/sched/members.go
+++ b/internal/batch/sched/members.go
@@ -138,7 +138,6 @@
 	w.colocation = colocation{}
 	w.clock = clockReading{}
 	w.leaseUntil = 0
-	c.markStale(w)
 }
 
 // forgetEntry forgets what a worker's entry says of an incarnation that isn't the current one, with the room reserved there.
--- a/internal/batch/sched/place.go
+++ b/internal/batch/sched/place.go
@@ -319,7 +319,7 @@
 
 // canPlace reports whether a task of a step may be placed on a worker now; nil: the worker isn't known.
 func (c *Core) canPlace(now time.Time, w *worker, s *stepInstance) bool {
-	if w == nil || w.Service != s.job.Service || c.lane(w).full() {
+	if w == nil || c.lane(w).full() {
 		return false
 	}
 	_, ok := c.placementScore(now, w, s)
--- a/internal/batch/sched/relocate.go
+++ b/internal/batch/sched/relocate.go
@@ -273,7 +273,7 @@
 				continue
 			}
 			dest := t.relocation.dest
-			if dest.Service != s.job.Service || !dest.eligible(now, s) || !dest.fitsBeside(s.spec.Size.Minus(t.relocationSize())) {
+			if !dest.eligible(now, s) || !dest.fitsBeside(s.spec.Size.Minus(t.relocationSize())) {
 				continue
 			}
 			if !yield(t, dest) {
--- a/internal/batch/sched/reserve.go
+++ b/internal/batch/sched/reserve.go
@@ -55,7 +55,7 @@
 			if c.reserveScans >= maxReserveScans {
 				return
 			}
-			if w.Service != s.job.Service || w.reserved.plan == c.planNumber || !w.fitsBeside(s.spec.Size) || !w.eligible(now, s) {
+			if w.reserved.plan == c.planNumber || !w.fitsBeside(s.spec.Size) || !w.eligible(now, s) {
 				continue
 			}
 			c.reserveScans++
--- a/internal/batch/sched/sendcheck.go
+++ b/internal/batch/sched/sendcheck.go
@@ -73,7 +73,7 @@
 		return CauseIncarnation
 	case w.contact != ContactGood:
 		return CauseUnreachable
-	case !w.listed || !w.hasEntry || w.Draining || w.evacuated || !w.serves(r.task.step):
+	case !w.isOpen() || !w.serves(r.task.step):
 		return CauseUnschedulable
 	case o.LeaseUntil-w.clock.now(now) < minStartLease:
 		return CauseShortLease
--- a/internal/batch/sched/starve.go
+++ b/internal/batch/sched/starve.go
@@ -49,7 +49,7 @@
 	for _, w := range c.workersByID {
 		size := s.spec.Size
 		size.Mem = 0
-		if w.Service != s.job.Service || !w.eligible(now, s) || !w.free().Covers(size) {
+		if !w.eligible(now, s) || !w.free().Covers(size) {
 			continue
 		}
 		runs, ok := w.starvedToPreempt(s.spec.Size.Mem - w.free().Mem)
--- a/internal/batch/sched/stats.go
+++ b/internal/batch/sched/stats.go
@@ -52,7 +52,7 @@
 		switch w.contact {
 		case ContactGood:
 			s.WorkersInContact++
-			if !w.listed || !w.hasEntry {
+			if !w.isCurrent() {
 				s.EntriesMissing++
 			}
 		case ContactLost:
--- a/internal/batch/sched/worker.go
+++ b/internal/batch/sched/worker.go
@@ -283,7 +283,13 @@
 	return w.Service == s.job.Service && w.hasLabel(s.spec.RequiredLabel)
 }
 
+// isCurrent reports whether the directory lists the worker with an entry of its current incarnation.
+func (w *worker) isCurrent() bool { return w.listed && w.hasEntry }
+
+// isOpen reports whether the worker takes new tasks, as the directory and the operators say.
+func (w *worker) isOpen() bool { return w.isCurrent() && !w.Draining && !w.evacuated }
+
 // schedulable reports whether new tasks may be placed on the worker.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.listed && w.hasEntry && w.tracked && !w.Draining && !w.evacuated && w.contact == ContactGood && w.leaseCoversStart(now) && !w.breaker.Tripped(now)
+	return w.isOpen() && w.tracked && w.contact == ContactGood && w.leaseCoversStart(now) && !w.breaker.Tripped(now)
 }
