interf: the oldest image is found by the library

slices.Index of slices.Min, and slices.MinFunc, in place of two loops, of which one relied on a key that isn't there. The same image is chosen; bound_test.go passes.

--- a/internal/batch/interf/factors.go
+++ b/internal/batch/interf/factors.go
@@ -104,12 +104,7 @@
 
 // forgetOldest forgets the image that was measured longest ago.
 func (f *Factors) forgetOldest() {
-	oldest := 0
-	for i, at := range f.measuredAt {
-		if at < f.measuredAt[oldest] {
-			oldest = i
-		}
-	}
+	oldest := slices.Index(f.measuredAt, slices.Min(f.measuredAt))
 	f.images = slices.Delete(f.images, oldest, oldest+1)
 	f.estimates = slices.Delete(f.estimates, oldest, oldest+1)
 	f.measuredAt = slices.Delete(f.measuredAt, oldest, oldest+1)
--- a/internal/batch/interf/model.go
+++ b/internal/batch/interf/model.go
@@ -1,7 +1,10 @@
 package interf
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -58,12 +61,9 @@
 
 // forgetOldest forgets the latency-critical image that was measured longest ago.
 func (m *Model) forgetOldest() {
-	oldest := ""
-	for image, f := range m.factors {
-		if first := m.factors[oldest]; first == nil || f.updatedAt < first.updatedAt || f.updatedAt == first.updatedAt && image < oldest {
-			oldest = image
-		}
-	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(m.factors)), func(a, b string) int {
+		return cmp.Or(cmp.Compare(m.factors[a].updatedAt, m.factors[b].updatedAt), cmp.Compare(a, b))
+	})
 	delete(m.factors, oldest)
 }
 
