drive: restart and restartAs share the crash of workers

The table of TestRestartAsOtherKind named a change of the holder that was always a kill; it has the time of the kill now.

--- a/internal/batch/drive/otherkind_test.go
+++ b/internal/batch/drive/otherkind_test.go
@@ -17,14 +17,7 @@
 
 // restartAs lets workers crash and come back under their ids with another size and label.
 func (c *testCluster) restartAs(size wire.Size, label string, ids ...string) {
-	for _, id := range ids {
-		c.workers.Kill(id)
-		c.workers.SetKind(id, size, label)
-	}
-	time.Sleep(restartTime)
-	for _, id := range ids {
-		c.workers.SetUnreachable(id, false)
-	}
+	c.crash(func(id string) { c.workers.SetKind(id, size, label) }, ids...)
 }
 
 // submitKinds submits jobs for workers with the label "big" and for any worker in turn, until ctx ends. It returns the number of
@@ -47,14 +40,13 @@
 	for _, tt := range []struct {
 		name   string
 		listed time.Duration // from the return of the workers until the directory shows it
-		change func(*host)   // of the holder, after the delay; nil: none
-		delay  time.Duration
+		kill   time.Duration // from the return until the holder is killed; 0: it isn't
 	}{
-		{"listed at once", 0, nil, 0},
-		{"listed later", 1500 * time.Millisecond, nil, 0},
-		{"holder killed at once", 1500 * time.Millisecond, (*host).kill, 20 * time.Millisecond},
-		{"holder killed", 3 * time.Second, (*host).kill, 200 * time.Millisecond},
-		{"holder killed once the restart is stored", 4 * time.Second, (*host).kill, time.Second},
+		{"listed at once", 0, 0},
+		{"listed later", 1500 * time.Millisecond, 0},
+		{"holder killed at once", 1500 * time.Millisecond, 20 * time.Millisecond},
+		{"holder killed", 3 * time.Second, 200 * time.Millisecond},
+		{"holder killed once the restart is stored", 4 * time.Second, time.Second},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -73,9 +65,9 @@
 				time.Sleep(time.Second)
 				c.restartAs(small, "little", changed...)
 				time.AfterFunc(tt.listed, c.listWorkers)
-				if tt.change != nil {
-					time.Sleep(tt.delay)
-					tt.change(c.holder())
+				if tt.kill > 0 {
+					time.Sleep(tt.kill)
+					c.holder().kill()
 				}
 				time.Sleep(6 * time.Second)
 				cancel()
--- a/internal/batch/drive/restart_test.go
+++ b/internal/batch/drive/restart_test.go
@@ -25,14 +25,20 @@
 
 // restart crashes workers, which are back under their ids after restartTime and in the directory after another while.
 func (c *testCluster) restart(listedAfter time.Duration, ids ...string) {
+	c.crash(func(string) {}, ids...)
+	time.AfterFunc(listedAfter, c.listWorkers)
+}
+
+// crash lets workers crash, which are back under their ids after restartTime. whileDown is called for each when it is down.
+func (c *testCluster) crash(whileDown func(id string), ids ...string) {
 	for _, id := range ids {
 		c.workers.Kill(id)
+		whileDown(id)
 	}
 	time.Sleep(restartTime)
 	for _, id := range ids {
 		c.workers.SetUnreachable(id, false)
 	}
-	time.AfterFunc(listedAfter, c.listWorkers)
 }
 
 // Guards against tasks that run again after they have succeeded: while the store is away, a worker restarts between two
